--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: demo test check fuzz
+
+.venv/installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch .venv/installed
+
+demo: .venv/installed
+	$(BIN)/python -m demo.run
+
+test: .venv/installed
+	$(BIN)/python -m tests.run
+
+check: .venv/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+fuzz: .venv/installed
+	HYPOTHESIS_PROFILE=long $(BIN)/python -m tests.run fuzz
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: a fleet on loopback, driven once from end to end."""
--- /dev/null
+++ b/plumvane/bulk/main.py
@@ -0,0 +1,96 @@
+"""Wiring of plumvane-bulk."""
+
+from __future__ import annotations
+
+import anyio
+
+from plumvane.chunks.folder import ChunkFolder
+from plumvane.fleet.current import CurrentDocument
+from plumvane.instances.directory import Directory
+from plumvane.instances.reporter import Reporter
+from plumvane.peers.link import LinkPool
+from plumvane.peers.messages import (
+    ChunkData,
+    ChunkStored,
+    FetchChunk,
+    Message,
+    Report,
+    StoreChunk,
+)
+from plumvane.peers.server import Call, PeerServer
+from plumvane.process import run_program, supervise
+from plumvane.settings import BulkSettings
+
+__all__ = ["Bulk", "run"]
+
+# A leaving instance still serves reads for this.
+LINGER_S = 1.0
+
+
+class Bulk:
+    """One bulk process."""
+
+    def __init__(self, settings: BulkSettings) -> None:
+        """Builds the parts.
+
+        Args:
+            settings: Checked settings.
+        """
+        process = settings.process
+        self._settings = settings
+        self._current = CurrentDocument()
+        self._links = LinkPool(process.name)
+        self._directory = Directory(settings.platform.instances_url)
+        self._folder = ChunkFolder(settings.data.folder)
+        self._server = PeerServer(str(process.peer_address))
+        self._server.handle(StoreChunk, self._store)
+        self._server.handle(FetchChunk, self._fetch)
+        self._reporter = Reporter(
+            process.name,
+            self._directory,
+            self._links,
+            self._current,
+            self._make_report,
+        )
+        self._leaving = False
+
+    async def serve(self, stopping: anyio.Event) -> None:
+        """Serves until the event is set, then drains."""
+        async with anyio.create_task_group() as group:
+            await group.start(self._server.run)
+            group.start_soon(supervise, self._links.run)
+            group.start_soon(supervise, self._directory.run)
+            group.start_soon(supervise, self._reporter.run)
+            await stopping.wait()
+            self._leaving = True
+            await self._reporter.report()
+            await anyio.sleep(LINGER_S)
+            group.cancel_scope.cancel()
+
+    def _make_report(self) -> Report:
+        process = self._settings.process
+        return Report(
+            process.name,
+            "bulk",
+            str(process.peer_address),
+            process.data_centre,
+            "",
+            self._current.revision,
+            self._leaving,
+        )
+
+    async def _store(self, call: Call, message: StoreChunk) -> Message:
+        await self._folder.store(message.digest, message.data)
+        return ChunkStored(message.digest)
+
+    async def _fetch(self, call: Call, message: FetchChunk) -> Message:
+        return ChunkData(await self._folder.fetch(message.digest))
+
+
+async def _serve(settings: BulkSettings, stopping: anyio.Event) -> None:
+    await Bulk(settings).serve(stopping)
+
+
+def run() -> None:
+    """Runs plumvane-bulk."""
+    run_program(BulkSettings, _serve)
--- /dev/null
+++ b/plumvane/chunks/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable, content-addressed bulk data."""
--- /dev/null
+++ b/plumvane/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The plumvane command."""
--- /dev/null
+++ b/plumvane/clock.py
@@ -0,0 +1,26 @@
+"""Clocks: monotonic time for deadlines, wall time for records."""
+
+from __future__ import annotations
+
+import time
+
+__all__ = ["monotonic", "remaining", "wall"]
+
+
+def monotonic() -> float:
+    """Returns the process's monotonic time in seconds."""
+    return time.monotonic()
+
+
+def wall() -> float:
+    """Returns the time in seconds since the Unix epoch."""
+    return time.time()
+
+
+def remaining(deadline: float) -> float:
+    """Returns the seconds until a monotonic deadline, at least zero.
+
+    Args:
+        deadline: Monotonic time in seconds.
+    """
+    return max(0.0, deadline - time.monotonic())
--- /dev/null
+++ b/plumvane/console/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' console of forms."""
--- /dev/null
+++ b/plumvane/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The plumvane-entry program."""
--- /dev/null
+++ b/plumvane/entry/api.py
@@ -0,0 +1,519 @@
+"""HTTP interface for callers and operators."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import secrets
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request as HttpRequest
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from plumvane import clock, hashing
+from plumvane.entry.batches import BatchService
+from plumvane.entry.owners import OwnerClient
+from plumvane.entry.problems import problem_body, problem_response
+from plumvane.entry.runner import Answer, Request, RequestRunner, Running
+from plumvane.entry.status import FleetStatus
+from plumvane.errors import (
+    BadRequestError,
+    BodyTooLargeError,
+    DeadlineExceededError,
+    ForbiddenError,
+    LeavingError,
+    NotFoundError,
+    PlumvaneError,
+    UnauthorizedError,
+    error_from_code,
+)
+from plumvane.fleet.current import CurrentDocument
+from plumvane.fleet.document import FleetDocument, Workload, token_digest
+from plumvane.fleet.revisions import DocumentStore
+from plumvane.instances.directory import Directory
+from plumvane.peers.messages import ClaimResult, JobState, Lookup, Outcome
+
+__all__ = ["Api"]
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_KEY_LENGTH = 200
+# How much of a prompt routing looks at.
+PREFIX_CHARACTERS = 256
+LOOKUP_TIMEOUT_S = 5.0
+SERVICE_TIMEOUT_S = 60.0
+
+Handler = Callable[[HttpRequest], Awaitable[Response]]
+
+
+class Api:
+    """The entry's HTTP interface."""
+
+    def __init__(
+        self,
+        current: CurrentDocument,
+        runner: RequestRunner,
+        batches: BatchService,
+        owners: OwnerClient,
+        documents: DocumentStore,
+        directory: Directory,
+        status: FleetStatus,
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        """Creates the interface.
+
+        Args:
+            current: Fleet document in force.
+            runner: Runs requests.
+            batches: Batch jobs.
+            owners: Calls partition owners.
+            documents: Changes the fleet document.
+            directory: Instances of the fleet.
+            status: State of all instances.
+            is_leaving: Whether the entry takes no new work.
+        """
+        self._current = current
+        self._runner = runner
+        self._batches = batches
+        self._owners = owners
+        self._documents = documents
+        self._directory = directory
+        self._status = status
+        self._is_leaving = is_leaving
+
+    def application(self) -> Starlette:
+        """Returns the ASGI application."""
+        routes: list[tuple[str, str, Handler]] = [
+            ("POST", "/v1/completions", self.complete),
+            ("POST", "/v1/services/{name}", self.call_service),
+            ("GET", "/v1/requests/{key}", self.show_request),
+            ("POST", "/v1/requests/{key}/cancel", self.cancel_request),
+            ("POST", "/v1/batches", self.submit_batch),
+            ("GET", "/v1/batches", self.list_batches),
+            ("GET", "/v1/batches/{job_id}", self.show_batch),
+            ("POST", "/v1/batches/{job_id}/cancel", self.cancel_batch),
+            ("GET", "/v1/batches/{job_id}/results", self.batch_results),
+            ("GET", "/v1/fleet/document", self.show_document),
+            ("PUT", "/v1/fleet/document", self.apply_document),
+            ("GET", "/v1/fleet/audit", self.show_audit),
+            ("GET", "/v1/fleet/instances", self.show_instances),
+            ("GET", "/healthz", self.healthz),
+            ("GET", "/readyz", self.readyz),
+        ]
+        return Starlette(
+            routes=[
+                Route(path, _with_problems(handler), methods=[method])
+                for method, path, handler in routes
+            ]
+        )
+
+    async def complete(self, http: HttpRequest) -> Response:
+        """Serves POST /v1/completions."""
+        team = self._team(http)
+        self._check_leaving()
+        body = await _read_body(http)
+        fields = _json_object(body)
+        document = self._current.document
+        model = fields.get("model")
+        if not isinstance(model, str) or model not in document.models:
+            raise NotFoundError(
+                f"Model {model!r} is unknown.",
+                remedy="Name a model of the fleet document.",
+                not_run=True,
+            )
+        prompt = fields.get("prompt")
+        if not isinstance(prompt, str):
+            raise BadRequestError("'prompt' must be a string.", not_run=True)
+        workload = _workload(document, fields.pop("workload", None), model)
+        timeout_s = workload.timeout_s if workload else SERVICE_TIMEOUT_S
+        stream = bool(fields.pop("stream", False))
+        request = Request(
+            team=team,
+            key=_key(http),
+            path="/v1/completions",
+            body=json.dumps(fields).encode(),
+            digest=_digest("/v1/completions", body),
+            serves=model,
+            online=workload.kind == "online" if workload else True,
+            idempotent=workload.idempotent if workload else True,
+            deadline=_deadline(http, timeout_s),
+            stream=stream,
+            rank=workload.rank if workload else 0,
+            prefix=prompt[:PREFIX_CHARACTERS],
+        )
+        running = self._runner.start(request)
+        if stream:
+            return StreamingResponse(
+                _events(running, model), media_type="text/event-stream"
+            )
+        return _answer_response(await running.answer())
+
+    async def call_service(self, http: HttpRequest) -> Response:
+        """Serves POST /v1/services/{name}."""
+        team = self._team(http)
+        self._check_leaving()
+        name = http.path_params["name"]
+        service = self._current.document.services.get(name)
+        if service is None:
+            raise NotFoundError(f"Service {name!r} is unknown.", not_run=True)
+        body = await _read_body(http)
+        request = Request(
+            team=team,
+            key=_key(http),
+            path="/call",
+            body=body,
+            digest=_digest(f"/v1/services/{name}", body),
+            serves=name,
+            online=True,
+            idempotent=service.idempotent,
+            deadline=_deadline(http, SERVICE_TIMEOUT_S),
+        )
+        return _answer_response(await self._runner.start(request).answer())
+
+    async def show_request(self, http: HttpRequest) -> Response:
+        """Serves GET /v1/requests/{key}."""
+        team = self._team(http)
+        key = http.path_params["key"]
+        partition = hashing.partition_of(team, key)
+        reply = await self._owners.call(
+            partition,
+            Lookup(partition, team, key),
+            deadline=clock.monotonic() + LOOKUP_TIMEOUT_S,
+        )
+        if not isinstance(reply, ClaimResult):
+            raise PlumvaneError("The owner's reply is not understood.")
+        return _answer_response(
+            Answer(reply.request_id, reply.outcome, reply.durable)
+        )
+
+    async def cancel_request(self, http: HttpRequest) -> Response:
+        """Serves POST /v1/requests/{key}/cancel."""
+        team = self._team(http)
+        key = http.path_params["key"]
+        if not await self._runner.cancel(team, key):
+            raise NotFoundError(f"Request {key!r} does not run here.")
+        return JSONResponse({"key": key, "state": "cancelled"})
+
+    async def submit_batch(self, http: HttpRequest) -> Response:
+        """Serves POST /v1/batches."""
+        team = self._team(http)
+        self._check_leaving()
+        state = await self._batches.submit(
+            team, _key(http), _header_deadline(http), http.stream()
+        )
+        return JSONResponse(_job_body(state), status_code=202)
+
+    async def list_batches(self, http: HttpRequest) -> Response:
+        """Serves GET /v1/batches."""
+        jobs = await self._batches.list(self._team(http))
+        return JSONResponse({"jobs": [_job_body(job) for job in jobs]})
+
+    async def show_batch(self, http: HttpRequest) -> Response:
+        """Serves GET /v1/batches/{job_id}."""
+        state = await self._batches.show(
+            self._team(http), http.path_params["job_id"]
+        )
+        return JSONResponse(_job_body(state))
+
+    async def cancel_batch(self, http: HttpRequest) -> Response:
+        """Serves POST /v1/batches/{job_id}/cancel."""
+        state = await self._batches.cancel(
+            self._team(http), http.path_params["job_id"]
+        )
+        return JSONResponse(_job_body(state))
+
+    async def batch_results(self, http: HttpRequest) -> Response:
+        """Serves GET /v1/batches/{job_id}/results."""
+        state = await self._batches.show(
+            self._team(http), http.path_params["job_id"]
+        )
+        return StreamingResponse(
+            self._batches.results(state), media_type="application/jsonl"
+        )
+
+    async def show_document(self, http: HttpRequest) -> Response:
+        """Serves GET /v1/fleet/document."""
+        self._operator(http, "view")
+        revision, _ = await self._documents.read()
+        return JSONResponse(
+            {
+                "revision": revision.number,
+                "document": json.loads(revision.document),
+            }
+        )
+
+    async def apply_document(self, http: HttpRequest) -> Response:
+        """Serves PUT /v1/fleet/document."""
+        operator = self._operator(http, "change")
+        from_revision = _from_revision(http)
+        body = await _read_body(http)
+        try:
+            revision = await self._documents.apply(
+                body, from_revision=from_revision, operator=operator
+            )
+        except PlumvaneError as error:
+            await self._documents.refuse(
+                from_revision=from_revision,
+                operator=operator,
+                refusal=error.code,
+            )
+            raise
+        self._current.offer(revision)
+        return JSONResponse({"revision": revision.number})
+
+    async def show_audit(self, http: HttpRequest) -> Response:
+        """Serves GET /v1/fleet/audit."""
+        self._operator(http, "view")
+        changes = await self._documents.audit()
+        return JSONResponse({"changes": msgspec.to_builtins(changes)})
+
+    async def show_instances(self, http: HttpRequest) -> Response:
+        """Serves GET /v1/fleet/instances."""
+        self._operator(http, "view")
+        found = await self._status.instances()
+        return JSONResponse(
+            {"revision": self._current.revision, "instances": found}
+        )
+
+    async def healthz(self, http: HttpRequest) -> Response:
+        """Serves GET /healthz: the process runs."""
+        return JSONResponse({"status": "ok"})
+
+    async def readyz(self, http: HttpRequest) -> Response:
+        """Serves GET /readyz: the balancer may send callers here."""
+        ready = self._directory.loaded.is_set() and not self._is_leaving()
+        names = [
+            instance.name
+            for role in ("entry", "sidecar", "bulk")
+            for instance in self._directory.live(role)
+        ]
+        return JSONResponse(
+            {
+                "ready": ready,
+                "revision": self._current.revision,
+                "instances": names,
+                "partitions_without_owner": self._owners.without_owner(),
+            },
+            status_code=200 if ready else 503,
+        )
+
+    def _check_leaving(self) -> None:
+        if self._is_leaving():
+            raise LeavingError(
+                "The entry is leaving.", not_run=True, retry_after_s=1.0
+            )
+
+    def _team(self, http: HttpRequest) -> str:
+        team = self._current.document.team_by_token(_token(http))
+        if team is None:
+            raise UnauthorizedError("The token is unknown.", not_run=True)
+        return team
+
+    def _operator(self, http: HttpRequest, role: str) -> str:
+        operators = self._current.document.operators
+        if not operators and self._current.revision == 0:
+            # The first document names the first operators.
+            return "first-operator"
+        digest = token_digest(_token(http))
+        for name, operator in operators.items():
+            if operator.token_sha256 == digest:
+                if role == "change" and operator.role != "change":
+                    raise ForbiddenError(f"Operator {name!r} may only view.")
+                return name
+        raise UnauthorizedError("The token is no operator's.")
+
+
+def _with_problems(handler: Handler) -> Handler:
+    """Turns errors into problem documents."""
+
+    async def serve(http: HttpRequest) -> Response:
+        try:
+            return await handler(http)
+        except PlumvaneError as error:
+            return problem_response(error)
+
+    return serve
+
+
+def _token(http: HttpRequest) -> str:
+    scheme, _, token = http.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not token:
+        raise UnauthorizedError("No bearer token was sent.", not_run=True)
+    return token
+
+
+def _key(http: HttpRequest) -> str:
+    key = http.headers.get("idempotency-key")
+    if key is None:
+        return f"auto-{secrets.token_hex(12)}"
+    if not key or len(key) > MAX_KEY_LENGTH:
+        raise BadRequestError(
+            f"Idempotency-Key must have 1 to {MAX_KEY_LENGTH} characters.",
+            not_run=True,
+        )
+    return key
+
+
+def _header_deadline(http: HttpRequest) -> float | None:
+    text = http.headers.get("plumvane-deadline")
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        raise BadRequestError(
+            "Plumvane-Deadline must be seconds since the epoch.", not_run=True
+        ) from None
+
+
+def _deadline(http: HttpRequest, timeout_s: float) -> float:
+    deadline = _header_deadline(http)
+    now = clock.wall()
+    if deadline is None:
+        return now + timeout_s
+    if deadline <= now:
+        raise DeadlineExceededError("The deadline has passed.", not_run=True)
+    return deadline
+
+
+def _from_revision(http: HttpRequest) -> int:
+    text = http.headers.get("if-match", "").strip('"')
+    if not text.isdigit():
+        raise BadRequestError(
+            "If-Match must name the revision that the change is based on."
+        )
+    return int(text)
+
+
+async def _read_body(http: HttpRequest) -> bytes:
+    body = bytearray()
+    async for data in http.stream():
+        body += data
+        if len(body) > MAX_BODY_BYTES:
+            raise BodyTooLargeError(
+                f"The body is over {MAX_BODY_BYTES} bytes.", not_run=True
+            )
+    return bytes(body)
+
+
+def _json_object(body: bytes) -> dict[str, Any]:
+    try:
+        fields = json.loads(body)
+    except ValueError as error:
+        raise BadRequestError(
+            f"The body is not JSON: {error}.", not_run=True
+        ) from None
+    if not isinstance(fields, dict):
+        raise BadRequestError("The body is not a JSON object.", not_run=True)
+    return fields
+
+
+def _digest(path: str, body: bytes) -> bytes:
+    return hashlib.sha256(path.encode() + b"\0" + body).digest()
+
+
+def _workload(
+    document: FleetDocument, name: object, model: str
+) -> Workload | None:
+    if name is None:
+        for workload in document.workloads.values():
+            if workload.model == model and workload.kind == "online":
+                return workload
+        return None
+    found = document.workloads.get(str(name))
+    if found is None or found.model != model:
+        raise NotFoundError(
+            f"Workload {name!r} of model {model!r} is unknown.", not_run=True
+        )
+    return found
+
+
+def _answer_response(answer: Answer) -> Response:
+    outcome = answer.outcome
+    headers = {
+        "plumvane-request-id": answer.request_id,
+        "plumvane-durable": "true" if answer.durable else "false",
+    }
+    if outcome.error is not None:
+        response = problem_response(_outcome_error(outcome))
+        response.headers.update(headers)
+        return response
+    return Response(
+        outcome.body,
+        status_code=outcome.status,
+        headers=headers,
+        media_type=outcome.content_type,
+    )
+
+
+def _outcome_error(outcome: Outcome) -> PlumvaneError:
+    failure = outcome.error
+    if failure is None:
+        return PlumvaneError("The outcome has no error.")
+    return error_from_code(
+        failure.code,
+        failure.detail,
+        remedy=failure.remedy,
+        not_run=failure.not_run,
+        retry_after_s=failure.retry_after_s,
+    )
+
+
+async def _events(running: Running, model: str) -> AsyncIterator[bytes]:
+    """Yields server-sent events; the last one follows the commit."""
+    given = 0
+    while (text := await running.next_text()) is not None:
+        given += len(text)
+        yield _event(running.request_id, model, text, None)
+    try:
+        answer = await running.answer()
+    except PlumvaneError as error:
+        yield _error_event(error)
+        return
+    if answer.outcome.error is not None:
+        yield _error_event(_outcome_error(answer.outcome))
+        return
+    choice = json.loads(answer.outcome.body)["choices"][0]
+    yield _event(
+        answer.request_id,
+        model,
+        choice["text"][given:],
+        choice["finish_reason"],
+    )
+    yield b"data: [DONE]\n\n"
+
+
+def _error_event(error: PlumvaneError) -> bytes:
+    body = json.dumps({"error": problem_body(error)})
+    return b"data: " + body.encode() + b"\n\n"
+
+
+def _event(
+    request_id: str, model: str, text: str, finish_reason: str | None
+) -> bytes:
+    piece = {
+        "id": request_id,
+        "object": "text_completion",
+        "model": model,
+        "choices": [{"index": 0, "text": text, "finish_reason": finish_reason}],
+    }
+    return b"data: " + json.dumps(piece).encode() + b"\n\n"
+
+
+def _job_body(state: JobState) -> dict[str, object]:
+    return {
+        "id": state.job_id,
+        "object": "batch",
+        "state": state.state,
+        "items": state.items,
+        "done": state.done,
+        "failed": [
+            {"index": item.index, "cause": item.cause} for item in state.failed
+        ],
+        "deadline": state.deadline,
+        "expected_finish": state.expected_finish,
+        "created": state.created,
+    }
--- /dev/null
+++ b/plumvane/entry/batches.py
@@ -0,0 +1,276 @@
+"""Batch jobs over HTTP: JSONL in, JSONL out."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from plumvane import clock, hashing
+from plumvane.chunks.client import ChunkClient
+from plumvane.entry.owners import OwnerClient
+from plumvane.errors import (
+    BadRequestError,
+    BodyTooLargeError,
+    DeadlineExceededError,
+    PlumvaneError,
+)
+from plumvane.fleet.current import CurrentDocument
+from plumvane.peers.messages import (
+    ChunkRef,
+    JobCall,
+    JobState,
+    SubmitJob,
+)
+
+__all__ = ["BatchService", "JobInput"]
+
+MAX_LINE_BYTES = 256 * 1024
+MAX_ITEMS = 1_000_000
+CHUNK_BYTES = 512 * 1024
+CALL_TIMEOUT_S = 10.0
+DEFAULT_WINDOW_S = 86_400.0
+
+
+class _Item(msgspec.Struct):
+    """One line of a job's input."""
+
+    custom_id: str
+    body: dict[str, object]
+
+
+class JobInput:
+    """Checks the lines of a job and cuts them into chunks."""
+
+    def __init__(self, chunks: ChunkClient) -> None:
+        """Starts an empty input.
+
+        Args:
+            chunks: Where the chunks go.
+        """
+        self._chunks = chunks
+        self._lines: list[bytes] = []
+        self._bytes = 0
+        self._digest = hashlib.sha256()
+        self._decoder = msgspec.json.Decoder(_Item)
+        self._custom_ids: set[bytes] = set()
+        self.refs: list[ChunkRef] = []
+        self.items = 0
+        self.model = ""
+
+    @property
+    def digest(self) -> bytes:
+        """SHA-256 of all lines."""
+        return self._digest.digest()
+
+    async def read(self, stream: AsyncIterator[bytes]) -> None:
+        """Reads the whole input in bounded memory.
+
+        Raises:
+            BadRequestError: A line is invalid; its number is named.
+            BodyTooLargeError: A limit is exceeded.
+            BulkUnavailableError: The chunks cannot be kept safe.
+        """
+        rest = b""
+        async for data in stream:
+            rest += data
+            *lines, rest = rest.split(b"\n")
+            for line in lines:
+                await self._add(line)
+            if len(rest) > MAX_LINE_BYTES:
+                raise BodyTooLargeError(
+                    f"Line {self.items + 1} is over {MAX_LINE_BYTES} bytes.",
+                    not_run=True,
+                )
+        await self._add(rest)
+        await self._flush()
+        if not self.items:
+            raise BadRequestError("The job has no items.", not_run=True)
+
+    async def _add(self, line: bytes) -> None:
+        line = line.strip()
+        if not line:
+            return
+        self.items += 1
+        self._check(line)
+        self._digest.update(line + b"\n")
+        self._lines.append(line)
+        self._bytes += len(line)
+        if self._bytes >= CHUNK_BYTES:
+            await self._flush()
+
+    def _check(self, line: bytes) -> None:
+        if self.items > MAX_ITEMS:
+            raise BodyTooLargeError(
+                f"A job has at most {MAX_ITEMS} items.", not_run=True
+            )
+        if len(line) > MAX_LINE_BYTES:
+            raise BodyTooLargeError(
+                f"Line {self.items} is over {MAX_LINE_BYTES} bytes.",
+                not_run=True,
+            )
+        try:
+            item = self._decoder.decode(line)
+        except msgspec.DecodeError as error:
+            raise BadRequestError(
+                f"Line {self.items} is invalid: {error}.", not_run=True
+            ) from None
+        digest = hashlib.blake2b(item.custom_id.encode(), digest_size=16)
+        if digest.digest() in self._custom_ids:
+            raise BadRequestError(
+                f"Line {self.items} repeats custom_id {item.custom_id!r}.",
+                not_run=True,
+            )
+        self._custom_ids.add(digest.digest())
+        model = item.body.get("model")
+        if not isinstance(model, str):
+            raise BadRequestError(
+                f"Line {self.items} names no model.", not_run=True
+            )
+        self.model = self.model or model
+        if model != self.model:
+            raise BadRequestError(
+                f"Line {self.items} names model {model!r}, but the job's "
+                f"first line names {self.model!r}.",
+                not_run=True,
+            )
+
+    async def _flush(self) -> None:
+        if not self._lines:
+            return
+        data = msgspec.msgpack.encode(self._lines)
+        digest, addresses = await self._chunks.store(data)
+        first = self.items - len(self._lines)
+        self.refs.append(ChunkRef(digest, first, len(self._lines), addresses))
+        self._lines = []
+        self._bytes = 0
+
+
+class BatchService:
+    """Submits, shows, cancels and reads batch jobs."""
+
+    def __init__(
+        self,
+        owners: OwnerClient,
+        chunks: ChunkClient,
+        current: CurrentDocument,
+    ) -> None:
+        """Creates the service.
+
+        Args:
+            owners: Calls partition owners.
+            chunks: Client of the bulk instances.
+            current: Fleet document in force.
+        """
+        self._owners = owners
+        self._chunks = chunks
+        self._current = current
+
+    async def submit(
+        self,
+        team: str,
+        key: str,
+        deadline: float | None,
+        stream: AsyncIterator[bytes],
+    ) -> JobState:
+        """Accepts a job; the same key and input are the same job.
+
+        Args:
+            team: Team of the caller.
+            key: Idempotency key.
+            deadline: Deadline in seconds since the epoch, or None.
+            stream: The input.
+        """
+        now = clock.wall()
+        deadline = now + DEFAULT_WINDOW_S if deadline is None else deadline
+        if deadline <= now:
+            raise DeadlineExceededError(
+                "The job's deadline has passed.", not_run=True
+            )
+        job_input = JobInput(self._chunks)
+        await job_input.read(stream)
+        if job_input.model not in self._current.document.models:
+            raise BadRequestError(
+                f"Model {job_input.model!r} is unknown.", not_run=True
+            )
+        job_id = job_id_of(team, key)
+        message = SubmitJob(
+            partition_of_job(job_id),
+            job_id,
+            team,
+            job_input.digest,
+            job_input.model,
+            tuple(job_input.refs),
+            deadline,
+        )
+        return await self._call(message)
+
+    async def show(self, team: str, job_id: str) -> JobState:
+        """Returns a job's progress."""
+        return await self._call(JobCall(partition_of_job(job_id), job_id, team))
+
+    async def cancel(self, team: str, job_id: str) -> JobState:
+        """Cancels a job."""
+        return await self._call(
+            JobCall(partition_of_job(job_id), job_id, team, cancel=True)
+        )
+
+    async def list(self, team: str) -> list[JobState]:
+        """Returns a team's jobs."""
+        return await self._owners.list_jobs(
+            team, deadline=clock.monotonic() + CALL_TIMEOUT_S
+        )
+
+    async def results(self, state: JobState) -> AsyncIterator[bytes]:
+        """Yields the result lines of a job, then its failed items.
+
+        Args:
+            state: The job's state.
+        """
+        for ref in sorted(state.results, key=lambda ref: ref.first_item):
+            data = await self._chunks.fetch(ref.digest, ref.bulk_addresses)
+            wanted = set(ref.covered())
+            lines = msgspec.msgpack.decode(data, type=list[tuple[int, bytes]])
+            found = [line for index, line in lines if index in wanted]
+            yield b"".join(line + b"\n" for line in found)
+        for item in state.failed:
+            answer = {
+                "custom_id": await self._custom_id(state, item.index),
+                "response": None,
+                "error": {"code": "item_failed", "message": item.cause},
+            }
+            yield json.dumps(answer).encode() + b"\n"
+
+    async def _custom_id(self, state: JobState, index: int) -> str:
+        for chunk in state.chunks:
+            if chunk.first_item <= index < chunk.first_item + chunk.items:
+                data = await self._chunks.fetch(
+                    chunk.digest, chunk.bulk_addresses
+                )
+                lines = msgspec.msgpack.decode(data, type=list[bytes])
+                line = lines[index - chunk.first_item]
+                return str(json.loads(line)["custom_id"])
+        raise PlumvaneError(f"Item {index} has no input.")
+
+    async def _call(self, message: SubmitJob | JobCall) -> JobState:
+        reply = await self._owners.call(
+            message.partition,
+            message,
+            deadline=clock.monotonic() + CALL_TIMEOUT_S,
+        )
+        if not isinstance(reply, JobState):
+            raise PlumvaneError("The owner's reply is not understood.")
+        return reply
+
+
+def job_id_of(team: str, key: str) -> str:
+    """Returns the id of the job that a team submits under a key."""
+    digest = hashlib.sha256(f"{team}\0{key}".encode()).hexdigest()
+    return f"batch-{digest[:24]}"
+
+
+def partition_of_job(job_id: str) -> int:
+    """Returns the partition of a job."""
+    return hashing.partition_of("", job_id)
--- /dev/null
+++ b/plumvane/errors.py
@@ -0,0 +1,284 @@
+"""Typed errors with a stable code, an HTTP status and a remedy."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+__all__ = [
+    "BadRequestError",
+    "BodyTooLargeError",
+    "BulkUnavailableError",
+    "ClaimLostError",
+    "ConfigurationError",
+    "ConflictError",
+    "DeadlineExceededError",
+    "ForbiddenError",
+    "KeyReusedError",
+    "LeavingError",
+    "LinkLostError",
+    "NotFoundError",
+    "NotOwnerError",
+    "OutcomeUnknownError",
+    "OverloadedError",
+    "PlumvaneError",
+    "ProtocolError",
+    "RequestCancelledError",
+    "SettingsError",
+    "StoreUnavailableError",
+    "UnauthorizedError",
+    "UpstreamFailedError",
+    "UpstreamUnavailableError",
+    "error_from_code",
+]
+
+_classes_by_code: dict[str, type[PlumvaneError]] = {}
+
+
+class PlumvaneError(Exception):
+    """Base of all errors that plumvane raises on purpose.
+
+    Attributes:
+        code: Stable identifier, unique to the kind.
+        status: HTTP status of the problem document.
+        remedy: What the caller or operator can do about it.
+        not_run: True only if no upstream was given the request.
+        retry_after_s: Seconds after which a retry makes sense, or None.
+    """
+
+    code: ClassVar[str] = "internal"
+    status: ClassVar[int] = 500
+    default_remedy: ClassVar[str] = "Report this with the request id."
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        remedy: str | None = None,
+        not_run: bool = False,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Creates the error.
+
+        Args:
+            detail: What went wrong, for a person.
+            remedy: What to do about it; the kind's own text by default.
+            not_run: Whether it is certain that no upstream was given the
+                request.
+            retry_after_s: Seconds to wait before a retry, if one helps.
+        """
+        super().__init__(detail)
+        self.detail = detail
+        self.remedy = remedy or self.default_remedy
+        self.not_run = not_run
+        self.retry_after_s = retry_after_s
+
+    def __init_subclass__(cls) -> None:
+        super().__init_subclass__()
+        _classes_by_code[cls.code] = cls
+
+    def __str__(self) -> str:
+        return f"{self.code}: {self.detail} Remedy: {self.remedy}"
+
+
+class BadRequestError(PlumvaneError):
+    """The request is malformed or fails validation."""
+
+    code = "bad_request"
+    status = 400
+    default_remedy = "Correct the request as the detail says."
+
+
+class UnauthorizedError(PlumvaneError):
+    """The bearer token is missing or unknown."""
+
+    code = "unauthorized"
+    status = 401
+    default_remedy = "Send a valid token as 'Authorization: Bearer TOKEN'."
+
+
+class ForbiddenError(PlumvaneError):
+    """The token is valid but lacks the role for this call."""
+
+    code = "forbidden"
+    status = 403
+    default_remedy = "Use a token whose role allows this call."
+
+
+class NotFoundError(PlumvaneError):
+    """The named resource does not exist for this team."""
+
+    code = "not_found"
+    status = 404
+    default_remedy = "Check the name and the token's team."
+
+
+class KeyReusedError(PlumvaneError):
+    """An idempotency key was sent again with another body."""
+
+    code = "key_reused"
+    status = 422
+    default_remedy = "Send the first body again, or take a new key."
+
+
+class ConflictError(PlumvaneError):
+    """A compare-and-swap found another revision than expected."""
+
+    code = "conflict"
+    status = 409
+    default_remedy = "Read the newest revision and apply the change to it."
+
+
+class BodyTooLargeError(PlumvaneError):
+    """A body, line or item count is over its limit."""
+
+    code = "too_large"
+    status = 413
+    default_remedy = "Send less in one call; the detail names the limit."
+
+
+class DeadlineExceededError(PlumvaneError):
+    """The deadline passed before the answer was complete."""
+
+    code = "deadline_exceeded"
+    status = 504
+    default_remedy = "Send the request again with a later deadline."
+
+
+class OverloadedError(PlumvaneError):
+    """A limit or the fleet's capacity is reached."""
+
+    code = "overloaded"
+    status = 429
+    default_remedy = "Retry after the time in Retry-After."
+
+
+class LeavingError(PlumvaneError):
+    """The instance is shutting down and takes no new work."""
+
+    code = "leaving"
+    status = 503
+    default_remedy = "Send the request again; another instance takes it."
+
+
+class StoreUnavailableError(PlumvaneError):
+    """The platform's store does not answer."""
+
+    code = "store_unavailable"
+    status = 503
+    default_remedy = "Retry after the time in Retry-After."
+
+
+class BulkUnavailableError(PlumvaneError):
+    """Too few bulk instances are reachable to keep a chunk safe."""
+
+    code = "bulk_unavailable"
+    status = 503
+    default_remedy = "Retry once enough bulk instances are up."
+
+
+class NotOwnerError(PlumvaneError):
+    """The instance asked does not own the partition."""
+
+    code = "not_owner"
+    status = 503
+    default_remedy = "Retry; the entry looks the owner up again."
+
+
+class ClaimLostError(PlumvaneError):
+    """Another run of the same request committed its result first."""
+
+    code = "claim_lost"
+    status = 409
+    default_remedy = "Read the stored result at /v1/requests/{key}."
+
+
+class OutcomeUnknownError(PlumvaneError):
+    """A non-idempotent request may have run; it is not repeated."""
+
+    code = "outcome_unknown"
+    status = 502
+    default_remedy = (
+        "Check at the service whether it ran; a new key starts a new run."
+    )
+
+
+class UpstreamUnavailableError(PlumvaneError):
+    """No upstream can take the request now."""
+
+    code = "upstream_unavailable"
+    status = 503
+    default_remedy = "Retry after the time in Retry-After."
+
+
+class UpstreamFailedError(PlumvaneError):
+    """The upstream answered with an error."""
+
+    code = "upstream_failed"
+    status = 502
+    default_remedy = "Correct the request, or retry with a new key."
+
+
+class RequestCancelledError(PlumvaneError):
+    """The request was cancelled before it completed."""
+
+    code = "cancelled"
+    status = 409
+    default_remedy = "Send it again with a new key if it is still wanted."
+
+
+class LinkLostError(PlumvaneError):
+    """The connection to a peer was lost or went silent."""
+
+    code = "link_lost"
+    status = 503
+    default_remedy = "Retry; a new connection is opened."
+
+
+class ProtocolError(PlumvaneError):
+    """A peer sent something that this version does not understand."""
+
+    code = "protocol"
+    status = 502
+    default_remedy = "Run the same plumvane version on every instance."
+
+
+class SettingsError(PlumvaneError):
+    """The INI settings of a process are invalid."""
+
+    code = "settings"
+    status = 500
+    default_remedy = "Correct the named section and key, then start again."
+
+
+class ConfigurationError(PlumvaneError):
+    """The fleet document is invalid."""
+
+    code = "configuration"
+    status = 422
+    default_remedy = "Correct the named field."
+
+
+def error_from_code(
+    code: str,
+    detail: str,
+    *,
+    remedy: str | None = None,
+    not_run: bool = False,
+    retry_after_s: float | None = None,
+) -> PlumvaneError:
+    """Rebuilds an error that a peer reported.
+
+    Args:
+        code: The error's code.
+        detail: The error's detail.
+        remedy: The error's remedy.
+        not_run: Whether no upstream was given the request.
+        retry_after_s: Seconds to wait before a retry, or None.
+
+    Returns:
+        An instance of the class registered for the code.
+    """
+    cls = _classes_by_code.get(code, PlumvaneError)
+    return cls(
+        detail, remedy=remedy, not_run=not_run, retry_after_s=retry_after_s
+    )
--- /dev/null
+++ b/plumvane/events.py
@@ -0,0 +1,76 @@
+"""Catalogue of numbered log events, written through eliot."""
+
+from __future__ import annotations
+
+import enum
+import sys
+from typing import Any, TextIO
+
+import eliot
+
+__all__ = ["Event", "configure", "log"]
+
+
+class Event(enum.Enum):
+    """A log event: its number and what it means.
+
+    The number is stable; a retired number is never used again.
+    """
+
+    PROCESS_STARTED = (1001, "The process serves at the given addresses.")
+    PROCESS_LEAVING = (1002, "The process refuses new work and drains.")
+    PROCESS_STOPPED = (1003, "The process has drained and ends.")
+    TASK_FAILED = (1004, "A background task failed and is started again.")
+    STORE_UNAVAILABLE = (2001, "The store does not answer.")
+    STORE_AVAILABLE = (2002, "The store answers again.")
+    LEASE_LOST = (2003, "The instance's lease lapsed or was refused.")
+    PARTITION_TAKEN = (3001, "The instance owns the partition now.")
+    PARTITION_RELEASED = (3002, "The instance gave the partition up.")
+    PARTITION_LOST = (3003, "Another owner's write refused this one.")
+    COMMIT_SETTLED = (3004, "A write with a lost answer was read back.")
+    CLAIM_ORPHANED = (4001, "The entry that ran a request was lost.")
+    OUTCOME_UNKNOWN = (4002, "A non-idempotent run cannot be settled.")
+    JOB_ACCEPTED = (5001, "A batch job is accepted.")
+    JOB_FINISHED = (5002, "A batch job has ended.")
+    RANGE_LOST = (5003, "A range's claim lapsed; it is handed out again.")
+    ITEM_FAILED = (5004, "An item failed for the last time.")
+    PEER_SILENT = (6001, "A connection went silent; a new one is opened.")
+    PEER_REFUSED = (6002, "A peer speaks another protocol version.")
+    UPSTREAM_FAILED = (7001, "The upstream does not answer or failed.")
+    BATCH_PREEMPTED = (7002, "Batch streams gave way to online requests.")
+    ORDER_REFUSED = (7003, "The engine refused an order.")
+    CONFIGURATION_IN_FORCE = (8001, "A revision is in force here.")
+    CONFIGURATION_CHANGED = (8002, "An operator's change is accepted.")
+    CONFIGURATION_REFUSED = (8003, "An operator's change is refused.")
+    CHUNK_COPIED = (9001, "A missing copy of a chunk was made again.")
+
+    @property
+    def number(self) -> int:
+        """The event's stable number."""
+        return int(self.value[0])
+
+    @property
+    def meaning(self) -> str:
+        """What the event says, for the catalogue."""
+        return str(self.value[1])
+
+
+def configure(stream: TextIO | None = None) -> None:
+    """Sends the log of this process to a stream.
+
+    Args:
+        stream: Where the lines go; standard error by default.
+    """
+    eliot.to_file(stream or sys.stderr)
+
+
+def log(event: Event, **fields: Any) -> None:
+    """Writes one event.
+
+    Args:
+        event: The event.
+        **fields: Values that JSON can hold; never a token or key.
+    """
+    eliot.log_message(
+        message_type=event.name.lower(), event=event.number, **fields
+    )
--- /dev/null
+++ b/plumvane/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet document: validation, revisions and audit trail."""
--- /dev/null
+++ b/plumvane/instances/directory.py
@@ -0,0 +1,170 @@
+"""Directory of instances: the platform's list joined with peers' reports."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import json
+import random
+
+import anyio
+import httpcore
+
+from plumvane import clock
+from plumvane.peers.messages import Load, Report
+
+__all__ = ["Directory", "Instance", "State"]
+
+POLL_S = 1.0
+CALL_TIMEOUT_S = 2.0
+# A report older than this no longer proves that the instance lives.
+REPORT_FRESH_S = 3.0
+
+
+class State(enum.Enum):
+    """Whether an instance takes new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """One instance of the fleet.
+
+    Attributes:
+        name: Unique name.
+        role: `entry`, `sidecar` or `bulk`.
+        address: Peer address as IP:PORT.
+        data_centre: Data centre that it stands in.
+        serves: Model or service behind a sidecar.
+        state: Whether it takes new work.
+        revision: Revision of the fleet document in force there, if known.
+        load: Last known load, if any.
+        reported: Monotonic time of its last report; 0 if none.
+    """
+
+    name: str
+    role: str
+    address: str
+    data_centre: str
+    serves: str = ""
+    state: State = State.LIVE
+    revision: int = 0
+    load: Load | None = None
+    reported: float = 0.0
+
+
+class Directory:
+    """Instances by name.
+
+    The platform's list lags, so a report that is newer than the list's
+    reading goes before it; leaving, once said by either, stands until the
+    instance is gone from the list.
+    """
+
+    def __init__(self, url: str) -> None:
+        """Creates an empty directory.
+
+        Args:
+            url: URL of the platform's list.
+        """
+        self._url = url
+        self._pool = httpcore.AsyncConnectionPool(max_connections=2)
+        self._instances_by_name: dict[str, Instance] = {}
+        self.loaded = anyio.Event()
+
+    def by_name(self, name: str) -> Instance | None:
+        """Returns an instance, or None if it is unknown."""
+        return self._instances_by_name.get(name)
+
+    def with_role(self, role: str) -> list[Instance]:
+        """Returns the instances of a role, leaving ones too, by name."""
+        found = [i for i in self._instances_by_name.values() if i.role == role]
+        return sorted(found, key=lambda instance: instance.name)
+
+    def live(self, role: str, serves: str | None = None) -> list[Instance]:
+        """Returns the instances of a role that take new work.
+
+        Args:
+            role: The role.
+            serves: Only sidecars of this model or service, if given.
+        """
+        return [
+            instance
+            for instance in self.with_role(role)
+            if instance.state is State.LIVE
+            and (serves is None or instance.serves == serves)
+        ]
+
+    def take_report(self, report: Report) -> None:
+        """Takes an instance's own word in."""
+        instance = self._instances_by_name.get(report.name)
+        if instance is None or instance.address != report.address:
+            instance = Instance(
+                report.name,
+                report.role,
+                report.address,
+                report.data_centre,
+                report.serves,
+            )
+            self._instances_by_name[report.name] = instance
+        instance.reported = clock.monotonic()
+        instance.revision = max(instance.revision, report.revision)
+        instance.load = report.load
+        if report.leaving:
+            instance.state = State.LEAVING
+
+    def mark_leaving(self, address: str) -> None:
+        """Takes in that the instance at an address refused as leaving."""
+        for instance in self._instances_by_name.values():
+            if instance.address == address:
+                instance.state = State.LEAVING
+
+    def take_list(self, listed: list[dict[str, str]]) -> None:
+        """Takes a reading of the platform's list in."""
+        names = set()
+        for item in listed:
+            names.add(item["name"])
+            self._take_listed(item)
+        fresh_after = clock.monotonic() - REPORT_FRESH_S
+        for name, instance in list(self._instances_by_name.items()):
+            if name not in names and instance.reported < fresh_after:
+                del self._instances_by_name[name]
+        self.loaded.set()
+
+    async def run(self) -> None:
+        """Polls the platform's list; runs always."""
+        while True:
+            try:
+                await self.poll()
+            except (TimeoutError, OSError, ValueError, KeyError):
+                pass
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+            ):
+                pass
+            await anyio.sleep(POLL_S * random.uniform(0.8, 1.2))
+
+    async def poll(self) -> None:
+        """Reads the platform's list once."""
+        with anyio.fail_after(CALL_TIMEOUT_S):
+            response = await self._pool.request("GET", self._url)
+        if response.status == 200:
+            self.take_list(json.loads(response.content)["instances"])
+
+    def _take_listed(self, item: dict[str, str]) -> None:
+        instance = self._instances_by_name.get(item["name"])
+        if instance is None or instance.address != item["address"]:
+            instance = Instance(
+                item["name"],
+                item["role"],
+                item["address"],
+                item["data_centre"],
+                item.get("serves", ""),
+            )
+            self._instances_by_name[instance.name] = instance
+        if item["state"] == State.LEAVING.value:
+            instance.state = State.LEAVING
--- /dev/null
+++ b/plumvane/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: ranges, claims, items and deadlines."""
--- /dev/null
+++ b/plumvane/partitions/__init__.py
@@ -0,0 +1,1 @@
+"""Partitions: ownership, epoch, group commit and takeover."""
--- /dev/null
+++ b/plumvane/partitions/records.py
@@ -0,0 +1,121 @@
+"""Records in a partition's log."""
+
+from __future__ import annotations
+
+import msgspec
+
+from plumvane.peers.messages import ChunkRef, FailedItem, Outcome
+
+__all__ = [
+    "ItemsDone",
+    "ItemsFailed",
+    "JobAccepted",
+    "JobCancelled",
+    "LogRecord",
+    "RequestCompleted",
+    "RequestReleased",
+    "RequestStarted",
+    "Segment",
+]
+
+
+class _Record(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+    """Base of all records."""
+
+
+class RequestStarted(_Record, frozen=True, tag="rs"):
+    """A non-idempotent request is about to be dispatched."""
+
+    team: str
+    key: str
+    request_id: str
+    digest: bytes
+    deadline: float
+    sidecar_address: str
+
+
+class RequestReleased(_Record, frozen=True, tag="rr"):
+    """A started request was not run and may be started again."""
+
+    team: str
+    key: str
+    request_id: str
+
+
+class RequestCompleted(_Record, frozen=True, tag="rc"):
+    """A request has its result.
+
+    Attributes:
+        team: Team of the caller.
+        key: Idempotency key.
+        request_id: Run that produced it.
+        digest: Digest of the request.
+        outcome: The result.
+        time: When it was committed, seconds since the Unix epoch.
+    """
+
+    team: str
+    key: str
+    request_id: str
+    digest: bytes
+    outcome: Outcome
+    time: float
+
+
+class JobAccepted(_Record, frozen=True, tag="ja"):
+    """A batch job was accepted."""
+
+    job_id: str
+    team: str
+    digest: bytes
+    model: str
+    chunks: tuple[ChunkRef, ...]
+    deadline: float
+    time: float
+
+
+class ItemsDone(_Record, frozen=True, tag="id"):
+    """Items of a job have results."""
+
+    job_id: str
+    results: ChunkRef
+
+
+class ItemsFailed(_Record, frozen=True, tag="if"):
+    """Items of a job are given up."""
+
+    job_id: str
+    items: tuple[FailedItem, ...]
+
+
+class JobCancelled(_Record, frozen=True, tag="jc"):
+    """A job was cancelled."""
+
+    job_id: str
+
+
+LogRecord = (
+    RequestStarted
+    | RequestReleased
+    | RequestCompleted
+    | JobAccepted
+    | ItemsDone
+    | ItemsFailed
+    | JobCancelled
+)
+
+
+class Segment(msgspec.Struct, frozen=True):
+    """One value of a partition's log.
+
+    Attributes:
+        epoch: Epoch of the owner that wrote it last.
+        write_id: Identifier of the last write.
+        closed: Whether the log goes on in the next segment.
+        records: Encoded records, oldest first.
+    """
+
+    epoch: int
+    write_id: str
+    closed: bool
+    records: tuple[msgspec.Raw, ...]
--- /dev/null
+++ b/plumvane/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between plumvane's own processes, and their messages."""
--- /dev/null
+++ b/plumvane/peers/link.py
@@ -0,0 +1,299 @@
+"""Client side of a connection to one peer."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import secrets
+from collections import deque
+from collections.abc import AsyncIterator
+
+import anyio
+import anyio.abc
+import msgspec
+import zmq
+
+from plumvane import clock, events
+from plumvane.errors import (
+    DeadlineExceededError,
+    LinkLostError,
+    PlumvaneError,
+    ProtocolError,
+    error_from_code,
+)
+from plumvane.peers import wire
+from plumvane.peers.channel import Channel
+from plumvane.peers.messages import Failure, Message, decode, encode
+
+__all__ = ["Link", "LinkPool", "Pending"]
+
+# A connection with calls in flight is asked for a sign of life after this.
+HEARTBEAT_S = 0.5
+# A connection with calls in flight and no sign of life for this is replaced.
+SILENCE_S = 2.0
+# A connection without calls is closed after this.
+IDLE_S = 30.0
+
+
+class Pending:
+    """The parts and the end of one call."""
+
+    def __init__(self, call_id: int) -> None:
+        self.call_id = call_id
+        self._parts: deque[Message] = deque()
+        self._reply: Message | None = None
+        self._error: PlumvaneError | None = None
+        self._changed = anyio.Event()
+
+    def add_part(self, part: Message) -> None:
+        """Takes a part in."""
+        self._parts.append(part)
+        self._changed.set()
+
+    def end(self, reply: Message) -> None:
+        """Takes the reply in."""
+        self._reply = reply
+        self._changed.set()
+
+    def fail(self, error: PlumvaneError) -> None:
+        """Ends the call with an error."""
+        self._error = error
+        self._changed.set()
+
+    async def part(self) -> Message | None:
+        """Returns the next part, or None once the reply has come.
+
+        Raises:
+            PlumvaneError: The call failed.
+        """
+        while True:
+            if self._parts:
+                return self._parts.popleft()
+            if self._error is not None:
+                raise self._error
+            if self._reply is not None:
+                return None
+            self._changed = anyio.Event()
+            await self._changed.wait()
+
+    async def reply(self) -> Message:
+        """Returns the reply; parts are dropped.
+
+        Raises:
+            PlumvaneError: The call failed.
+        """
+        while await self.part() is not None:
+            pass
+        if self._reply is None:
+            raise ProtocolError("The call ended without a reply.")
+        return self._reply
+
+
+class Link:
+    """Calls one peer; replaces its connection when it goes silent."""
+
+    def __init__(
+        self, name: str, address: str, context: zmq.Context[zmq.Socket[bytes]]
+    ) -> None:
+        """Creates the link; `run` opens the connection when it is needed.
+
+        Args:
+            name: Name of this instance, for the greeting.
+            address: The peer's address as IP:PORT.
+            context: ZeroMQ context.
+        """
+        self.address = address
+        self._name = name
+        self._context = context
+        self._call_ids = itertools.count(1)
+        self._pending_by_call: dict[int, Pending] = {}
+        self._channel: Channel | None = None
+        self._welcomed = anyio.Event()
+        self._wanted = anyio.Event()
+        self._heard = 0.0
+        self._refusal: ProtocolError | None = None
+
+    async def run(self) -> None:
+        """Opens the connection when calls wait, and keeps it; runs always."""
+        while True:
+            await self._wanted.wait()
+            await self._run_session()
+
+    async def call(self, message: Message, *, deadline: float) -> Message:
+        """Sends a message and returns the reply.
+
+        Args:
+            message: What to send.
+            deadline: Monotonic time in seconds.
+
+        Raises:
+            DeadlineExceededError: No reply by the deadline.
+            LinkLostError: The connection was lost; the peer may have got it.
+            PlumvaneError: The error that the peer replied with.
+        """
+        try:
+            with anyio.fail_after(clock.remaining(deadline)):
+                async with self.open(message) as pending:
+                    return await pending.reply()
+        except TimeoutError:
+            raise DeadlineExceededError(
+                f"{self.address} did not reply in time."
+            ) from None
+
+    @contextlib.asynccontextmanager
+    async def open(self, message: Message) -> AsyncIterator[Pending]:
+        """Sends a message whose reply comes in parts.
+
+        Leaving the context before the reply cancels the call at the peer.
+        """
+        pending = Pending(next(self._call_ids))
+        self._pending_by_call[pending.call_id] = pending
+        self._wanted.set()
+        try:
+            await self._welcomed.wait()
+            self._send(wire.Kind.CALL, pending.call_id, encode(message))
+            yield pending
+        finally:
+            if self._pending_by_call.pop(pending.call_id, None) is not None:
+                self._send(wire.Kind.CANCEL, pending.call_id)
+
+    async def _run_session(self) -> None:
+        socket = self._context.socket(zmq.DEALER)
+        socket.setsockopt(zmq.IDENTITY, secrets.token_bytes(12))
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.RECONNECT_IVL, 50)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 500)
+        socket.connect(f"tcp://{self.address}")
+        self._channel = Channel(socket)
+        self._heard = clock.monotonic()
+        hello = f"{wire.PROTOCOL_VERSION} {self._name}".encode()
+        self._channel.send(wire.pack(wire.Kind.HELLO), hello)
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._channel.watch)
+                group.start_soon(self._receive, self._channel, group)
+                await self._keep_alive()
+                group.cancel_scope.cancel()
+        finally:
+            self._channel.close()
+            self._channel = None
+            self._fail_all()
+
+    async def _keep_alive(self) -> None:
+        """Returns when the connection is silent or no longer needed."""
+        idle_deadline = clock.monotonic() + IDLE_S
+        while True:
+            await anyio.sleep(HEARTBEAT_S / 2)
+            now = clock.monotonic()
+            if not self._pending_by_call:
+                self._heard = now
+                if now >= idle_deadline:
+                    self._wanted = anyio.Event()
+                    return
+                continue
+            idle_deadline = now + IDLE_S
+            if now - self._heard >= SILENCE_S:
+                events.log(events.Event.PEER_SILENT, peer=self.address)
+                return
+            if now - self._heard >= HEARTBEAT_S:
+                self._send(wire.Kind.PING, 0)
+
+    def _fail_all(self) -> None:
+        pending_by_call, self._pending_by_call = self._pending_by_call, {}
+        for pending in pending_by_call.values():
+            pending.fail(
+                self._refusal
+                or LinkLostError(f"The connection to {self.address} was lost.")
+            )
+        self._refusal = None
+        # Calls still waiting for the greeting must see their failure.
+        self._welcomed.set()
+        self._welcomed = anyio.Event()
+        self._wanted = anyio.Event()
+
+    def _send(self, kind: wire.Kind, call_id: int, body: bytes = b"") -> None:
+        if self._channel is not None:
+            self._channel.send(wire.pack(kind, call_id), body)
+
+    async def _receive(
+        self, channel: Channel, group: anyio.abc.TaskGroup
+    ) -> None:
+        while True:
+            head, body = await channel.receive()
+            self._heard = clock.monotonic()
+            header = wire.unpack(head)
+            if header.kind == wire.Kind.WELCOME:
+                self._welcomed.set()
+            elif header.kind == wire.Kind.UNKNOWN_SESSION:
+                group.cancel_scope.cancel()
+            elif header.kind == wire.Kind.REFUSED:
+                self._refusal = ProtocolError(body.decode())
+                events.log(events.Event.PEER_REFUSED, peer=self.address)
+                group.cancel_scope.cancel()
+            elif header.kind != wire.Kind.PONG:
+                self._take(header, body)
+
+    def _take(self, header: wire.Header, body: bytes) -> None:
+        pending = self._pending_by_call.get(header.call_id)
+        if pending is None:
+            return
+        try:
+            message = decode(body)
+        except msgspec.DecodeError as error:
+            pending.fail(ProtocolError(f"{self.address}: {error}."))
+            return
+        if header.kind == wire.Kind.PART:
+            pending.add_part(message)
+            return
+        del self._pending_by_call[header.call_id]
+        if isinstance(message, Failure):
+            pending.fail(
+                error_from_code(
+                    message.code,
+                    message.detail,
+                    remedy=message.remedy,
+                    not_run=message.not_run,
+                    retry_after_s=message.retry_after_s,
+                )
+            )
+        else:
+            pending.end(message)
+
+
+class LinkPool:
+    """The links of one process, by address."""
+
+    def __init__(self, name: str) -> None:
+        """Creates an empty pool.
+
+        Args:
+            name: Name of this instance.
+        """
+        self._name = name
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        self._links_by_address: dict[str, Link] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Runs the links; ends when cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            for link in self._links_by_address.values():
+                group.start_soon(link.run)
+            await anyio.sleep_forever()
+
+    def link(self, address: str) -> Link:
+        """Returns the link to an address, made if it is new."""
+        link = self._links_by_address.get(address)
+        if link is None:
+            link = Link(self._name, address, self._context)
+            self._links_by_address[address] = link
+            if self._group is not None:
+                self._group.start_soon(link.run)
+        return link
+
+    async def call(
+        self, address: str, message: Message, *, deadline: float
+    ) -> Message:
+        """Calls the peer at an address; see `Link.call`."""
+        return await self.link(address).call(message, deadline=deadline)
--- /dev/null
+++ b/plumvane/peers/server.py
@@ -0,0 +1,205 @@
+"""Server side of the connections from peers."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+import anyio.abc
+import msgspec
+import zmq
+
+from plumvane import clock
+from plumvane.errors import PlumvaneError, ProtocolError
+from plumvane.peers import wire
+from plumvane.peers.channel import Channel
+from plumvane.peers.messages import Failure, Message, decode, encode
+
+__all__ = ["Call", "PeerServer", "failure_from_error"]
+
+# A peer that has said nothing for this and has no calls is forgotten.
+SESSION_IDLE_S = 120.0
+SWEEP_S = 30.0
+
+M = TypeVar("M", bound=Message)
+Handler = Callable[["Call", Any], Awaitable[Message]]
+
+
+def failure_from_error(error: PlumvaneError) -> Failure:
+    """Returns the message that carries an error to a peer."""
+    return Failure(
+        code=error.code,
+        detail=error.detail,
+        remedy=error.remedy,
+        not_run=error.not_run,
+        retry_after_s=error.retry_after_s,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Session:
+    """One connection from a peer.
+
+    Attributes:
+        identity: ZeroMQ identity of the connection.
+        name: Name of the peer.
+        heard: Monotonic time of its last frame.
+        scopes_by_call: Cancel scopes of its running calls.
+    """
+
+    identity: bytes
+    name: str
+    heard: float
+    scopes_by_call: dict[int, anyio.CancelScope]
+
+
+class Call:
+    """A call that is being served.
+
+    Attributes:
+        peer_name: Name of the calling instance.
+    """
+
+    def __init__(
+        self, channel: Channel, session: _Session, call_id: int
+    ) -> None:
+        self.peer_name = session.name
+        self._channel = channel
+        self._session = session
+        self._call_id = call_id
+        self._sequence = 0
+
+    def send_part(self, part: Message) -> bool:
+        """Sends a part of the reply.
+
+        Returns:
+            Whether the connection took it.
+        """
+        head = wire.pack(wire.Kind.PART, self._call_id, self._sequence)
+        self._sequence += 1
+        return self._channel.send(self._session.identity, head, encode(part))
+
+    def finish(self, reply: Message) -> None:
+        """Sends the reply and ends the call."""
+        kind = wire.Kind.REPLY
+        if isinstance(reply, Failure):
+            kind = wire.Kind.ERROR
+        head = wire.pack(kind, self._call_id)
+        self._channel.send(self._session.identity, head, encode(reply))
+
+
+class PeerServer:
+    """Serves calls by handlers registered for each message type."""
+
+    def __init__(self, address: str) -> None:
+        """Creates the server.
+
+        Args:
+            address: IP:PORT to bind.
+        """
+        self._address = address
+        self._handlers_by_type: dict[type[Message], Handler] = {}
+        self._sessions_by_identity: dict[bytes, _Session] = {}
+
+    def handle(
+        self,
+        message_type: type[M],
+        handler: Callable[[Call, M], Awaitable[Message]],
+    ) -> None:
+        """Registers the handler of a message type."""
+        self._handlers_by_type[message_type] = handler
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Binds and serves until cancelled."""
+        context: zmq.Context[zmq.Socket[bytes]] = zmq.Context.instance()
+        socket = context.socket(zmq.ROUTER)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        socket.setsockopt(zmq.SNDHWM, 100_000)
+        socket.bind(f"tcp://{self._address}")
+        channel = Channel(socket)
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(channel.watch)
+                group.start_soon(self._sweep)
+                task_status.started()
+                await self._receive(channel, group)
+        finally:
+            channel.close()
+
+    async def _receive(
+        self, channel: Channel, group: anyio.abc.TaskGroup
+    ) -> None:
+        while True:
+            identity, head, body = await channel.receive()
+            header = wire.unpack(head)
+            if header.kind == wire.Kind.HELLO:
+                self._greet(channel, identity, body)
+                continue
+            session = self._sessions_by_identity.get(identity)
+            if session is None:
+                channel.send(
+                    identity, wire.pack(wire.Kind.UNKNOWN_SESSION), b""
+                )
+                continue
+            session.heard = clock.monotonic()
+            if header.kind == wire.Kind.PING:
+                channel.send(identity, wire.pack(wire.Kind.PONG), b"")
+            elif header.kind == wire.Kind.CALL:
+                call = Call(channel, session, header.call_id)
+                group.start_soon(self._serve, session, call, header, body)
+            elif header.kind == wire.Kind.CANCEL:
+                scope = session.scopes_by_call.get(header.call_id)
+                if scope is not None:
+                    scope.cancel()
+
+    def _greet(self, channel: Channel, identity: bytes, body: bytes) -> None:
+        version, _, name = body.decode(errors="replace").partition(" ")
+        if version != str(wire.PROTOCOL_VERSION):
+            text = (
+                f"Protocol version {version} does not match "
+                f"{wire.PROTOCOL_VERSION}."
+            )
+            channel.send(identity, wire.pack(wire.Kind.REFUSED), text.encode())
+            return
+        self._sessions_by_identity[identity] = _Session(
+            identity, name, clock.monotonic(), {}
+        )
+        channel.send(identity, wire.pack(wire.Kind.WELCOME), b"")
+
+    async def _serve(
+        self, session: _Session, call: Call, header: wire.Header, body: bytes
+    ) -> None:
+        with anyio.CancelScope() as scope:
+            session.scopes_by_call[header.call_id] = scope
+            try:
+                call.finish(await self._handle(call, body))
+            except PlumvaneError as error:
+                call.finish(failure_from_error(error))
+            finally:
+                session.scopes_by_call.pop(header.call_id, None)
+
+    async def _handle(self, call: Call, body: bytes) -> Message:
+        try:
+            message = decode(body)
+        except msgspec.DecodeError as error:
+            raise ProtocolError(f"Unreadable message: {error}.") from error
+        handler = self._handlers_by_type.get(type(message))
+        if handler is None:
+            raise ProtocolError(f"{type(message).__name__} is not served here.")
+        return await handler(call, message)
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP_S)
+            oldest = clock.monotonic() - SESSION_IDLE_S
+            for identity, session in list(self._sessions_by_identity.items()):
+                if session.heard < oldest and not session.scopes_by_call:
+                    del self._sessions_by_identity[identity]
--- /dev/null
+++ b/plumvane/process.py
@@ -0,0 +1,100 @@
+"""Start and stop of a plumvane process."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+import anyio.abc
+from absl import app, flags
+
+from plumvane import events, settings
+from plumvane.errors import SettingsError
+
+__all__ = ["run_program", "supervise"]
+
+EXIT_SETTINGS = 78
+RESTART_S = 0.5
+
+_SETTINGS = flags.DEFINE_string(
+    "settings", None, "Path of the INI file with the process's settings."
+)
+_CHECK = flags.DEFINE_bool(
+    "check", False, "Only check the settings, then exit."
+)
+
+S = TypeVar("S", bound=settings.CommonSettings)
+# Serves until the event is set, then drains and returns.
+Serve = Callable[[S, anyio.Event], Awaitable[None]]
+
+
+def run_program(model: type[S], serve: Serve[S]) -> None:
+    """Runs a program: reads its settings, serves until SIGTERM, drains.
+
+    Args:
+        model: Settings model of the program.
+        serve: Serves until the event is set, then drains.
+    """
+
+    def main(argv: list[str]) -> None:
+        del argv
+        checked = _load(model)
+        if _CHECK.value:
+            print(f"{_SETTINGS.value}: the settings are valid")
+            return
+        events.configure()
+        anyio.run(_serve_until_signal, checked, serve)
+
+    app.run(main)
+
+
+async def supervise(run: Callable[[], Awaitable[None]]) -> None:
+    """Runs a background task again when it fails.
+
+    Args:
+        run: The task; it should never return.
+    """
+    while True:
+        try:
+            await run()
+            return
+        except Exception as error:
+            events.log(
+                events.Event.TASK_FAILED,
+                task=getattr(run, "__qualname__", repr(run)),
+                error=repr(error),
+            )
+            await anyio.sleep(RESTART_S)
+
+
+def _load(model: type[S]) -> S:
+    try:
+        if _SETTINGS.value is None:
+            raise SettingsError(
+                "No settings are given.", remedy="Name an INI file."
+            )
+        return settings.load(_SETTINGS.value, model)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+
+
+async def _serve_until_signal(checked: S, serve: Serve[S]) -> None:
+    stopping = anyio.Event()
+    name = checked.process.name
+    async with anyio.create_task_group() as group:
+        group.start_soon(_wait_for_signal, stopping)
+        events.log(events.Event.PROCESS_STARTED, name=name)
+        await serve(checked, stopping)
+        group.cancel_scope.cancel()
+    events.log(events.Event.PROCESS_STOPPED, name=name)
+
+
+async def _wait_for_signal(stopping: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            events.log(events.Event.PROCESS_LEAVING)
+            stopping.set()
--- /dev/null
+++ b/plumvane/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: claims, results and settling."""
--- /dev/null
+++ b/plumvane/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an upstream for a request."""
--- /dev/null
+++ b/plumvane/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The plumvane-sidecar program."""
--- /dev/null
+++ b/plumvane/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's store: compare-and-swap, leases and watches."""
--- /dev/null
+++ b/plumvane/store/base.py
@@ -0,0 +1,144 @@
+"""Interface of the platform's key-value store."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+
+__all__ = ["ABSENT", "Lease", "Record", "Store", "WatchResult"]
+
+# Expected revision of a key that must not exist yet.
+ABSENT = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """One key's value.
+
+    Attributes:
+        key: The key.
+        value: The value, at most 1 MB; empty if the key was deleted.
+        revision: Store-wide revision of the key's last change.
+        deleted: Whether the key was deleted at this revision.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+    deleted: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease granted by the store.
+
+    Attributes:
+        lease_id: Identifier; a lapsed id is never granted again.
+        deadline: Monotonic time in seconds until which the holder may rely
+            on the lease, counted from before the call was sent.
+    """
+
+    lease_id: str
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchResult:
+    """What changed below a prefix.
+
+    Attributes:
+        records: Changed records in the order of their revisions.
+        revision: Revision to watch on from.
+    """
+
+    records: tuple[Record, ...]
+    revision: int
+
+
+class Store(abc.ABC):
+    """A store with compare-and-swap by revision, leases and watches.
+
+    Every method raises `StoreUnavailableError` if the store does not answer;
+    a write may then still have taken effect.
+    """
+
+    @abc.abstractmethod
+    async def get(self, key: str) -> Record | None:
+        """Returns the record of a key, or None if it is absent."""
+
+    @abc.abstractmethod
+    async def list(self, prefix: str) -> WatchResult:
+        """Returns all records below a prefix, and the store's revision."""
+
+    @abc.abstractmethod
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_revision: int | None,
+        lease_id: str | None = None,
+    ) -> int:
+        """Writes a key if it stands at the expected revision.
+
+        Args:
+            key: The key.
+            value: The new value, at most 1 MB.
+            expected_revision: Revision of the key that must still stand;
+                `ABSENT` if the key must not exist; None for any.
+            lease_id: Lease whose end deletes the key.
+
+        Returns:
+            The new revision.
+
+        Raises:
+            ConflictError: The key stands at another revision.
+            NotFoundError: The lease has lapsed.
+            StoreUnavailableError: No answer; the write may have happened.
+        """
+
+    @abc.abstractmethod
+    async def delete(self, key: str, *, expected_revision: int | None) -> None:
+        """Deletes a key if it stands at the expected revision.
+
+        Raises:
+            ConflictError: The key stands at another revision.
+            StoreUnavailableError: No answer; the key may be gone.
+        """
+
+    @abc.abstractmethod
+    async def watch(
+        self, prefix: str, after_revision: int, *, deadline: float
+    ) -> WatchResult:
+        """Waits for changes below a prefix.
+
+        Args:
+            prefix: Prefix of the keys.
+            after_revision: Only later changes are returned.
+            deadline: Monotonic time in seconds at which an empty result is
+                returned.
+
+        Returns:
+            The changes, the newest for each key, deletions among them.
+        """
+
+    @abc.abstractmethod
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Grants a lease that lapses unless it is renewed.
+
+        Args:
+            ttl_s: Seconds to live from each renewal.
+        """
+
+    @abc.abstractmethod
+    async def renew_lease(self, lease_id: str) -> Lease:
+        """Renews a lease.
+
+        Raises:
+            NotFoundError: The lease has lapsed.
+            StoreUnavailableError: No answer.
+        """
+
+    @abc.abstractmethod
+    async def revoke_lease(self, lease_id: str) -> None:
+        """Ends a lease and deletes the keys that hang on it."""
--- /dev/null
+++ b/plumvane/store/http.py
@@ -0,0 +1,185 @@
+"""Store behind the platform's HTTP interface."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+from urllib.parse import quote
+
+import anyio
+import httpcore
+
+from plumvane import clock
+from plumvane.errors import (
+    ConflictError,
+    NotFoundError,
+    StoreUnavailableError,
+)
+from plumvane.store.base import Lease, Record, Store, WatchResult
+
+__all__ = ["HttpStore"]
+
+CALL_TIMEOUT_S = 2.0
+# A watch answers at its deadline; the margin covers the way back.
+WATCH_MARGIN_S = 2.0
+RETRY_AFTER_S = 2.0
+
+
+class HttpStore(Store):
+    """Calls the store's HTTP interface through one connection pool."""
+
+    def __init__(self, url: str) -> None:
+        """Creates the client.
+
+        Args:
+            url: Base URL of the store, without a trailing slash.
+        """
+        self._url = url.rstrip("/")
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=64, keepalive_expiry=30.0
+        )
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._pool.aclose()
+
+    async def get(self, key: str) -> Record | None:
+        """See base class."""
+        status, headers, body = await self._call("GET", f"/keys/{quote(key)}")
+        if status == 404:
+            return None
+        return Record(key, body, int(headers["revision"]))
+
+    async def list(self, prefix: str) -> WatchResult:
+        """See base class."""
+        _, _, body = await self._call("GET", f"/list?prefix={quote(prefix)}")
+        return _watch_result(body)
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_revision: int | None,
+        lease_id: str | None = None,
+    ) -> int:
+        """See base class."""
+        headers = {}
+        if expected_revision is not None:
+            headers["expected-revision"] = str(expected_revision)
+        if lease_id is not None:
+            headers["lease-id"] = lease_id
+        status, answer, _ = await self._call(
+            "PUT", f"/keys/{quote(key)}", headers, value
+        )
+        _raise_for_status(status, key)
+        return int(answer["revision"])
+
+    async def delete(self, key: str, *, expected_revision: int | None) -> None:
+        """See base class."""
+        headers = {}
+        if expected_revision is not None:
+            headers["expected-revision"] = str(expected_revision)
+        status, _, _ = await self._call(
+            "DELETE", f"/keys/{quote(key)}", headers
+        )
+        _raise_for_status(status, key)
+
+    async def watch(
+        self, prefix: str, after_revision: int, *, deadline: float
+    ) -> WatchResult:
+        """See base class."""
+        wait_s = clock.remaining(deadline)
+        path = (
+            f"/watch?prefix={quote(prefix)}"
+            f"&after={after_revision}&wait_s={wait_s:.3f}"
+        )
+        _, _, body = await self._call(
+            "GET", path, timeout_s=wait_s + WATCH_MARGIN_S
+        )
+        return _watch_result(body)
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """See base class."""
+        sent = clock.monotonic()
+        _, _, body = await self._call("POST", f"/leases?ttl_s={ttl_s}")
+        return Lease(json.loads(body)["lease_id"], sent + ttl_s)
+
+    async def renew_lease(self, lease_id: str) -> Lease:
+        """See base class."""
+        sent = clock.monotonic()
+        status, _, body = await self._call("POST", f"/leases/{lease_id}/renew")
+        if status == 404:
+            raise NotFoundError(f"Lease {lease_id} has lapsed.")
+        return Lease(lease_id, sent + float(json.loads(body)["ttl_s"]))
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """See base class."""
+        await self._call("DELETE", f"/leases/{lease_id}")
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        content: bytes = b"",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Sends one call.
+
+        Returns:
+            The status, the headers by lower-case name and the body.
+
+        Raises:
+            StoreUnavailableError: No answer, or an answer of the 500s.
+        """
+        try:
+            with anyio.fail_after(timeout_s):
+                response = await self._pool.request(
+                    method,
+                    self._url + path,
+                    headers=list((headers or {}).items()),
+                    content=content,
+                )
+        except (
+            TimeoutError,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise StoreUnavailableError(
+                f"The store did not answer {method}: {type(error).__name__}.",
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
+        if response.status >= 500:
+            raise StoreUnavailableError(
+                f"The store answered {response.status}.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        answer = {
+            name.decode("ascii").lower(): value.decode("latin-1")
+            for name, value in response.headers
+        }
+        return response.status, answer, response.content
+
+
+def _raise_for_status(status: int, key: str) -> None:
+    if status == 409:
+        raise ConflictError(f"{key} stands at another revision.")
+    if status == 404:
+        raise NotFoundError(f"The lease of {key} has lapsed.")
+
+
+def _watch_result(body: bytes) -> WatchResult:
+    answer: dict[str, Any] = json.loads(body)
+    records = tuple(
+        Record(
+            item["key"],
+            base64.b64decode(item["value"]),
+            item["revision"],
+            item["deleted"],
+        )
+        for item in answer["records"]
+    )
+    return WatchResult(records, answer["revision"])
--- /dev/null
+++ b/plumvane/store/memory.py
@@ -0,0 +1,172 @@
+"""Store in the memory of one process, for tests and embedders."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+import anyio
+
+from plumvane import clock
+from plumvane.errors import ConflictError, NotFoundError
+from plumvane.store.base import ABSENT, Lease, Record, Store, WatchResult
+
+__all__ = ["MemoryStore"]
+
+
+@dataclasses.dataclass(slots=True)
+class _Held:
+    """A granted lease.
+
+    Attributes:
+        ttl_s: Seconds to live from each renewal.
+        deadline: Monotonic time at which it lapses.
+        keys: Keys that its end deletes.
+    """
+
+    ttl_s: float
+    deadline: float
+    keys: set[str]
+
+
+class MemoryStore(Store):
+    """Keeps records, leases and watches in dictionaries."""
+
+    def __init__(self) -> None:
+        """Creates an empty store."""
+        self._records_by_key: dict[str, Record] = {}
+        self._leases_by_id: dict[str, _Held] = {}
+        self._lease_by_key: dict[str, str] = {}
+        self._revision = 0
+        self._lease_numbers = itertools.count(1)
+        self._changed = anyio.Event()
+
+    async def get(self, key: str) -> Record | None:
+        """See base class."""
+        self.expire_leases()
+        record = self._records_by_key.get(key)
+        return None if record is None or record.deleted else record
+
+    async def list(self, prefix: str) -> WatchResult:
+        """See base class."""
+        self.expire_leases()
+        records = tuple(
+            record
+            for key, record in sorted(self._records_by_key.items())
+            if key.startswith(prefix) and not record.deleted
+        )
+        return WatchResult(records, self._revision)
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_revision: int | None,
+        lease_id: str | None = None,
+    ) -> int:
+        """See base class."""
+        self.expire_leases()
+        if lease_id is not None and lease_id not in self._leases_by_id:
+            raise NotFoundError(f"Lease {lease_id} has lapsed.")
+        self._check_revision(key, expected_revision)
+        self._detach(key)
+        if lease_id is not None:
+            self._leases_by_id[lease_id].keys.add(key)
+            self._lease_by_key[key] = lease_id
+        return self._write(key, value, deleted=False)
+
+    async def delete(self, key: str, *, expected_revision: int | None) -> None:
+        """See base class."""
+        self.expire_leases()
+        self._check_revision(key, expected_revision)
+        self._detach(key)
+        if key in self._records_by_key:
+            self._write(key, b"", deleted=True)
+
+    async def watch(
+        self, prefix: str, after_revision: int, *, deadline: float
+    ) -> WatchResult:
+        """See base class."""
+        while True:
+            self.expire_leases()
+            changes = self._changes(prefix, after_revision)
+            if changes or clock.monotonic() >= deadline:
+                return WatchResult(changes, self._revision)
+            wake = min(deadline, self._next_lapse())
+            with anyio.move_on_after(max(0.0, wake - clock.monotonic())):
+                await self._changed.wait()
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """See base class."""
+        lease_id = f"lease-{next(self._lease_numbers)}"
+        deadline = clock.monotonic() + ttl_s
+        self._leases_by_id[lease_id] = _Held(ttl_s, deadline, set())
+        return Lease(lease_id, deadline)
+
+    async def renew_lease(self, lease_id: str) -> Lease:
+        """See base class."""
+        self.expire_leases()
+        held = self._leases_by_id.get(lease_id)
+        if held is None:
+            raise NotFoundError(f"Lease {lease_id} has lapsed.")
+        held.deadline = clock.monotonic() + held.ttl_s
+        return Lease(lease_id, held.deadline)
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """See base class."""
+        held = self._leases_by_id.pop(lease_id, None)
+        if held is not None:
+            self._delete_all(held.keys)
+
+    def expire_leases(self) -> None:
+        """Ends the leases whose deadline has passed."""
+        now = clock.monotonic()
+        lapsed = [i for i, h in self._leases_by_id.items() if h.deadline <= now]
+        for lease_id in lapsed:
+            self._delete_all(self._leases_by_id.pop(lease_id).keys)
+
+    def _check_revision(self, key: str, expected: int | None) -> None:
+        if expected is None:
+            return
+        record = self._records_by_key.get(key)
+        found = ABSENT
+        if record is not None and not record.deleted:
+            found = record.revision
+        if found != expected:
+            raise ConflictError(
+                f"{key} stands at revision {found}, not {expected}."
+            )
+
+    def _detach(self, key: str) -> None:
+        lease_id = self._lease_by_key.pop(key, None)
+        if lease_id in self._leases_by_id:
+            self._leases_by_id[lease_id].keys.discard(key)
+
+    def _delete_all(self, keys: set[str]) -> None:
+        for key in keys:
+            self._lease_by_key.pop(key, None)
+            self._write(key, b"", deleted=True)
+
+    def _write(self, key: str, value: bytes, *, deleted: bool) -> int:
+        self._revision += 1
+        self._records_by_key[key] = Record(key, value, self._revision, deleted)
+        self._changed.set()
+        self._changed = anyio.Event()
+        return self._revision
+
+    def _changes(self, prefix: str, after: int) -> tuple[Record, ...]:
+        if after >= self._revision:
+            return ()
+        found = [
+            record
+            for key, record in self._records_by_key.items()
+            if record.revision > after and key.startswith(prefix)
+        ]
+        return tuple(sorted(found, key=lambda record: record.revision))
+
+    def _next_lapse(self) -> float:
+        return min(
+            (held.deadline for held in self._leases_by_id.values()),
+            default=float("inf"),
+        )
--- /dev/null
+++ b/plumvane/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: queue, admission, preemption and protocols."""
--- /dev/null
+++ b/plumvane/upstreams/engine.py
@@ -0,0 +1,140 @@
+"""Client of a model engine: streams, cancel, load and orders."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+import httpcore
+
+from plumvane.errors import BadRequestError, UpstreamFailedError
+
+__all__ = ["EngineClient", "Token"]
+
+CONNECTIONS = 1024
+CANCEL_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Token:
+    """A piece of an engine's stream.
+
+    Attributes:
+        text: The text.
+        tokens: How many tokens it holds.
+        finish_reason: Why the stream ends, on its last piece.
+    """
+
+    text: str
+    tokens: int
+    finish_reason: str | None
+
+
+class EngineClient:
+    """Calls one engine over its completions interface."""
+
+    def __init__(self, url: str) -> None:
+        """Creates the client.
+
+        Args:
+            url: Base URL of the engine.
+        """
+        self._url = url.rstrip("/")
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=CONNECTIONS, max_keepalive_connections=CONNECTIONS
+        )
+
+    async def stream(
+        self,
+        request_id: str,
+        body: dict[str, Any],
+        *,
+        resume_text: str = "",
+        resume_tokens: int = 0,
+    ) -> AsyncIterator[Token]:
+        """Runs a completion and yields its pieces.
+
+        Args:
+            request_id: Identifier for a later cancel.
+            body: The completion request.
+            resume_text: Text that an earlier stream already gave.
+            resume_tokens: How many tokens that text has.
+
+        Raises:
+            BadRequestError: The engine refuses the request.
+            UpstreamFailedError: The engine failed or was lost.
+        """
+        sent = {**body, "stream": True, "request_id": request_id}
+        if resume_tokens:
+            sent["resume_text"] = resume_text
+            sent["resume_tokens"] = resume_tokens
+        try:
+            async with self._pool.stream(
+                "POST",
+                f"{self._url}/v1/completions",
+                headers={"content-type": "application/json"},
+                content=json.dumps(sent).encode(),
+                extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+            ) as response:
+                await _check_status(response)
+                async for line in _lines(response):
+                    token = _parse(line)
+                    if token is not None:
+                        yield token
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise UpstreamFailedError(
+                f"The engine was lost: {type(error).__name__}."
+            ) from error
+
+    async def cancel(self, request_id: str) -> None:
+        """Asks the engine to stop a stream; errors are left to its end."""
+        try:
+            with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
+                await self._pool.request(
+                    "POST", f"{self._url}/v1/cancel/{request_id}"
+                )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
+            return
+
+
+async def _check_status(response: httpcore.Response) -> None:
+    if response.status == 200:
+        return
+    text = (await response.aread()).decode(errors="replace")[:500]
+    if 400 <= response.status < 500:
+        raise BadRequestError(f"The engine refused the request: {text}")
+    raise UpstreamFailedError(f"The engine answered {response.status}: {text}")
+
+
+async def _lines(response: httpcore.Response) -> AsyncIterator[bytes]:
+    rest = b""
+    async for data in response.aiter_stream():
+        rest += data
+        *lines, rest = rest.split(b"\n")
+        for line in lines:
+            if line.startswith(b"data: "):
+                yield line[6:]
+
+
+def _parse(line: bytes) -> Token | None:
+    if line == b"[DONE]":
+        return None
+    piece = json.loads(line)
+    if "error" in piece:
+        raise UpstreamFailedError(str(piece["error"]))
+    choice = piece["choices"][0]
+    return Token(
+        choice["text"], piece.get("tokens", 1), choice.get("finish_reason")
+    )
--- /dev/null
+++ b/plumvane/upstreams/service.py
@@ -0,0 +1,60 @@
+"""Client of a plain service."""
+
+from __future__ import annotations
+
+import httpcore
+
+from plumvane.errors import UpstreamFailedError
+from plumvane.peers.messages import Outcome
+
+__all__ = ["ServiceClient"]
+
+CONNECTIONS = 256
+
+
+class ServiceClient:
+    """Calls one plain service over HTTP."""
+
+    def __init__(self, url: str) -> None:
+        """Creates the client.
+
+        Args:
+            url: Base URL of the service.
+        """
+        self._url = url.rstrip("/")
+        self._pool = httpcore.AsyncConnectionPool(max_connections=CONNECTIONS)
+
+    async def call(self, request_id: str, path: str, body: bytes) -> Outcome:
+        """Sends one call; never repeats it.
+
+        Args:
+            request_id: Sent as the Idempotency-Key of the call.
+            path: Path at the service.
+            body: Body of the call.
+
+        Raises:
+            UpstreamFailedError: The service was lost; it may have run.
+        """
+        try:
+            response = await self._pool.request(
+                "POST",
+                self._url + path,
+                headers={
+                    "content-type": "application/json",
+                    "idempotency-key": request_id,
+                },
+                content=body,
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise UpstreamFailedError(
+                f"The service was lost: {type(error).__name__}."
+            ) from error
+        headers = {k.lower(): v for k, v in response.headers}
+        content_type = headers.get(b"content-type", b"application/json")
+        return Outcome(
+            response.status, response.content, content_type.decode("latin-1")
+        )
--- /dev/null
+++ b/standins/launcher.py
@@ -0,0 +1,390 @@
+"""Starts a fleet of real processes on loopback, for tests and the demo."""
+
+from __future__ import annotations
+
+import configparser
+import dataclasses
+import json
+import pathlib
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import httpcore
+
+__all__ = ["Fleet", "Process", "free_port", "loopback_host"]
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.05
+MODEL = "sorter-lm"
+SERVICE = "quotes"
+TEAM = "intake"
+TEAM_TOKEN = "intake-token"
+OPERATOR_TOKEN = "operator-token"
+DATA_CENTRES = ("windhoek-hall", "okahandja", "rehoboth", "brakwater")
+
+
+def loopback_host() -> str:
+    """Returns a loopback address that no other fleet is likely to use."""
+    parts = [secrets.randbelow(250) + 2 for _ in range(3)]
+    return "127." + ".".join(str(part) for part in parts)
+
+
+def free_port(host: str) -> int:
+    """Returns a port on the address that the kernel finds free."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """A process of the fleet.
+
+    Attributes:
+        name: Name of the instance.
+        role: `entry`, `sidecar`, `bulk` or `standin`.
+        command: Command line that starts it.
+        log: Path of its log.
+        host: Loopback address.
+        peer_port: Port for peers, or 0.
+        http_port: Port for HTTP, or 0.
+        serves: Model or service behind it.
+        data_centre: Its data centre.
+        popen: The running process, if any.
+    """
+
+    name: str
+    role: str
+    command: list[str]
+    log: pathlib.Path
+    host: str
+    peer_port: int = 0
+    http_port: int = 0
+    serves: str = ""
+    data_centre: str = ""
+    popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def url(self) -> str:
+        """Base URL of its HTTP interface."""
+        return f"http://{self.host}:{self.http_port}"
+
+    @property
+    def peer_address(self) -> str:
+        """Where peers reach it."""
+        return f"{self.host}:{self.peer_port}"
+
+    def start(self) -> None:
+        """Starts the process."""
+        with open(self.log, "ab") as log:
+            self.popen = subprocess.Popen(
+                self.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the process."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        self.signal(signal.SIGKILL)
+        if self.popen is not None:
+            self.popen.wait()
+
+    def terminate(self) -> int:
+        """Stops the process gracefully and returns its exit code."""
+        if self.popen is None:
+            return 0
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(STOP_TIMEOUT_S)
+
+
+class Fleet:
+    """A fleet of stand-ins and plumvane processes.
+
+    Use it as a context manager; leaving it kills what still runs.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Creates an empty fleet.
+
+        Args:
+            folder: Folder for settings, logs and chunks.
+        """
+        self.folder = folder
+        self.host = loopback_host()
+        self.processes_by_name: dict[str, Process] = {}
+        self._http = httpcore.ConnectionPool(max_connections=64)
+        self._bin = pathlib.Path(sys.executable).parent
+        self._numbers = 0
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.kill_all()
+
+    def __getitem__(self, name: str) -> Process:
+        return self.processes_by_name[name]
+
+    def kill_all(self) -> None:
+        """Kills every process."""
+        for process in self.processes_by_name.values():
+            process.signal(signal.SIGCONT)
+            process.kill()
+        self._http.close()
+
+    def start_platform(self, *, lag_s: float = 0.3) -> None:
+        """Starts the store and the instance list.
+
+        Args:
+            lag_s: Seconds that the instance list lags.
+        """
+        self.start_standin("store", "store")
+        self.start_standin("instances", "instances", f"--lag_s={lag_s}")
+
+    def start_standin(self, name: str, module: str, *flags: str) -> Process:
+        """Starts a stand-in and waits until it accepts connections."""
+        port = free_port(self.host)
+        command = [
+            sys.executable,
+            "-m",
+            f"standins.{module}",
+            f"--host={self.host}",
+            f"--port={port}",
+            *flags,
+        ]
+        process = self._add(name, "standin", command)
+        process.http_port = port
+        process.start()
+        self._wait_for_port(process, port)
+        return process
+
+    def start_engine(self, name: str, *flags: str) -> Process:
+        """Starts an engine and the sidecar beside it, `NAME-sidecar`."""
+        engine = self.start_standin(name, "engine", *flags)
+        return self.start_sidecar(
+            f"{name}-sidecar", engine.url, "engine", MODEL
+        )
+
+    def start_service(self, name: str, *flags: str) -> Process:
+        """Starts a plain service and the sidecar beside it."""
+        service = self.start_standin(name, "service", *flags)
+        return self.start_sidecar(
+            f"{name}-sidecar", service.url, "service", SERVICE
+        )
+
+    def start_sidecar(
+        self, name: str, url: str, kind: str, serves: str
+    ) -> Process:
+        """Starts a sidecar in front of an upstream."""
+        upstream = {"url": url, "kind": kind, "serves": serves}
+        return self._start_program(
+            name, "sidecar", {"upstream": upstream}, serves=serves
+        )
+
+    def start_entry(self, name: str, **http: str) -> Process:
+        """Starts an entry.
+
+        Args:
+            name: Name of the entry.
+            **http: More keys of its section [http].
+        """
+        port = free_port(self.host)
+        section = {"address": f"{self.host}:{port}", **http}
+        process = self._start_program(
+            name, "entry", {"http": section}, http_port=port
+        )
+        self._wait_for_port(process, port)
+        return process
+
+    def start_bulk(self, name: str) -> Process:
+        """Starts a bulk instance with a data folder of its own."""
+        data = self.folder / f"{name}-data"
+        data.mkdir(exist_ok=True)
+        return self._start_program(name, "bulk", {"data": {"folder": data}})
+
+    def list_instance(self, process: Process, state: str = "live") -> None:
+        """Puts an instance in the platform's list."""
+        self.call(
+            "PUT",
+            f"{self['instances'].url}/instances/{process.name}",
+            {
+                "name": process.name,
+                "role": process.role,
+                "address": process.peer_address,
+                "data_centre": process.data_centre,
+                "serves": process.serves,
+                "state": state,
+            },
+        )
+
+    def unlist_instance(self, name: str) -> None:
+        """Takes an instance off the platform's list."""
+        self.call("DELETE", f"{self['instances'].url}/instances/{name}")
+
+    def store_faults(self, **faults: Any) -> None:
+        """Sets faults of the store; see `standins.store`."""
+        self.call("POST", f"{self['store'].url}/faults", faults)
+
+    def default_document(self) -> dict[str, Any]:
+        """Returns a document for the fleet's model, service and team."""
+        from plumvane.fleet.document import token_digest
+
+        return {
+            "models": {MODEL: {}},
+            "services": {SERVICE: {"idempotent": False}},
+            "workloads": {
+                "notes": {"kind": "online", "model": MODEL},
+                "plans": {"kind": "batch", "model": MODEL, "rank": 10},
+            },
+            "teams": {TEAM: {"token_sha256": [token_digest(TEAM_TOKEN)]}},
+            "operators": {
+                "op": {
+                    "token_sha256": token_digest(OPERATOR_TOKEN),
+                    "role": "change",
+                }
+            },
+        }
+
+    def apply_document(
+        self, entry: Process, document: dict[str, Any], from_revision: int
+    ) -> int:
+        """Applies a document through an entry; returns its revision."""
+        answer = self.call(
+            "PUT",
+            f"{entry.url}/v1/fleet/document",
+            document,
+            {
+                "authorization": f"Bearer {OPERATOR_TOKEN}",
+                "if-match": str(from_revision),
+            },
+        )
+        return int(json.loads(answer[1])["revision"])
+
+    def call(
+        self,
+        method: str,
+        url: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Sends one HTTP call with a JSON body; returns status and body."""
+        content = b"" if body is None else json.dumps(body).encode()
+        return self.call_raw(method, url, content, headers)
+
+    def call_raw(
+        self,
+        method: str,
+        url: str,
+        content: bytes,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Sends one HTTP call; returns status and body."""
+        response = self._http.request(
+            method,
+            url,
+            headers=list((headers or {}).items()),
+            content=content,
+            extensions={"timeout": {"connect": 5.0, "read": 60.0}},
+        )
+        return response.status, response.content
+
+    def wait_ready(self, revision: int = 0) -> None:
+        """Waits until all entries see all instances and the partitions."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            if self._is_ready(revision):
+                return
+            time.sleep(POLL_S)
+        raise TimeoutError(f"The fleet is not ready; see {self.folder}.")
+
+    def _is_ready(self, revision: int) -> bool:
+        running = {
+            p.name
+            for p in self.processes_by_name.values()
+            if p.role != "standin" and p.popen and p.popen.poll() is None
+        }
+        for process in self.processes_by_name.values():
+            if process.role != "entry" or process.name not in running:
+                continue
+            status, body = self.call("GET", f"{process.url}/readyz")
+            answer = json.loads(body)
+            if status != 200 or answer["revision"] < revision:
+                return False
+            if not running <= set(answer["instances"]):
+                return False
+            if answer["partitions_without_owner"]:
+                return False
+        return True
+
+    def _add(self, name: str, role: str, command: list[str]) -> Process:
+        process = Process(
+            name, role, command, self.folder / f"{name}.log", self.host
+        )
+        self.processes_by_name[name] = process
+        return process
+
+    def _start_program(
+        self,
+        name: str,
+        role: str,
+        sections: dict[str, dict[str, Any]],
+        *,
+        serves: str = "",
+        http_port: int = 0,
+    ) -> Process:
+        path = self.folder / f"{name}.ini"
+        command = [str(self._bin / f"plumvane-{role}"), f"--settings={path}"]
+        process = self._add(name, role, command)
+        process.peer_port = free_port(self.host)
+        process.http_port = http_port
+        process.serves = serves
+        process.data_centre = DATA_CENTRES[self._numbers % len(DATA_CENTRES)]
+        self._numbers += 1
+        self._write_settings(path, process, sections)
+        process.start()
+        self._wait_for_port(process, process.peer_port)
+        self.list_instance(process)
+        return process
+
+    def _write_settings(
+        self,
+        path: pathlib.Path,
+        process: Process,
+        sections: dict[str, dict[str, Any]],
+    ) -> None:
+        parser = configparser.ConfigParser(interpolation=None)
+        parser["process"] = {
+            "name": process.name,
+            "data_centre": process.data_centre,
+            "peer_address": process.peer_address,
+        }
+        parser["platform"] = {
+            "instances_url": f"{self['instances'].url}/instances"
+        }
+        if process.role == "entry":
+            parser["platform"]["store_url"] = self["store"].url
+        for section, values in sections.items():
+            parser[section] = {k: str(v) for k, v in values.items()}
+        with open(path, "w", encoding="utf-8") as file:
+            parser.write(file)
+
+    def _wait_for_port(self, process: Process, port: int) -> None:
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            if process.popen is None or process.popen.poll() is not None:
+                break
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+                if probe.connect_ex((process.host, port)) == 0:
+                    return
+            time.sleep(POLL_S)
+        text = process.log.read_text(errors="replace")[-2000:]
+        raise RuntimeError(f"{process.name} did not start: {text}")
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of plumvane."""
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,17 @@
+"""The demo's checks, on a fleet of real processes."""
+
+from __future__ import annotations
+
+import pathlib
+import tempfile
+
+from demo import run as demo
+from standins.launcher import Fleet
+
+
+def test_every_check_of_the_demo_holds() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        with Fleet(pathlib.Path(folder)) as fleet:
+            demo.start(fleet)
+            results = [check(fleet) for check in demo.CHECKS]
+    assert all(holds for _, _, holds in results), results
