--- a/plumvane/bulk/main.py
+++ b/plumvane/bulk/main.py
@@ -42,7 +42,7 @@
         self._links = LinkPool(process.name)
         self._directory = Directory(settings.platform.instances_url)
         self._folder = ChunkFolder(settings.data.folder)
-        self._server = PeerServer(str(process.peer_address))
+        self._server = PeerServer(str(process.bind_address))
         self._server.handle(StoreChunk, self._store)
         self._server.handle(FetchChunk, self._fetch)
         self._reporter = Reporter(
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -66,7 +66,7 @@
             on_lost=self._host.drop,
         )
         self._owners = OwnerClient(self._ownership, self._host, self._links)
-        self._server = PeerServer(self._address)
+        self._server = PeerServer(str(process.bind_address))
         self._server.handle(Report, self._take_report)
         self._server.handle(FetchDocument, self._send_document)
         self._host.register(self._server)
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -76,11 +76,18 @@
         name: Name of the instance, unique in the fleet.
         data_centre: Data centre that the instance stands in.
         peer_address: Where other plumvane processes reach this one.
+        listen_address: Where it listens for them, if that differs.
     """
 
     name: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9.-]*$")
     data_centre: str = pydantic.Field(min_length=1)
     peer_address: Address
+    listen_address: Address | None = None
+
+    @property
+    def bind_address(self) -> Address:
+        """Where the process listens for its peers."""
+        return self.listen_address or self.peer_address
 
 
 class PlatformSection(_Section):
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -48,7 +48,7 @@
         self._directory = Directory(settings.platform.instances_url)
         self._runs = RunTable()
         self._gate = Gate(make_admission(self._current.document.policies))
-        self._server = PeerServer(str(process.peer_address))
+        self._server = PeerServer(str(process.bind_address))
         self._server.handle(FetchDocument, self._send_document)
         self._reporter = Reporter(
             process.name,
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -53,6 +53,7 @@
         log: Path of its log.
         host: Loopback address.
         peer_port: Port for peers, or 0.
+        listen_port: Port that it listens on for peers, if proxied.
         http_port: Port for HTTP, or 0.
         serves: Model or service behind it.
         data_centre: Its data centre.
@@ -65,6 +66,7 @@
     log: pathlib.Path
     host: str
     peer_port: int = 0
+    listen_port: int = 0
     http_port: int = 0
     serves: str = ""
     data_centre: str = ""
@@ -149,9 +151,19 @@
         """
         self.start_standin("store", "store")
         self.start_standin("instances", "instances", f"--lag_s={lag_s}")
+        self.wait_started()
+
+    def start_proxy(self) -> None:
+        """Starts the fault proxy; programs started later stand behind it."""
+        self.start_standin("proxy", "proxy", f"--route_host={self.host}")
+        self.wait_started()
+
+    def peer_faults(self, name: str, **faults: Any) -> None:
+        """Sets faults of the connections to a program's peer port."""
+        self.call("POST", f"{self['proxy'].url}/routes/{name}/faults", faults)
 
     def start_standin(self, name: str, module: str, *flags: str) -> Process:
-        """Starts a stand-in and waits until it accepts connections."""
+        """Starts a stand-in; `wait_started` waits for it."""
         port = free_port(self.host)
         command = [
             sys.executable,
@@ -164,7 +176,6 @@
         process = self._add(name, "standin", command)
         process.http_port = port
         process.start()
-        self._wait_for_port(process, port)
         return process
 
     def start_engine(self, name: str, *flags: str) -> Process:
@@ -199,11 +210,9 @@
         """
         port = free_port(self.host)
         section = {"address": f"{self.host}:{port}", **http}
-        process = self._start_program(
+        return self._start_program(
             name, "entry", {"http": section}, http_port=port
         )
-        self._wait_for_port(process, port)
-        return process
 
     def start_bulk(self, name: str) -> Process:
         """Starts a bulk instance with a data folder of its own."""
@@ -258,6 +267,7 @@
         self, entry: Process, document: dict[str, Any], from_revision: int
     ) -> int:
         """Applies a document through an entry; returns its revision."""
+        self.wait_started()
         answer = self.call(
             "PUT",
             f"{entry.url}/v1/fleet/document",
@@ -297,8 +307,16 @@
         )
         return response.status, response.content
 
+    def wait_started(self) -> None:
+        """Waits until every process accepts connections."""
+        for process in self.processes_by_name.values():
+            for port in (process.listen_port, process.http_port):
+                if port:
+                    self._wait_for_port(process, port)
+
     def wait_ready(self, revision: int = 0) -> None:
         """Waits until all entries see all instances and the partitions."""
+        self.wait_started()
         deadline = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline:
             if self._is_ready(revision):
@@ -349,12 +367,24 @@
         process.serves = serves
         process.data_centre = DATA_CENTRES[self._numbers % len(DATA_CENTRES)]
         self._numbers += 1
+        if "proxy" in self.processes_by_name:
+            self._open_route(process)
         self._write_settings(path, process, sections)
         process.start()
-        self._wait_for_port(process, process.peer_port)
         self.list_instance(process)
         return process
 
+    def _open_route(self, process: Process) -> None:
+        process.listen_port = free_port(self.host)
+        self.call(
+            "PUT",
+            f"{self['proxy'].url}/routes/{process.name}",
+            {
+                "port": process.peer_port,
+                "target": f"{self.host}:{process.listen_port}",
+            },
+        )
+
     def _write_settings(
         self,
         path: pathlib.Path,
@@ -367,6 +397,9 @@
             "data_centre": process.data_centre,
             "peer_address": process.peer_address,
         }
+        if process.listen_port:
+            listen = f"{process.host}:{process.listen_port}"
+            parser["process"]["listen_address"] = listen
         parser["platform"] = {
             "instances_url": f"{self['instances'].url}/instances"
         }
