Add the experiment tool

Cause: policies under load could not be compared on real processes. Ruled out: a generator inside the runner (its work would delay the runner's own samples), closed-loop load (slow answers would thin it out). The engine stand-in counts batch tokens, and tokens of cancelled streams that were made again.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments under load, on real processes."""
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,87 @@
+"""Tables and plots of experiment results."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot  # noqa: E402
+
+__all__ = ["print_table", "save_plot", "summary"]
+
+COLUMNS = (
+    "sent",
+    "ok",
+    "refused",
+    "failed",
+    "ttft p50",
+    "ttft p99",
+    "gap p50",
+    "gap p99",
+    "online tok/s",
+    "batch tok/s",
+    "wasted %",
+    "cached %",
+    "max/mean",
+)
+
+
+def summary(result: dict[str, Any]) -> dict[str, float]:
+    """Returns the figures of a variant; latencies in milliseconds."""
+    engines = result["engines"]
+    seconds = result["duration_s"]
+    requests = [e.get("requests", 0) for e in engines]
+    made = sum(e.get("tokens", 0) for e in engines)
+    batch = sum(e.get("batch_tokens", 0) for e in engines)
+    wasted = sum(e.get("wasted", 0) for e in engines)
+    cached = sum(e.get("cached", 0) for e in engines)
+    prefilled = sum(e.get("prefilled", 0) for e in engines)
+    counts = result["counts"]
+    return {
+        "sent": counts["sent"],
+        "ok": counts["ok"],
+        "refused": counts["refused"],
+        "failed": counts["failed"],
+        "ttft p50": result["first_token_ms"]["p50"],
+        "ttft p99": result["first_token_ms"]["p99"],
+        "gap p50": result["between_tokens_ms"]["p50"],
+        "gap p99": result["between_tokens_ms"]["p99"],
+        "online tok/s": (made - batch) / seconds,
+        "batch tok/s": batch / seconds,
+        "wasted %": 100 * wasted / max(1, made),
+        "cached %": 100 * cached / max(1, cached + prefilled),
+        "max/mean": max(requests) * len(requests) / max(1, sum(requests)),
+    }
+
+
+def print_table(results: dict[str, Any]) -> None:
+    """Prints one line a variant."""
+    print(
+        f"{results['scenario']}, seed {results['seed']}, "
+        f"commit {results['commit']}; times in ms"
+    )
+    print(f"{'':<24}" + "".join(f"{name:>13}" for name in COLUMNS))
+    for name, result in results["variants"].items():
+        figures = summary(result)
+        cells = "".join(f"{figures[column]:>13.4g}" for column in COLUMNS)
+        print(f"{name:<24}{cells}")
+
+
+def save_plot(results: dict[str, Any], path: pathlib.Path) -> None:
+    """Draws the time to the first token over the intended send time."""
+    figure, axes = pyplot.subplots(figsize=(10, 5))
+    for name, result in results["variants"].items():
+        if result["series"]:
+            times, latencies = zip(*sorted(result["series"]), strict=True)
+            axes.plot(times, latencies, ".", markersize=3, label=name)
+    axes.set_yscale("log")
+    axes.set_xlabel("intended send time, s after the start")
+    axes.set_ylabel("time to first token, s")
+    axes.set_title(f"{results['scenario']} at {results['commit']}")
+    axes.legend()
+    figure.savefig(path, dpi=100)
+    pyplot.close(figure)
--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -35,6 +35,8 @@
 RETRY_S = 0.5
 IDLE_MIN_S = 0.1
 IDLE_MAX_S = 2.0
+# Marks batch work for the engine's own records.
+BATCH_METADATA = {"kind": "batch"}
 
 
 class BatchWorker:
@@ -225,7 +227,7 @@
             try:
                 async for token in self._engine.stream(
                     stream_id,
-                    body,
+                    {**body, "metadata": BATCH_METADATA},
                     resume_text="".join(text),
                     resume_tokens=tokens,
                 ):
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -79,6 +79,7 @@
         given: Tokens given so far, resumed ones included.
         limit: Tokens to give.
         prefill: Prompt tokens that are not in the cache.
+        batch: Whether the request is marked as batch work.
         steps: Sends its tokens.
     """
 
@@ -87,6 +88,7 @@
         self.given = given
         self.limit = limit
         self.prefill = 0
+        self.batch = False
         self.cancelled = False
         self.steps, self.tokens = anyio.create_memory_object_stream[int](
             float("inf")
@@ -131,6 +133,7 @@
         )
         self._executions_by_id: collections.Counter[str] = collections.Counter()
         self._counts: collections.Counter[str] = collections.Counter()
+        self._given_by_cancelled: dict[str, int] = {}
         self._orders: list[dict[str, Any]] = []
         self._fence = 0
         self._loads: collections.deque[tuple[float, int]] = collections.deque()
@@ -144,6 +147,7 @@
                 Route("/v1/orders", self.order, methods=["POST"]),
                 Route("/load", self.load, methods=["GET"]),
                 Route("/record", self.record, methods=["GET"]),
+                Route("/counts", self.counts, methods=["GET"]),
             ]
         )
 
@@ -166,6 +170,9 @@
             return JSONResponse({"error": "max_tokens"}, status_code=400)
         request_id = body["request_id"]
         sequence = _Sequence(prompt, int(body.get("resume_tokens", 0)), limit)
+        sequence.batch = body.get("metadata", {}).get("kind") == "batch"
+        cancelled = self._given_by_cancelled.pop(prompt, sequence.given)
+        self._counts["wasted"] += max(0, cancelled - sequence.given)
         sequence.prefill = self._prefill(prompt) + sequence.given
         self._executions_by_id[request_id] += 1
         self._counts["requests"] += 1
@@ -210,6 +217,14 @@
             }
         )
 
+    async def counts(self, http: Request) -> Response:
+        """Serves the counters alone.
+
+        `batch_tokens` are tokens of requests marked `batch`; `wasted` are
+        tokens of a cancelled stream that its resumption did not bring back.
+        """
+        return JSONResponse(dict(self._counts))
+
     async def _events(
         self, request_id: str, sequence: _Sequence
     ) -> AsyncIterator[bytes]:
@@ -253,6 +268,7 @@
             sequence.steps.send_nowait(sequence.given)
             sequence.given += 1
             self._counts["tokens"] += 1
+            self._counts["batch_tokens"] += sequence.batch
         for request_id, sequence in list(self._sequences_by_id.items()):
             if sequence.given >= sequence.limit:
                 del self._sequences_by_id[request_id]
@@ -283,6 +299,8 @@
         sequence = self._sequences_by_id.pop(request_id, None)
         if sequence is not None:
             sequence.cancelled = sequence.given < sequence.limit
+            if sequence.cancelled:
+                self._given_by_cancelled[sequence.prompt] = sequence.given
             sequence.steps.close()
 
 
