--- a/plumvane/fleet/document.py
+++ b/plumvane/fleet/document.py
@@ -125,12 +125,15 @@
     Attributes:
         admission: Admission at the sidecar.
         fixed_concurrency: Requests at once under `fixed`.
+        batch_slowdown: How much longer batch may make a step of the engine
+            than online requests alone make it, as a factor.
         routing: Choice of an upstream.
         batch_order: Order of batch jobs.
     """
 
     admission: str = "adaptive"
     fixed_concurrency: int = pydantic.Field(default=16, ge=1, le=4096)
+    batch_slowdown: float = pydantic.Field(default=1.1, ge=1.0, le=100.0)
     routing: str = "least_loaded"
     batch_order: str = "least_slack"
 
--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -225,23 +225,22 @@
             finish_reason = None
             ended = False
             try:
-                async for token in self._engine.stream(
-                    stream_id,
-                    {**body, "metadata": BATCH_METADATA},
-                    resume_text="".join(text),
-                    resume_tokens=tokens,
-                ):
-                    text.append(token.text)
-                    tokens += token.tokens
-                    finish_reason = token.finish_reason
-                    if work.preempted.is_set() and finish_reason is None:
-                        break
-                else:
+                with work.scope:
+                    async for token in self._engine.stream(
+                        stream_id,
+                        {**body, "metadata": BATCH_METADATA},
+                        resume_text="".join(text),
+                        resume_tokens=tokens,
+                    ):
+                        text.append(token.text)
+                        tokens += token.tokens
+                        finish_reason = token.finish_reason
                     ended = True
             finally:
                 self._gate.leave(work)
                 if not ended:
                     await self._engine.cancel(stream_id)
+            ended = ended or finish_reason is not None
             if ended:
                 outcome = completion_outcome(
                     request_id,
--- a/plumvane/sidecar/dispatcher.py
+++ b/plumvane/sidecar/dispatcher.py
@@ -36,9 +36,6 @@
 
 __all__ = ["Dispatcher"]
 
-# Tokens are joined into one part for at most this long.
-JOIN_S = 0.02
-
 
 class Dispatcher:
     """Serves dispatches, attaches, settlements and cancels."""
@@ -161,12 +158,10 @@
     async def _run_engine(self, run: Run, engine: EngineClient) -> Outcome:
         request = run.request
         body = _json_object(request.body)
-        started = last = clock.monotonic()
         text: list[str] = [request.resume_text]
         tokens = request.resume_tokens
         joined: list[str] = []
         joined_tokens = 0
-        flushed = 0.0
         finish_reason = "stop"
         ended = False
         try:
@@ -176,22 +171,15 @@
                 resume_text=request.resume_text,
                 resume_tokens=request.resume_tokens,
             ):
-                now = clock.monotonic()
-                if len(text) == 1:
-                    self._gate.policy.observe_first_token(now - started)
-                else:
-                    self._gate.policy.observe_between_tokens(now - last)
-                last = now
                 text.append(token.text)
                 tokens += token.tokens
                 joined.append(token.text)
                 joined_tokens += token.tokens
                 finish_reason = token.finish_reason or finish_reason
-                if now - flushed >= JOIN_S:
+                if not token.more:
                     run.add_text("".join(joined), joined_tokens)
                     joined.clear()
                     joined_tokens = 0
-                    flushed = now
             ended = True
         finally:
             if not ended:
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -60,7 +60,9 @@
         self._upstream: EngineClient | ServiceClient
         self._batch: BatchWorker | None = None
         if settings.upstream.kind == "engine":
-            self._upstream = EngineClient(settings.upstream.url)
+            self._upstream = EngineClient(
+                settings.upstream.url, self._gate.observe_step
+            )
             self._batch = BatchWorker(
                 settings.upstream.serves,
                 str(process.peer_address),
@@ -122,12 +124,13 @@
             policy = make_admission(document.policies)
             if type(policy) is not type(self._gate.policy):
                 self._gate.policy = policy
-            self._gate.policy.set_targets(
+            self._gate.policy.configure(
+                document.policies,
                 [
                     w
                     for w in document.workloads.values()
                     if w.kind == "online" and w.model == model
-                ]
+                ],
             )
             self._gate.refresh()
             await self._current.changed()
--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import abc
-import math
+from collections import deque
 from collections.abc import Callable
 
 from plumvane import clock
 from plumvane.fleet.document import Policies, Workload
+from plumvane.upstreams.step_model import StepModel
 
 __all__ = [
     "ADMISSIONS_BY_NAME",
@@ -23,16 +24,25 @@
 ADMISSIONS_BY_NAME: dict[str, AdmissionFactory] = {}
 
 UNLIMITED = 1 << 30
+DEFAULT_TARGET_S = 0.039
 # Bounds of the adaptive limit.
 MIN_LIMIT = 2
 MAX_LIMIT = 512
 START_LIMIT = 8
-# The adaptive limit aims at this part of the latency targets.
-HEADROOM = 0.8
-DECREASE = 0.85
-ADJUST_S = 0.25
-# Part of the limit that batch leaves free for online bursts.
-ONLINE_RESERVE = 0.1
+# The adaptive limit aims at this part of the latency target.
+HEADROOM = 0.9
+# The limit may exceed what has run before by this factor and number.
+EXPLORE_FACTOR = 1.25
+EXPLORE_STEP = 2
+# Online requests that run at once are sampled this often, for this long.
+SAMPLE_S = 0.1
+SAMPLES = 300
+ONLINE_QUANTILE = 0.99
+# Trust in a step during which the running requests changed.
+UNSETTLED_WEIGHT = 0.05
+# Batch items that may start in one step, beside online requests and alone.
+STARTS_BESIDE_ONLINE = 1
+STARTS_ALONE = 4
 
 
 def admission(name: str) -> Callable[[AdmissionFactory], AdmissionFactory]:
@@ -66,22 +76,32 @@
 
     @abc.abstractmethod
     def limit(self) -> int:
-        """Returns how many requests may run at once."""
+        """Returns how many online requests may run at once."""
 
     def batch_limit(self, online_running: int) -> int:
         """Returns how many batch items may run beside online requests."""
         return max(0, self.limit() - online_running)
 
-    def set_targets(self, workloads: list[Workload]) -> None:
-        """Takes in the online workloads, for their latency targets."""
-        return
+    def batch_interval_s(self, online_running: int) -> float:
+        """Returns the least time between two starts of batch items."""
+        return 0.0
+
+    def configure(self, policies: Policies, workloads: list[Workload]) -> None:
+        """Takes in the settings and the online workloads of the model."""
+        self._policies = policies
 
-    def observe_first_token(self, seconds: float) -> None:
-        """Takes in the time from dispatch to a first token."""
+    def observe_online(self, running: int) -> None:
+        """Takes in how many online requests run now."""
         return
 
-    def observe_between_tokens(self, seconds: float) -> None:
-        """Takes in the time between two tokens."""
+    def observe_step(self, seconds: float, running: int, settled: bool) -> None:
+        """Takes in the time between two tokens of a stream.
+
+        Args:
+            seconds: The time.
+            running: Requests that ran at its end.
+            settled: Whether none came or went since the step before it.
+        """
         return
 
 
@@ -98,65 +118,89 @@
 
 @admission("fixed")
 class Fixed(Admission):
-    """Allows a fixed number of requests at once."""
+    """Allows a fixed number of requests at once; a baseline."""
 
     preempts = False
 
-    def __init__(self, policies: Policies) -> None:
-        """See base class."""
-        super().__init__(policies)
-        self._limit = policies.fixed_concurrency
-
     def limit(self) -> int:
         """See base class."""
-        return self._limit
+        return self._policies.fixed_concurrency
 
 
 @admission("adaptive")
 class Adaptive(Admission):
-    """Adapts the limit so that measured latency stays within the targets.
+    """Derives the limits from a measured model of the engine's step.
 
-    The limit grows by one while the time between tokens stays below the
-    target and the limit is in use, and shrinks by a factor when it does not.
+    Online requests may run as long as the step keeps the document's target
+    between tokens. Beside them, batch may lengthen the step to at most
+    `batch_slowdown` times what the usual peak of online requests alone takes.
     """
 
     def __init__(self, policies: Policies) -> None:
         """See base class."""
         super().__init__(policies)
-        self._limit = float(START_LIMIT)
-        self._between_target_s = 0.039
-        self._worst_s = 0.0
-        self._samples = 0
-        self._adjust_at = 0.0
+        self._model = StepModel()
+        self._target_s = DEFAULT_TARGET_S
+        self._most_run = float(START_LIMIT)
+        self._online: deque[int] = deque(maxlen=SAMPLES)
+        self._online_peak = 0
+        self._sample_at = 0.0
+        self._step_at = 0.0
 
     def limit(self) -> int:
         """See base class."""
-        return int(self._limit)
+        return self._within(self._target_s * HEADROOM)
 
     def batch_limit(self, online_running: int) -> int:
         """See base class."""
-        reserve = math.ceil(self._limit * ONLINE_RESERVE)
-        return max(0, self.limit() - reserve - online_running)
-
-    def set_targets(self, workloads: list[Workload]) -> None:
+        peak = max(online_running, self._online_peak)
+        if peak == 0 or not self._model.known:
+            return max(0, self.limit() - online_running)
+        slowdown = self._policies.batch_slowdown
+        alone_s = self._model.predict(peak / slowdown)
+        allowed_s = min(alone_s * slowdown, self._target_s * HEADROOM)
+        return max(0, self._within(allowed_s) - online_running)
+
+    def batch_interval_s(self, online_running: int) -> float:
+        """See base class."""
+        if not self._model.known:
+            return SAMPLE_S
+        step_s = self._model.predict(online_running)
+        if online_running:
+            return step_s / STARTS_BESIDE_ONLINE
+        return step_s / STARTS_ALONE
+
+    def configure(self, policies: Policies, workloads: list[Workload]) -> None:
         """See base class."""
+        super().configure(policies, workloads)
         targets = [w.between_tokens_ms / 1000.0 for w in workloads]
-        self._between_target_s = min(targets, default=0.039)
+        self._target_s = min(targets, default=DEFAULT_TARGET_S)
+
+    def observe_online(self, running: int) -> None:
+        """See base class."""
+        now = clock.monotonic()
+        if now < self._sample_at:
+            return
+        self._sample_at = now + SAMPLE_S
+        self._online.append(running)
+        ordered = sorted(self._online)
+        self._online_peak = ordered[int((len(ordered) - 1) * ONLINE_QUANTILE)]
 
-    def observe_between_tokens(self, seconds: float) -> None:
+    def observe_step(self, seconds: float, running: int, settled: bool) -> None:
         """See base class."""
-        self._worst_s = max(self._worst_s, seconds)
-        self._samples += 1
         now = clock.monotonic()
-        if now < self._adjust_at or self._samples < self.limit():
+        if now < self._step_at:
+            # Another stream told of the same step.
             return
-        self._adjust_at = now + ADJUST_S
-        self._adjust()
-
-    def _adjust(self) -> None:
-        if self._worst_s > self._between_target_s * HEADROOM:
-            self._limit = max(MIN_LIMIT, self._limit * DECREASE)
-        else:
-            self._limit = min(MAX_LIMIT, self._limit + 1.0)
-        self._worst_s = 0.0
-        self._samples = 0
+        self._step_at = now + seconds / 2
+        weight = 1.0 if settled else UNSETTLED_WEIGHT
+        self._model.add(running, seconds, weight)
+        self._most_run = max(self._most_run, float(running))
+
+    def _within(self, step_s: float) -> int:
+        """Returns how many requests keep the step within a time."""
+        if not self._model.known:
+            return START_LIMIT
+        explored = self._most_run * EXPLORE_FACTOR + EXPLORE_STEP
+        number = min(self._model.running_within(step_s), explored, MAX_LIMIT)
+        return max(MIN_LIMIT, int(number))
--- a/plumvane/upstreams/engine.py
+++ b/plumvane/upstreams/engine.py
@@ -4,12 +4,13 @@
 
 import dataclasses
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import anyio
 import httpcore
 
+from plumvane import clock
 from plumvane.errors import BadRequestError, UpstreamFailedError
 
 __all__ = ["EngineClient", "Token"]
@@ -27,22 +28,26 @@
         text: The text.
         tokens: How many tokens it holds.
         finish_reason: Why the stream ends, on its last piece.
+        more: Whether further pieces were read with it.
     """
 
     text: str
     tokens: int
     finish_reason: str | None
+    more: bool = False
 
 
 class EngineClient:
     """Calls one engine over its completions interface."""
 
-    def __init__(self, url: str) -> None:
+    def __init__(self, url: str, observe_step: Callable[[float], None]) -> None:
         """Creates the client.
 
         Args:
             url: Base URL of the engine.
+            observe_step: Told the seconds between two tokens of a stream.
         """
+        self._observe_step = observe_step
         self._url = url.rstrip("/")
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=CONNECTIONS, max_keepalive_connections=CONNECTIONS
@@ -81,10 +86,16 @@
                 extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
             ) as response:
                 await _check_status(response)
-                async for line in _lines(response):
-                    token = _parse(line)
-                    if token is not None:
-                        yield token
+                last = 0.0
+                async for lines in _lines(response):
+                    now = clock.monotonic()
+                    tokens = list(filter(None, map(_parse, lines)))
+                    if last and len(tokens) == 1:
+                        self._observe_step(now - last)
+                    last = now
+                    for number, token in enumerate(tokens, 1):
+                        more = number < len(tokens)
+                        yield dataclasses.replace(token, more=more)
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -118,14 +129,14 @@
     raise UpstreamFailedError(f"The engine answered {response.status}: {text}")
 
 
-async def _lines(response: httpcore.Response) -> AsyncIterator[bytes]:
+async def _lines(response: httpcore.Response) -> AsyncIterator[list[bytes]]:
+    """Yields the data of the whole events of each read."""
     rest = b""
     async for data in response.aiter_stream():
-        rest += data
-        *lines, rest = rest.split(b"\n")
-        for line in lines:
-            if line.startswith(b"data: "):
-                yield line[6:]
+        *lines, rest = (rest + data).split(b"\n")
+        found = [line[6:] for line in lines if line.startswith(b"data: ")]
+        if found:
+            yield found
 
 
 def _parse(line: bytes) -> Token | None:
--- a/plumvane/upstreams/gate.py
+++ b/plumvane/upstreams/gate.py
@@ -14,6 +14,9 @@
 
 __all__ = ["Gate", "Work"]
 
+# Steps until the prefill of a newcomer is past.
+SETTLED_STEPS = 2.2
+
 
 class Work:
     """A request or batch item that wants to run.
@@ -22,10 +25,19 @@
         online: Whether it is online work.
         rank: A lower rank goes first among its kind.
         deadline: Deadline, seconds since the Unix epoch.
-        preempted: Set when batch work must give its place up.
+        admitted: Set when it may run.
+        scope: Cancelled when batch work must give its place up.
+        preempted: Whether it had to.
     """
 
-    __slots__ = ("admitted", "deadline", "online", "preempted", "rank")
+    __slots__ = (
+        "admitted",
+        "deadline",
+        "online",
+        "preempted",
+        "rank",
+        "scope",
+    )
 
     def __init__(
         self, *, online: bool, rank: int = 0, deadline: float = 0.0
@@ -34,7 +46,13 @@
         self.rank = rank
         self.deadline = deadline
         self.admitted = anyio.Event()
-        self.preempted = anyio.Event()
+        self.scope = anyio.CancelScope()
+        self.preempted = False
+
+    def preempt(self) -> None:
+        """Takes the place away; what runs in the scope is cancelled."""
+        self.preempted = True
+        self.scope.cancel()
 
 
 class Gate:
@@ -53,6 +71,8 @@
         self._online_running: set[Work] = set()
         # Insertion order: the newest is last.
         self._batch_running: dict[Work, None] = {}
+        self._changed_at = 0.0
+        self._batch_start_at = 0.0
         self.preemptions = 0
 
     @property
@@ -95,6 +115,17 @@
         """Gives a place back."""
         self._online_running.discard(work)
         self._batch_running.pop(work, None)
+        self._changed_at = clock.monotonic()
+        self._admit()
+
+    def observe_step(self, seconds: float) -> None:
+        """Takes in the time between two tokens of any stream."""
+        settled_since = clock.monotonic() - SETTLED_STEPS * seconds
+        self.policy.observe_step(
+            seconds,
+            len(self._online_running) + len(self._batch_running),
+            self._changed_at < settled_since,
+        )
         self._admit()
 
     def refresh(self) -> None:
@@ -110,13 +141,20 @@
         while self._online_queue and self._may_run_online():
             work = heapq.heappop(self._online_queue)[3]
             self._online_running.add(work)
-            work.admitted.set()
+            self._start(work)
+        self.policy.observe_online(len(self._online_running))
         if self.policy.preempts:
             self._preempt_excess()
         while self._batch_queue and self._may_run_batch():
             work = heapq.heappop(self._batch_queue)[3]
             self._batch_running[work] = None
-            work.admitted.set()
+            interval_s = self.policy.batch_interval_s(len(self._online_running))
+            self._batch_start_at = clock.monotonic() + interval_s
+            self._start(work)
+
+    def _start(self, work: Work) -> None:
+        self._changed_at = clock.monotonic()
+        work.admitted.set()
 
     def _may_run_online(self) -> bool:
         running = len(self._online_running)
@@ -127,16 +165,19 @@
     def _may_run_batch(self) -> bool:
         if self._online_queue and self.policy.preempts:
             return False
-        allowed = self.policy.batch_limit(len(self._online_running))
-        return len(self._batch_running) < allowed
+        running = len(self._batch_running)
+        if running and clock.monotonic() < self._batch_start_at:
+            return False
+        return running < self.policy.batch_limit(len(self._online_running))
 
     def _preempt_excess(self) -> None:
-        """Tells the newest batch items over the limit to give way."""
-        staying = [w for w in self._batch_running if not w.preempted.is_set()]
-        room = max(0, self.policy.limit() - len(self._online_running))
-        chosen = staying[room:]
+        """Takes the places of the newest batch items over the limit."""
+        room = self.policy.batch_limit(len(self._online_running))
+        chosen = list(self._batch_running)[room:]
         for work in chosen:
-            work.preempted.set()
-            self.preemptions += 1
+            del self._batch_running[work]
+            work.preempt()
         if chosen:
+            self.preemptions += len(chosen)
+            self._changed_at = clock.monotonic()
             events.log(events.Event.BATCH_PREEMPTED, items=len(chosen))
