--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints its figures and writes them as JSON."""
--- a/plumvane/web.py
+++ b/plumvane/web.py
@@ -46,7 +46,8 @@
         port: Port; 0 lets the kernel choose.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    bound = socket.socket(family, socket.SOCK_STREAM)
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol.
+    bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     bound.bind((host, port))
     return bound
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -82,6 +82,17 @@
         """Where peers reach it."""
         return f"{self.host}:{self.peer_port}"
 
+    @property
+    def pid(self) -> int:
+        """Process id.
+
+        Raises:
+            RuntimeError: The process was never started.
+        """
+        if self.popen is None:
+            raise RuntimeError(f"{self.name} was not started.")
+        return self.popen.pid
+
     def start(self) -> None:
         """Starts the process."""
         with open(self.log, "ab") as log:
