--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments under load, on real processes."""
+"""Benchmarks; each prints its figures and writes them as JSON."""
