--- a/plumvane/process.py
+++ b/plumvane/process.py
@@ -46,7 +46,12 @@
             print(f"{_SETTINGS.value}: the settings are valid")
             return
         events.configure()
-        anyio.run(_serve_until_signal, checked, serve)
+        anyio.run(
+            _serve_until_signal,
+            checked,
+            serve,
+            backend_options={"use_uvloop": True},
+        )
 
     app.run(main)
 
--- a/standins/program.py
+++ b/standins/program.py
@@ -45,6 +45,6 @@
 
     def main(argv: list[str]) -> None:
         del argv
-        anyio.run(serve)
+        anyio.run(serve, backend_options={"use_uvloop": True})
 
     app.run(main)
