Hold the store's Memory twin and HTTP adapter to one contract

Cause: the HTTP adapter took any answer below 500 for a success. A value over the platform's limit ended in KeyError: 'revision' inside the group commit, and a watch from forgotten history in a JSON error that stopped the watch.

Ruled out: checking the size in callers only; the platform's own refusal would still have been misread.

Change: a status that the adapter does not know is no success; 413 and 410 have typed errors. Lists go by pages. Watches that ask for forgotten history raise HistoryLostError and their readers list again. The stand-in loses the answers of lease calls too.

Conclusion: tests and embedders may rely on the Memory twin.

--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -13,6 +13,7 @@
     "ConflictError",
     "DeadlineExceededError",
     "ForbiddenError",
+    "HistoryLostError",
     "KeyReusedError",
     "LeavingError",
     "LinkLostError",
@@ -168,6 +169,14 @@
     default_remedy = "Retry after the time in Retry-After."
 
 
+class HistoryLostError(PlumvaneError):
+    """The store no longer holds the changes that a watch asks for."""
+
+    code = "history_lost"
+    status = 503
+    default_remedy = "List the keys again and watch from that revision."
+
+
 class BulkUnavailableError(PlumvaneError):
     """Too few bulk instances are reachable to keep a chunk safe."""
 
--- a/plumvane/fleet/current.py
+++ b/plumvane/fleet/current.py
@@ -7,7 +7,11 @@
 import anyio
 
 from plumvane import clock, events
-from plumvane.errors import PlumvaneError, StoreUnavailableError
+from plumvane.errors import (
+    HistoryLostError,
+    PlumvaneError,
+    StoreUnavailableError,
+)
 from plumvane.fleet import revisions
 from plumvane.fleet.document import FleetDocument
 from plumvane.fleet.revisions import Revision
@@ -73,6 +77,9 @@
                     after,
                     deadline=clock.monotonic() + WATCH_S,
                 )
+        except HistoryLostError:
+            after = 0
+            continue
         except StoreUnavailableError:
             await anyio.sleep(random.uniform(0.2, 1.0))
             continue
--- a/plumvane/store/base.py
+++ b/plumvane/store/base.py
@@ -4,11 +4,22 @@
 
 import abc
 import dataclasses
-
-__all__ = ["ABSENT", "Lease", "Record", "Store", "WatchResult"]
+from collections.abc import AsyncIterator
+
+__all__ = [
+    "ABSENT",
+    "MAX_VALUE_BYTES",
+    "Lease",
+    "Record",
+    "Store",
+    "WatchResult",
+    "list_pages",
+]
 
 # Expected revision of a key that must not exist yet.
 ABSENT = 0
+# The platform's limit on one value.
+MAX_VALUE_BYTES = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,8 +78,19 @@
         """Returns the record of a key, or None if it is absent."""
 
     @abc.abstractmethod
-    async def list(self, prefix: str) -> WatchResult:
-        """Returns all records below a prefix, and the store's revision."""
+    async def list(
+        self, prefix: str, *, after_key: str = "", limit: int | None = None
+    ) -> WatchResult:
+        """Returns records below a prefix, and the store's revision.
+
+        Args:
+            prefix: Prefix of the keys.
+            after_key: Only greater keys are returned.
+            limit: Most records that are returned; None for all.
+
+        Returns:
+            The records in the order of their keys.
+        """
 
     @abc.abstractmethod
     async def put(
@@ -94,6 +116,7 @@
         Raises:
             ConflictError: The key stands at another revision.
             NotFoundError: The lease has lapsed.
+            BodyTooLargeError: The value is over `MAX_VALUE_BYTES`.
             StoreUnavailableError: No answer; the write may have happened.
         """
 
@@ -120,6 +143,11 @@
 
         Returns:
             The changes, the newest for each key, deletions among them.
+
+        Raises:
+            HistoryLostError: The store no longer knows what was deleted
+                since that revision; the caller must list again.
+            StoreUnavailableError: No answer.
         """
 
     @abc.abstractmethod
@@ -142,3 +170,23 @@
     @abc.abstractmethod
     async def revoke_lease(self, lease_id: str) -> None:
         """Ends a lease and deletes the keys that hang on it."""
+
+
+async def list_pages(
+    store: Store, prefix: str, limit: int
+) -> AsyncIterator[tuple[Record, ...]]:
+    """Yields the records below a prefix page by page, by ascending key.
+
+    Args:
+        store: The store.
+        prefix: Prefix of the keys.
+        limit: Most records in a page.
+    """
+    after_key = ""
+    while True:
+        page = await store.list(prefix, after_key=after_key, limit=limit)
+        if page.records:
+            yield page.records
+        if len(page.records) < limit:
+            return
+        after_key = page.records[-1].key
--- a/plumvane/store/http.py
+++ b/plumvane/store/http.py
@@ -12,7 +12,9 @@
 
 from plumvane import clock
 from plumvane.errors import (
+    BodyTooLargeError,
     ConflictError,
+    HistoryLostError,
     NotFoundError,
     StoreUnavailableError,
 )
@@ -49,11 +51,18 @@
         status, headers, body = await self._call("GET", f"/keys/{quote(key)}")
         if status == 404:
             return None
+        _raise_for_status(status, key)
         return Record(key, body, int(headers["revision"]))
 
-    async def list(self, prefix: str) -> WatchResult:
+    async def list(
+        self, prefix: str, *, after_key: str = "", limit: int | None = None
+    ) -> WatchResult:
         """See base class."""
-        _, _, body = await self._call("GET", f"/list?prefix={quote(prefix)}")
+        path = f"/list?prefix={quote(prefix)}&after_key={quote(after_key)}"
+        if limit is not None:
+            path += f"&limit={limit}"
+        status, _, body = await self._call("GET", path)
+        _raise_for_status(status, prefix)
         return _watch_result(body)
 
     async def put(
@@ -95,15 +104,21 @@
             f"/watch?prefix={quote(prefix)}"
             f"&after={after_revision}&wait_s={wait_s:.3f}"
         )
-        _, _, body = await self._call(
+        status, _, body = await self._call(
             "GET", path, timeout_s=wait_s + WATCH_MARGIN_S
         )
+        if status == 410:
+            raise HistoryLostError(
+                f"Changes since revision {after_revision} are forgotten."
+            )
+        _raise_for_status(status, prefix)
         return _watch_result(body)
 
     async def grant_lease(self, ttl_s: float) -> Lease:
         """See base class."""
         sent = clock.monotonic()
-        _, _, body = await self._call("POST", f"/leases?ttl_s={ttl_s}")
+        status, _, body = await self._call("POST", f"/leases?ttl_s={ttl_s}")
+        _raise_for_status(status, "A lease")
         return Lease(json.loads(body)["lease_id"], sent + ttl_s)
 
     async def renew_lease(self, lease_id: str) -> Lease:
@@ -112,6 +127,7 @@
         status, _, body = await self._call("POST", f"/leases/{lease_id}/renew")
         if status == 404:
             raise NotFoundError(f"Lease {lease_id} has lapsed.")
+        _raise_for_status(status, lease_id)
         return Lease(lease_id, sent + float(json.loads(body)["ttl_s"]))
 
     async def revoke_lease(self, lease_id: str) -> None:
@@ -165,10 +181,18 @@
 
 
 def _raise_for_status(status: int, key: str) -> None:
+    """Raises the error that an answer's status stands for, if any."""
+    if status < 300:
+        return
     if status == 409:
         raise ConflictError(f"{key} stands at another revision.")
     if status == 404:
         raise NotFoundError(f"The lease of {key} has lapsed.")
+    if status == 413:
+        raise BodyTooLargeError(f"The value of {key} is over the limit.")
+    raise StoreUnavailableError(
+        f"The store answered {status} for {key}.", retry_after_s=RETRY_AFTER_S
+    )
 
 
 def _watch_result(body: bytes) -> WatchResult:
--- a/plumvane/store/memory.py
+++ b/plumvane/store/memory.py
@@ -8,8 +8,20 @@
 import anyio
 
 from plumvane import clock
-from plumvane.errors import ConflictError, NotFoundError
-from plumvane.store.base import ABSENT, Lease, Record, Store, WatchResult
+from plumvane.errors import (
+    BodyTooLargeError,
+    ConflictError,
+    HistoryLostError,
+    NotFoundError,
+)
+from plumvane.store.base import (
+    ABSENT,
+    MAX_VALUE_BYTES,
+    Lease,
+    Record,
+    Store,
+    WatchResult,
+)
 
 __all__ = ["MemoryStore"]
 
@@ -38,6 +50,7 @@
         self._leases_by_id: dict[str, _Held] = {}
         self._lease_by_key: dict[str, str] = {}
         self._revision = 0
+        self._forgotten = 0
         self._lease_numbers = itertools.count(1)
         self._changed = anyio.Event()
 
@@ -47,15 +60,18 @@
         record = self._records_by_key.get(key)
         return None if record is None or record.deleted else record
 
-    async def list(self, prefix: str) -> WatchResult:
+    async def list(
+        self, prefix: str, *, after_key: str = "", limit: int | None = None
+    ) -> WatchResult:
         """See base class."""
         self.expire_leases()
-        records = tuple(
+        found = [
             record
-            for key, record in sorted(self._records_by_key.items())
-            if key.startswith(prefix) and not record.deleted
-        )
-        return WatchResult(records, self._revision)
+            for key, record in self._records_by_key.items()
+            if key.startswith(prefix) and key > after_key and not record.deleted
+        ]
+        found.sort(key=lambda record: record.key)
+        return WatchResult(tuple(found[:limit]), self._revision)
 
     async def put(
         self,
@@ -67,6 +83,10 @@
     ) -> int:
         """See base class."""
         self.expire_leases()
+        if len(value) > MAX_VALUE_BYTES:
+            raise BodyTooLargeError(
+                f"{key} has {len(value)} bytes; {MAX_VALUE_BYTES} are allowed."
+            )
         if lease_id is not None and lease_id not in self._leases_by_id:
             raise NotFoundError(f"Lease {lease_id} has lapsed.")
         self._check_revision(key, expected_revision)
@@ -81,7 +101,8 @@
         self.expire_leases()
         self._check_revision(key, expected_revision)
         self._detach(key)
-        if key in self._records_by_key:
+        record = self._records_by_key.get(key)
+        if record is not None and not record.deleted:
             self._write(key, b"", deleted=True)
 
     async def watch(
@@ -90,6 +111,10 @@
         """See base class."""
         while True:
             self.expire_leases()
+            if not self._forgotten <= after_revision <= self._revision:
+                raise HistoryLostError(
+                    f"Changes since revision {after_revision} are forgotten."
+                )
             changes = self._changes(prefix, after_revision)
             if changes or clock.monotonic() >= deadline:
                 return WatchResult(changes, self._revision)
@@ -126,6 +151,15 @@
         for lease_id in lapsed:
             self._delete_all(self._leases_by_id.pop(lease_id).keys)
 
+    def forget_history(self) -> None:
+        """Forgets which keys were deleted; older watches must list again."""
+        for key, record in list(self._records_by_key.items()):
+            if record.deleted:
+                del self._records_by_key[key]
+        self._forgotten = self._revision
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def _check_revision(self, key: str, expected: int | None) -> None:
         if expected is None:
             return
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,7 +1,8 @@
 """Stand-in of the platform's store, over HTTP.
 
-`POST /faults` sets faults: `down` (answers 503), `delay_s`, and
-`lose_answers` (how many writes take effect but answer 503).
+`POST /faults` sets faults: `down` (answers 503), `delay_s`, `lose_answers`
+(how many writes take effect but answer 503) and `forget_history` (watches
+from before must list again).
 """
 
 from __future__ import annotations
@@ -16,15 +17,18 @@
 from starlette.routing import Route
 
 from plumvane import clock
-from plumvane.errors import ConflictError, NotFoundError
+from plumvane.errors import (
+    BodyTooLargeError,
+    ConflictError,
+    HistoryLostError,
+    NotFoundError,
+)
 from plumvane.store.base import WatchResult
 from plumvane.store.memory import MemoryStore
 from standins.program import run_app
 
 __all__ = ["StoreApp", "main"]
 
-MAX_VALUE_BYTES = 1_000_000
-
 
 class StoreApp:
     """Serves a `MemoryStore` and counts its calls."""
@@ -72,8 +76,6 @@
         value = await http.body()
         if await self._fails("write"):
             return Response(status_code=503)
-        if len(value) > MAX_VALUE_BYTES:
-            return Response(status_code=413)
         try:
             revision = await self._store.put(
                 http.path_params["key"],
@@ -81,6 +83,8 @@
                 expected_revision=_expected(http),
                 lease_id=http.headers.get("lease-id"),
             )
+        except BodyTooLargeError:
+            return Response(status_code=413)
         except ConflictError:
             return Response(status_code=409)
         except NotFoundError:
@@ -103,7 +107,14 @@
         """Serves all records below a prefix."""
         if await self._fails("read"):
             return Response(status_code=503)
-        return _records(await self._store.list(http.query_params["prefix"]))
+        limit = http.query_params.get("limit")
+        return _records(
+            await self._store.list(
+                http.query_params["prefix"],
+                after_key=http.query_params.get("after_key", ""),
+                limit=None if limit is None else int(limit),
+            )
+        )
 
     async def watch(self, http: Request) -> Response:
         """Serves changes below a prefix as a long poll."""
@@ -112,11 +123,14 @@
         deadline = clock.monotonic() + float(http.query_params["wait_s"])
         while True:
             step = min(deadline, clock.monotonic() + 0.5)
-            result = await self._store.watch(
-                http.query_params["prefix"],
-                int(http.query_params["after"]),
-                deadline=step,
-            )
+            try:
+                result = await self._store.watch(
+                    http.query_params["prefix"],
+                    int(http.query_params["after"]),
+                    deadline=step,
+                )
+            except HistoryLostError:
+                return Response(status_code=410)
             if self._down:
                 return Response(status_code=503)
             if result.records or clock.monotonic() >= deadline:
@@ -127,7 +141,7 @@
         if await self._fails("write"):
             return Response(status_code=503)
         lease = await self._store.grant_lease(float(http.query_params["ttl_s"]))
-        return JSONResponse({"lease_id": lease.lease_id})
+        return self._answer(JSONResponse({"lease_id": lease.lease_id}))
 
     async def renew(self, http: Request) -> Response:
         """Serves a renewal."""
@@ -137,14 +151,15 @@
             lease = await self._store.renew_lease(http.path_params["lease"])
         except NotFoundError:
             return Response(status_code=404)
-        return JSONResponse({"ttl_s": lease.deadline - clock.monotonic()})
+        left_s = lease.deadline - clock.monotonic()
+        return self._answer(JSONResponse({"ttl_s": left_s}))
 
     async def revoke(self, http: Request) -> Response:
         """Serves the end of a lease."""
         if await self._fails("write"):
             return Response(status_code=503)
         await self._store.revoke_lease(http.path_params["lease"])
-        return Response()
+        return self._answer(Response())
 
     async def faults(self, http: Request) -> Response:
         """Sets faults."""
@@ -152,6 +167,8 @@
         self._down = bool(wanted.get("down", self._down))
         self._delay_s = float(wanted.get("delay_s", self._delay_s))
         self._lose_answers = int(wanted.get("lose_answers", self._lose_answers))
+        if wanted.get("forget_history"):
+            self._store.forget_history()
         return JSONResponse({})
 
     async def counts(self, http: Request) -> Response:
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,254 @@
+"""Contract of the store, the same for the Memory twin and over HTTP."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import pathlib
+import tempfile
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+
+import anyio
+
+from plumvane import clock
+from plumvane.errors import (
+    BodyTooLargeError,
+    ConflictError,
+    HistoryLostError,
+    NotFoundError,
+    StoreUnavailableError,
+)
+from plumvane.store.base import (
+    ABSENT,
+    MAX_VALUE_BYTES,
+    Store,
+    list_pages,
+)
+from plumvane.store.http import HttpStore
+from plumvane.store.memory import MemoryStore
+from standins.launcher import Fleet
+
+OUTER_DEADLINE_S = 30.0
+
+Check = Callable[[Store], Awaitable[None]]
+
+
+@contextlib.contextmanager
+def store_standin() -> Iterator[Fleet]:
+    with tempfile.TemporaryDirectory() as folder:
+        with Fleet(pathlib.Path(folder)) as fleet:
+            fleet.start_standin("store", "store")
+            fleet.wait_started()
+            yield fleet
+
+
+@contextlib.asynccontextmanager
+async def http_store(fleet: Fleet) -> AsyncIterator[HttpStore]:
+    store = HttpStore(fleet["store"].url)
+    try:
+        yield store
+    finally:
+        await store.aclose()
+
+
+def for_both_stores(check: Check) -> Callable[[], None]:
+    """Makes a test that checks the Memory twin, then the HTTP adapter."""
+
+    async def check_memory() -> None:
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            await check(MemoryStore())
+
+    async def check_http(fleet: Fleet) -> None:
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with http_store(fleet) as store:
+                await check(store)
+
+    @functools.wraps(check)
+    def test() -> None:
+        anyio.run(check_memory)
+        with store_standin() as fleet:
+            anyio.run(check_http, fleet)
+
+    del test.__wrapped__  # type: ignore[attr-defined]
+    return test
+
+
+@contextlib.contextmanager
+def raises(kind: type[Exception]) -> Iterator[None]:
+    try:
+        yield
+    except kind:
+        return
+    raise AssertionError(f"{kind.__name__} was not raised")
+
+
+@for_both_stores
+async def test_compare_and_swap(store: Store) -> None:
+    first = await store.put("a/1", b"one", expected_revision=ABSENT)
+    with raises(ConflictError):
+        await store.put("a/1", b"two", expected_revision=ABSENT)
+    second = await store.put("a/1", b"two", expected_revision=first)
+    assert second > first
+    with raises(ConflictError):
+        await store.put("a/1", b"three", expected_revision=first)
+    with raises(ConflictError):
+        await store.delete("a/1", expected_revision=first)
+    record = await store.get("a/1")
+    assert record is not None
+    assert (record.value, record.revision) == (b"two", second)
+
+
+@for_both_stores
+async def test_deleted_key_is_absent(store: Store) -> None:
+    first = await store.put("a/1", b"one", expected_revision=ABSENT)
+    await store.delete("a/1", expected_revision=first)
+    assert await store.get("a/1") is None
+    assert (await store.list("a/")).records == ()
+    with raises(ConflictError):
+        await store.put("a/1", b"late", expected_revision=first)
+    assert await store.put("a/1", b"new", expected_revision=ABSENT) > first
+
+
+@for_both_stores
+async def test_list_by_pages(store: Store) -> None:
+    keys = [f"p/{number:02}" for number in range(7)]
+    for key in reversed(keys):
+        await store.put(key, key.encode(), expected_revision=ABSENT)
+    await store.put("q/00", b"other", expected_revision=ABSENT)
+    pages = [page async for page in list_pages(store, "p/", 3)]
+    assert [len(page) for page in pages] == [3, 3, 1]
+    assert [record.key for page in pages for record in page] == keys
+
+
+@for_both_stores
+async def test_value_over_the_limit_is_refused(store: Store) -> None:
+    value = b"x" * MAX_VALUE_BYTES
+    await store.put("a", value, expected_revision=None)
+    with raises(BodyTooLargeError):
+        await store.put("a", value + b"x", expected_revision=None)
+
+
+@for_both_stores
+async def test_lapsed_lease_deletes_its_keys(store: Store) -> None:
+    lease = await store.grant_lease(0.5)
+    revision = await store.put(
+        "l/1", b"held", expected_revision=ABSENT, lease_id=lease.lease_id
+    )
+    deadline = clock.monotonic() + OUTER_DEADLINE_S
+    result = await store.watch("l/", revision, deadline=deadline)
+    assert [(r.key, r.deleted) for r in result.records] == [("l/1", True)]
+    with raises(NotFoundError):
+        await store.renew_lease(lease.lease_id)
+    with raises(NotFoundError):
+        await store.put(
+            "l/1", b"late", expected_revision=None, lease_id=lease.lease_id
+        )
+
+
+@for_both_stores
+async def test_key_written_without_its_lease_outlives_it(store: Store) -> None:
+    lease = await store.grant_lease(30.0)
+    await store.put(
+        "l/1", b"held", expected_revision=ABSENT, lease_id=lease.lease_id
+    )
+    await store.put("l/1", b"free", expected_revision=None)
+    await store.revoke_lease(lease.lease_id)
+    record = await store.get("l/1")
+    assert record is not None and record.value == b"free"
+
+
+@for_both_stores
+async def test_lease_deadline_counts_from_before_the_call(
+    store: Store,
+) -> None:
+    before = clock.monotonic()
+    lease = await store.grant_lease(5.0)
+    assert lease.deadline <= clock.monotonic() + 5.0
+    assert lease.deadline >= before + 4.0
+    renewed = await store.renew_lease(lease.lease_id)
+    assert renewed.lease_id == lease.lease_id
+    assert renewed.deadline <= clock.monotonic() + 5.0
+
+
+@for_both_stores
+async def test_watch_returns_the_newest_of_each_key(store: Store) -> None:
+    start = (await store.list("w/")).revision
+    await store.put("w/1", b"one", expected_revision=None)
+    await store.put("w/2", b"two", expected_revision=None)
+    await store.put("w/1", b"three", expected_revision=None)
+    await store.put("x/1", b"other", expected_revision=None)
+    deadline = clock.monotonic() + OUTER_DEADLINE_S
+    result = await store.watch("w/", start, deadline=deadline)
+    found = [(record.key, record.value) for record in result.records]
+    assert found == [("w/2", b"two"), ("w/1", b"three")]
+    empty = await store.watch(
+        "w/", result.revision, deadline=clock.monotonic() + 0.05
+    )
+    assert empty.records == ()
+
+
+@for_both_stores
+async def test_watch_wakes_on_a_change(store: Store) -> None:
+    start = (await store.list("w/")).revision
+    found: list[bytes] = []
+
+    async def watch() -> None:
+        deadline = clock.monotonic() + OUTER_DEADLINE_S
+        result = await store.watch("w/", start, deadline=deadline)
+        found.extend(record.value for record in result.records)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch)
+        await store.put("w/1", b"one", expected_revision=None)
+    assert found == [b"one"]
+
+
+@for_both_stores
+async def test_watch_from_a_revision_to_come_is_refused(store: Store) -> None:
+    revision = await store.put("w/1", b"one", expected_revision=None)
+    with raises(HistoryLostError):
+        await store.watch(
+            "w/", revision + 1000, deadline=clock.monotonic() + 1.0
+        )
+
+
+def test_watch_from_forgotten_history_is_refused() -> None:
+    async def check(fleet: Fleet) -> None:
+        async with http_store(fleet) as store:
+            first = await store.put("w/1", b"one", expected_revision=None)
+            await store.put("w/2", b"two", expected_revision=None)
+            await store.delete("w/2", expected_revision=None)
+            fleet.store_faults(forget_history=True)
+            with raises(HistoryLostError):
+                await store.watch("w/", first, deadline=clock.monotonic() + 1.0)
+            listed = await store.list("w/")
+            assert [record.key for record in listed.records] == ["w/1"]
+
+    with store_standin() as fleet:
+        anyio.run(check, fleet)
+
+
+def test_lost_answer_and_outage_are_unavailable() -> None:
+    async def check(fleet: Fleet) -> None:
+        async with http_store(fleet) as store:
+            fleet.store_faults(lose_answers=1)
+            with raises(StoreUnavailableError):
+                await store.put("a", b"one", expected_revision=ABSENT)
+            record = await store.get("a")
+            assert record is not None and record.value == b"one"
+            fleet.store_faults(down=True)
+            for call in (
+                store.get("a"),
+                store.list("a"),
+                store.put("a", b"", expected_revision=None),
+                store.delete("a", expected_revision=None),
+                store.watch("a", 0, deadline=clock.monotonic() + 1.0),
+                store.grant_lease(1.0),
+                store.renew_lease("lease-1"),
+                store.revoke_lease("lease-1"),
+            ):
+                with raises(StoreUnavailableError):
+                    await call
+
+    with store_standin() as fleet:
+        anyio.run(check, fleet)
