Keep a partition's log within values and name its closed segments

Cause: a group commit could pass the store's limit of 1 MB, which ended the log of the partition and failed every commit in it; one record over the limit did so each time. Recovery listed all segments in one answer, and took every segment under the prefix for a part of the log, so a first write of a segment that landed late could bring a removed one back.

Ruled out: a lower limit for the batch alone; the open segment adds up to 64 KB to it. Numbering removed segments in the owner's record; that is not written by the same compare-and-swap as the records.

Change: the segment is closed first when a batch does not fit; a record that fits no value is refused with its own error. Lists go by pages. Each write of the open segment names the closed ones, and nothing else is read. Writes are settled in one place, segments.py. recover takes a copy that was read before.

First failed: on the former log, the group commit test with "too_large: partitions/0000/segments/ has 1010370 bytes", the large record with "AssertionError: the record was taken". With the chain ignored, test_late_write_cannot_bring_a_removed_segment_back failed. After: 9 passed.

Conclusion: closed segments can now be removed; nothing removes them yet.

--- a/plumvane/partitions/log.py
+++ b/plumvane/partitions/log.py
@@ -3,71 +3,114 @@
 The log is a chain of segments. Only the last one is open: it is rewritten by
 compare-and-swap with each commit, and closed when it is full. A new owner
 rewrites the open segment under its own epoch, so a former owner's next write
-is refused by its revision.
+is refused by its revision. Each write of the open segment names the closed
+segments that belong to the log.
 """
 
 from __future__ import annotations
 
 import itertools
 import secrets
+from collections.abc import Callable, Iterable
 
 import anyio
 import msgspec
 
 from plumvane import clock, events
 from plumvane.errors import (
+    BodyTooLargeError,
     ConflictError,
     NotOwnerError,
-    StoreUnavailableError,
 )
-from plumvane.partitions.records import LogRecord, Segment
-from plumvane.store.base import ABSENT, Store
+from plumvane.partitions.records import ClosedSegment, LogRecord, Segment
+from plumvane.partitions.retention import LiveRecords, without_orphans
+from plumvane.partitions.segments import (
+    SegmentStore,
+    StoredSegment,
+    decode_record,
+    encode_record,
+    encoded_size,
+)
+from plumvane.store.base import ABSENT, MAX_VALUE_BYTES, Store
 
-__all__ = ["PartitionLog"]
+__all__ = ["LogCopy", "PartitionLog"]
 
 # Size at which a segment is closed.
 SEGMENT_BYTES = 64 * 1024
+# Most bytes of records in a segment; the rest of a value is its frame.
+MAX_RECORDS_BYTES = MAX_VALUE_BYTES - 100_000
 # Commits a second that one partition may average, and its burst.
 COMMITS_PER_S = 20.0
 COMMIT_BURST = 10.0
-RETRY_S = 0.2
-
-_encoder = msgspec.msgpack.Encoder()
-_segment_decoder = msgspec.msgpack.Decoder(Segment)
-_record_decoder: msgspec.msgpack.Decoder[LogRecord] = msgspec.msgpack.Decoder(
-    LogRecord
-)
+DEFAULT_RETENTION_S = 86_400.0
 
 
 class _Ticket:
-    """A record that waits for its commit."""
+    """A record that waits for its commit; without one, the chain does."""
 
-    __slots__ = ("done", "encoded", "error")
+    __slots__ = ("done", "encoded", "error", "record")
 
-    def __init__(self, encoded: msgspec.Raw) -> None:
-        self.encoded = encoded
+    def __init__(self, record: LogRecord | None) -> None:
+        self.record = record
+        self.encoded = None if record is None else encode_record(record)
         self.done = anyio.Event()
         self.error: Exception | None = None
 
+    @property
+    def size(self) -> int:
+        """Bytes that it adds to the segment."""
+        return 0 if self.encoded is None else len(bytes(self.encoded))
+
+
+class LogCopy:
+    """Segments read while another instance still owns the partition."""
+
+    def __init__(self) -> None:
+        """Creates an empty copy."""
+        self.segments_by_number: dict[int, StoredSegment] = {}
+
+    async def load(self, segments: SegmentStore) -> None:
+        """Reads all segments.
+
+        Raises:
+            StoreUnavailableError: The store does not answer.
+        """
+        async for stored in segments.read_from(0):
+            self.segments_by_number[stored.number] = stored
+
+    @property
+    def newest(self) -> int:
+        """Number of the newest segment; 0 if there is none."""
+        return max(self.segments_by_number, default=0)
+
 
 class PartitionLog:
     """Appends records to one partition's log, as its only owner."""
 
-    def __init__(self, store: Store, partition: int, epoch: int) -> None:
+    def __init__(
+        self,
+        store: Store,
+        partition: int,
+        epoch: int,
+        *,
+        retention_s: Callable[[], float] = lambda: DEFAULT_RETENTION_S,
+    ) -> None:
         """Creates the log; `recover` must run before the first commit.
 
         Args:
             store: The platform's store.
             partition: Number of the partition.
             epoch: Epoch of this ownership.
+            retention_s: Returns how long results are kept, in seconds.
         """
-        self._store = store
+        self.segments = SegmentStore(store, partition)
+        self.live = LiveRecords(retention_s)
         self._partition = partition
         self._epoch = epoch
-        self._prefix = f"partitions/{partition:04}/segments/"
         self._number = 0
         self._revision = ABSENT
         self._records: list[msgspec.Raw] = []
+        self._revisions_by_closed: dict[int, int] = {}
         self._pending: list[_Ticket] = []
         self._batch: list[_Ticket] = []
         self._wanted = anyio.Event()
@@ -78,54 +121,89 @@
         self._write_ids = itertools.count(1)
         self._incarnation = secrets.token_hex(6)
         self.lost = False
-        self.writes = 0
+        self.strays: list[StoredSegment] = []
 
     @property
     def epoch(self) -> int:
         """Epoch of this ownership."""
         return self._epoch
 
+    @property
+    def partition(self) -> int:
+        """Number of the partition."""
+        return self._partition
+
     @property
     def pending(self) -> int:
         """How many records wait for their commit."""
         return len(self._batch) + len(self._pending)
 
-    async def recover(self) -> list[LogRecord]:
+    @property
+    def writes(self) -> int:
+        """How many writes were sent to the store."""
+        return self.segments.writes
+
+    @property
+    def closed_segments(self) -> list[int]:
+        """Numbers of the closed segments, oldest first."""
+        return sorted(self._revisions_by_closed)
+
+    async def recover(self, copy: LogCopy | None = None) -> list[LogRecord]:
         """Reads the log and makes this owner its only writer.
 
+        Args:
+            copy: Segments that were read before; only what has changed since
+                is read again.
+
         Returns:
-            All records, oldest first.
+            All records, oldest first, each once.
 
         Raises:
             NotOwnerError: Another owner of a higher epoch has written.
             StoreUnavailableError: The store does not answer.
         """
         while True:
-            segments = await self._read_segments()
+            stored = await self._read(copy or LogCopy())
             try:
-                await self._seal(segments)
+                await self._seal(stored)
             except ConflictError:
                 continue
-            records: list[LogRecord] = []
-            for segment in segments:
-                records.extend(decode_records(segment))
+            records = _records_of(stored)
+            for record in records:
+                self.live.apply(record)
             return records
 
     async def commit(self, record: LogRecord) -> None:
         """Returns once the record is in the store.
 
         Raises:
+            BodyTooLargeError: The record does not fit into a value.
             NotOwnerError: Another owner has taken the partition.
         """
-        if self.lost:
-            raise NotOwnerError("Another instance owns the partition.")
-        ticket = _Ticket(msgspec.Raw(_encoder.encode(record)))
-        self._pending.append(ticket)
-        self._idle = anyio.Event()
-        self._wanted.set()
-        await ticket.done.wait()
-        if ticket.error is not None:
-            raise ticket.error
+        ticket = _Ticket(record)
+        if ticket.size > MAX_RECORDS_BYTES:
+            raise BodyTooLargeError(
+                f"The record has {ticket.size} bytes; "
+                f"{MAX_RECORDS_BYTES} are allowed."
+            )
+        await self._submit(ticket)
+
+    async def replace_closed(self, number: int, revision: int | None) -> None:
+        """Records a closed segment's new revision.
+
+        Args:
+            number: Number of the segment.
+            revision: Its revision, or None if it leaves the log; the store
+                then no longer counts it in once this returns.
+
+        Raises:
+            NotOwnerError: Another owner has taken the partition.
+        """
+        if revision is not None:
+            self._revisions_by_closed[number] = revision
+            return
+        self._revisions_by_closed.pop(number, None)
+        await self._submit(_Ticket(None))
 
     async def drained(self) -> None:
         """Waits until no record waits for its commit."""
@@ -140,6 +218,21 @@
             self.lost = True
             self._fail_pending()
 
+    def next_write_id(self) -> str:
+        """Returns an identifier for the next write."""
+        return f"{self._incarnation}-{next(self._write_ids)}"
+
+    async def _submit(self, ticket: _Ticket) -> None:
+        if self.lost:
+            raise NotOwnerError("Another instance owns the partition.")
+        self._pending.append(ticket)
+        if self._idle.is_set():
+            self._idle = anyio.Event()
+        self._wanted.set()
+        await ticket.done.wait()
+        if ticket.error is not None:
+            raise ticket.error
+
     async def _commit_next(self) -> None:
         await self._wanted.wait()
         self._wanted = anyio.Event()
@@ -155,104 +248,110 @@
     def _take_batch(self) -> list[_Ticket]:
         """Takes as many records as one write may hold."""
         size = 0
-        for count, ticket in enumerate(self._pending, start=1):
-            size += len(bytes(ticket.encoded))
+        count = 0
+        for ticket in self._pending:
+            if count and size + ticket.size > MAX_RECORDS_BYTES:
+                break
+            size += ticket.size
+            count += 1
             if size >= SEGMENT_BYTES:
-                batch = self._pending[:count]
-                self._pending = self._pending[count:]
-                return batch
-        batch, self._pending = self._pending, []
+                break
+        batch = self._pending[:count]
+        self._pending = self._pending[count:]
         return batch
 
     async def _commit(self, batch: list[_Ticket]) -> None:
-        records = self._records + [ticket.encoded for ticket in batch]
-        size = sum(len(bytes(record)) for record in records)
-        closed = size >= SEGMENT_BYTES
+        added = [ticket.encoded for ticket in batch if ticket.encoded]
         try:
-            await self._write_until_known(records, closed=closed)
+            if (
+                encoded_size(self._records) + encoded_size(added)
+                > MAX_RECORDS_BYTES
+            ):
+                await self._write(self._records, closed=True)
+            records = self._records + added
+            closed = encoded_size(records) >= SEGMENT_BYTES
+            await self._write(records, closed=closed)
         except ConflictError:
             self._lose()
             return
         self._batch = []
-        self._records = records
         for ticket in batch:
+            if ticket.record is not None:
+                self.live.apply(ticket.record)
             ticket.done.set()
-        if closed:
-            self._number += 1
-            self._revision = ABSENT
-            self._records = []
 
-    async def _write_until_known(
-        self, records: list[msgspec.Raw], *, closed: bool
-    ) -> None:
-        """Writes the open segment; settles lost answers by reading back.
+    async def _write(self, records: list[msgspec.Raw], *, closed: bool) -> None:
+        """Writes the open segment, and opens the next one if it is full.
 
         Raises:
             ConflictError: Another owner has written.
         """
+        chain = tuple(
+            ClosedSegment(number, revision)
+            for number, revision in sorted(self._revisions_by_closed.items())
+        )
         segment = Segment(
-            self._epoch, self._next_write_id(), closed, tuple(records)
+            self._epoch, self.next_write_id(), closed, tuple(records), chain
         )
-        value = _encoder.encode(segment)
-        while True:
-            try:
-                self.writes += 1
-                self._revision = await self._store.put(
-                    self._key(), value, expected_revision=self._revision
-                )
-                return
-            except (ConflictError, StoreUnavailableError) as error:
-                if await self._is_written(segment.write_id, error):
-                    return
-                await anyio.sleep(RETRY_S)
-
-    async def _is_written(self, write_id: str, error: Exception) -> bool:
-        """Reads the open segment back after a failed write.
+        self._revision = await self.segments.write(
+            self._number, segment, self._revision
+        )
+        self._records = records
+        if closed:
+            self._revisions_by_closed[self._number] = self._revision
+            self._number += 1
+            self._revision = ABSENT
+            self._records = []
 
-        Returns:
-            Whether it holds the write; False means that it may be sent again.
+    async def _read(self, copy: LogCopy) -> list[StoredSegment]:
+        """Returns the segments that belong to the log, oldest first."""
+        found = dict(copy.segments_by_number)
+        async for stored in self.segments.read_from(copy.newest):
+            found[stored.number] = stored
+        if not found:
+            return []
+        newest = found[max(found)]
+        members = {closed.number for closed in newest.segment.chain}
+        self.strays = [
+            stored
+            for number, stored in found.items()
+            if number not in members and stored is not newest
+        ]
+        chosen = []
+        for closed in newest.segment.chain:
+            known = found.get(closed.number)
+            if known is None or (
+                copy.segments_by_number and known.revision != closed.revision
+            ):
+                known = await self.segments.read(closed.number)
+            if known is not None:
+                chosen.append(known)
+        return [*chosen, newest]
+
+    async def _seal(self, stored: list[StoredSegment]) -> None:
+        """Rewrites the open segment under this epoch.
 
         Raises:
-            ConflictError: It holds another owner's write.
+            ConflictError: The log has changed; it must be read again.
+            NotOwnerError: Another owner of a higher epoch has written.
         """
-        try:
-            record = await self._store.get(self._key())
-        except StoreUnavailableError:
-            return False
-        if record is not None:
-            found = _segment_decoder.decode(record.value)
-            if found.write_id == write_id:
-                events.log(
-                    events.Event.COMMIT_SETTLED, partition=self._partition
-                )
-                self._revision = record.revision
-                return True
-        revision = ABSENT if record is None else record.revision
-        if revision != self._revision:
-            raise ConflictError(
-                f"Another owner wrote {self._key()}."
-            ) from error
-        return False
-
-    async def _read_segments(self) -> list[Segment]:
-        found = (await self._store.list(self._prefix)).records
-        segments = [_segment_decoder.decode(record.value) for record in found]
-        self._number, self._revision = 0, ABSENT
-        if found:
-            self._number = int(found[-1].key.removeprefix(self._prefix))
-            self._revision = found[-1].revision
-            if segments[-1].closed:
+        self._number, self._revision, self._records = 0, ABSENT, []
+        self._revisions_by_closed = {
+            s.number: s.revision for s in stored if s.segment.closed
+        }
+        if stored:
+            newest = stored[-1]
+            if newest.segment.epoch > self._epoch:
+                self.lost = True
+                raise NotOwnerError("An owner of a higher epoch has written.")
+            self._number = newest.number
+            self._revision = newest.revision
+            self._records = list(newest.segment.records)
+            if newest.segment.closed:
                 self._number += 1
                 self._revision = ABSENT
-        return segments
-
-    async def _seal(self, segments: list[Segment]) -> None:
-        if segments and segments[-1].epoch > self._epoch:
-            self.lost = True
-            raise NotOwnerError("An owner of a higher epoch has written.")
-        is_open = bool(segments) and not segments[-1].closed
-        self._records = list(segments[-1].records) if is_open else []
-        await self._write_until_known(self._records, closed=False)
+                self._records = []
+        await self._write(self._records, closed=False)
 
     def _lose(self) -> None:
         self.lost = True
@@ -282,13 +381,15 @@
                 return
             await anyio.sleep((1.0 - self._tokens) / COMMITS_PER_S)
 
-    def _key(self) -> str:
-        return f"{self._prefix}{self._number:08}"
-
-    def _next_write_id(self) -> str:
-        return f"{self._incarnation}-{next(self._write_ids)}"
-
 
-def decode_records(segment: Segment) -> list[LogRecord]:
-    """Returns a segment's records, oldest first."""
-    return [_record_decoder.decode(raw) for raw in segment.records]
+def _records_of(stored: Iterable[StoredSegment]) -> list[LogRecord]:
+    """Returns the records of segments, each once, oldest first."""
+    seen: set[bytes] = set()
+    records: list[LogRecord] = []
+    for one in stored:
+        for encoded in one.segment.records:
+            key = bytes(encoded)
+            if key not in seen:
+                seen.add(key)
+                records.append(decode_record(encoded))
+    return without_orphans(records)
--- a/plumvane/partitions/records.py
+++ b/plumvane/partitions/records.py
@@ -7,10 +7,12 @@
 from plumvane.peers.messages import ChunkRef, FailedItem, Outcome
 
 __all__ = [
+    "ClosedSegment",
     "ItemsDone",
     "ItemsFailed",
     "JobAccepted",
     "JobCancelled",
+    "JobEnded",
     "LogRecord",
     "RequestCompleted",
     "RequestReleased",
@@ -94,6 +96,18 @@
     job_id: str
 
 
+class JobEnded(_Record, frozen=True, tag="je"):
+    """A job has ended; its retention runs from here.
+
+    Attributes:
+        job_id: The job.
+        time: When its end was seen, seconds since the Unix epoch.
+    """
+
+    job_id: str
+    time: float
+
+
 LogRecord = (
     RequestStarted
     | RequestReleased
@@ -102,9 +116,22 @@
     | ItemsDone
     | ItemsFailed
     | JobCancelled
+    | JobEnded
 )
 
 
+class ClosedSegment(msgspec.Struct, frozen=True, array_like=True):
+    """A closed segment that belongs to the log.
+
+    Attributes:
+        number: Its number.
+        revision: Revision of its key when this was written.
+    """
+
+    number: int
+    revision: int
+
+
 class Segment(msgspec.Struct, frozen=True):
     """One value of a partition's log.
 
@@ -113,9 +140,12 @@
         write_id: Identifier of the last write.
         closed: Whether the log goes on in the next segment.
         records: Encoded records, oldest first.
+        chain: Closed segments of the log, oldest first; that of the newest
+            segment counts, and what is not in it is no part of the log.
     """
 
     epoch: int
     write_id: str
     closed: bool
     records: tuple[msgspec.Raw, ...]
+    chain: tuple[ClosedSegment, ...] = ()
--- a/plumvane/store/base.py
+++ b/plumvane/store/base.py
@@ -173,7 +173,7 @@
 
 
 async def list_pages(
-    store: Store, prefix: str, limit: int
+    store: Store, prefix: str, limit: int, *, after_key: str = ""
 ) -> AsyncIterator[tuple[Record, ...]]:
     """Yields the records below a prefix page by page, by ascending key.
 
@@ -181,8 +181,8 @@
         store: The store.
         prefix: Prefix of the keys.
         limit: Most records in a page.
+        after_key: Only greater keys are returned.
     """
-    after_key = ""
     while True:
         page = await store.list(prefix, after_key=after_key, limit=limit)
         if page.records:
--- /dev/null
+++ b/tests/test_partitions_log.py
@@ -0,0 +1,221 @@
+"""A partition's log under lost answers, late writes and takeovers."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+
+from plumvane.errors import BodyTooLargeError, NotOwnerError
+from plumvane.partitions.log import (
+    MAX_RECORDS_BYTES,
+    LogCopy,
+    PartitionLog,
+)
+from plumvane.partitions.records import LogRecord, RequestCompleted
+from plumvane.peers.messages import Outcome
+from plumvane.store.base import MAX_VALUE_BYTES, Store
+from plumvane.store.memory import MemoryStore
+from tests.faulty_store import Fault, FaultyStore
+
+OUTER_DEADLINE_S = 30.0
+
+
+def completed(
+    key: str, *, size: int = 10, time: float = 1e12
+) -> RequestCompleted:
+    """Returns a record of the given size, kept for ever by default."""
+    outcome = Outcome(200, b"x" * size)
+    return RequestCompleted("team", key, f"run-{key}", b"", outcome, time)
+
+
+def keys_of(records: list[LogRecord]) -> list[str]:
+    return [r.key for r in records if isinstance(r, RequestCompleted)]
+
+
+@contextlib.asynccontextmanager
+async def owned_log(
+    store: Store, epoch: int
+) -> AsyncIterator[tuple[PartitionLog, list[LogRecord]]]:
+    """Yields a recovered log whose commits run, and what it recovered."""
+    log = PartitionLog(store, 0, epoch)
+    records = await log.recover()
+    async with anyio.create_task_group() as group:
+        group.start_soon(log.run)
+        yield log, records
+        group.cancel_scope.cancel()
+
+
+async def commit_all(log: PartitionLog, records: list[LogRecord]) -> None:
+    async with anyio.create_task_group() as group:
+        for record in records:
+            group.start_soon(log.commit, record)
+
+
+async def recovered(store: Store, epoch: int = 99) -> list[str]:
+    return keys_of(await PartitionLog(store, 0, epoch).recover())
+
+
+def bounded(test: Callable[[], Awaitable[None]]) -> None:
+    async def run() -> None:
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            await test()
+
+    anyio.run(run)
+
+
+def test_each_kind_of_lost_write_is_settled() -> None:
+    async def check() -> None:
+        for fault in (Fault.LOSE_ANSWER, Fault.LOSE_CALL, Fault.LAND_LATE):
+            store = FaultyStore()
+            store.faults.extend([fault, fault])
+            async with owned_log(store, 1) as (log, _):
+                for key in ("a", "b", "c"):
+                    store.faults.append(fault)
+                    await log.commit(completed(key))
+                    await store.land_late()
+            assert await recovered(store) == ["a", "b", "c"], fault
+
+    bounded(check)
+
+
+def test_group_commit_over_the_value_limit_is_split() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        sizes = {"k0": 60_000, "k1": 890_000, "k2": 600_000, "k3": 890_000}
+        async with owned_log(store, 1) as (log, _):
+            await log.commit(completed("first", size=60_000))
+            await commit_all(
+                log, [completed(key, size=n) for key, n in sizes.items()]
+            )
+        assert await recovered(store) == ["first", *sizes]
+        for record in (await store.list("partitions/")).records:
+            assert len(record.value) <= MAX_VALUE_BYTES
+
+    bounded(check)
+
+
+def test_record_over_the_value_limit_is_refused() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with owned_log(store, 1) as (log, _):
+            try:
+                await log.commit(completed("big", size=MAX_RECORDS_BYTES + 1))
+            except BodyTooLargeError:
+                await log.commit(completed("small"))
+            else:
+                raise AssertionError("the record was taken")
+        assert await recovered(store) == ["small"]
+
+    bounded(check)
+
+
+def test_cancelled_commit_does_not_hold_up_the_next() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with owned_log(store, 1) as (log, _):
+            with anyio.CancelScope() as scope:
+                scope.cancel()
+                await log.commit(completed("cancelled"))
+            await log.commit(completed("next"))
+            await log.drained()
+        found = await recovered(store)
+        assert found[-1] == "next" and len(found) <= 2
+
+    bounded(check)
+
+
+def test_former_owner_cannot_commit() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with owned_log(store, 1) as (old, _):
+            await old.commit(completed("a"))
+            async with owned_log(store, 2) as (new, records):
+                assert keys_of(records) == ["a"]
+                try:
+                    await old.commit(completed("late"))
+                except NotOwnerError:
+                    pass
+                else:
+                    raise AssertionError("a former owner committed")
+                await new.commit(completed("b"))
+        assert await recovered(store) == ["a", "b"]
+
+    bounded(check)
+
+
+def test_commit_that_races_a_takeover_is_not_lost() -> None:
+    async def check() -> None:
+        store = FaultyStore()
+        async with owned_log(store, 1) as (old, _):
+            await old.commit(completed("a"))
+            store.faults.append(Fault.LAND_LATE)
+            async with anyio.create_task_group() as group:
+                outcome: list[str] = []
+
+                async def commit() -> None:
+                    try:
+                        await old.commit(completed("b"))
+                        outcome.append("committed")
+                    except NotOwnerError:
+                        outcome.append("refused")
+
+                group.start_soon(commit)
+                while not store._late:
+                    await anyio.sleep(0.01)
+                new = PartitionLog(store, 0, 2)
+                await new.recover()
+                assert await store.land_late() == 0
+            found = await recovered(store)
+        assert outcome == ["refused"] and found == ["a"]
+
+    bounded(check)
+
+
+def test_second_of_two_takers_wins_by_epoch() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        await PartitionLog(store, 0, 3).recover()
+        try:
+            await PartitionLog(store, 0, 2).recover()
+        except NotOwnerError:
+            return
+        raise AssertionError("a taker of a lower epoch recovered")
+
+    bounded(check)
+
+
+def test_late_write_cannot_bring_a_removed_segment_back() -> None:
+    async def check() -> None:
+        store = FaultyStore()
+        async with owned_log(store, 1) as (log, _):
+            await log.commit(completed("a", size=70_000))
+            store.faults.append(Fault.LAND_LATE)
+            await log.commit(completed("b", size=70_000))
+            await log.commit(completed("c"))
+            removed = await log.segments.read(1)
+            assert removed is not None
+            await log.replace_closed(1, None)
+            await log.segments.delete(1, removed.revision)
+            assert await store.land_late() == 1
+        assert await recovered(store) == ["a", "c"]
+
+    bounded(check)
+
+
+def test_copy_read_before_the_move_is_brought_up_to_date() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with owned_log(store, 1) as (old, _):
+            for number in range(12):
+                await old.commit(completed(f"k{number}", size=40_000))
+            copy = LogCopy()
+            await copy.load(old.segments)
+            for number in range(12, 20):
+                await old.commit(completed(f"k{number}", size=40_000))
+            new = PartitionLog(store, 0, 2)
+            records = await new.recover(copy)
+        assert keys_of(records) == [f"k{number}" for number in range(20)]
+
+    bounded(check)
