--- a/plumvane/bulk/main.py
+++ b/plumvane/bulk/main.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from plumvane.chunks.client import ChunkClient
 from plumvane.chunks.folder import ChunkFolder
 from plumvane.fleet.current import CurrentDocument
 from plumvane.instances.directory import Directory
@@ -11,8 +12,11 @@
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     ChunkData,
+    ChunksFound,
     ChunkStored,
+    CopyChunk,
     FetchChunk,
+    FindChunks,
     Message,
     Report,
     StoreChunk,
@@ -25,6 +29,8 @@
 
 # A leaving instance still serves reads for this.
 LINGER_S = 1.0
+# Pause between two passes over the chunks on the disk.
+SCRUB_S = 20.0
 
 
 class Bulk:
@@ -42,9 +48,12 @@
         self._links = LinkPool(process.name)
         self._directory = Directory(settings.platform.instances_url)
         self._folder = ChunkFolder(settings.data.folder)
+        self._chunks = ChunkClient(self._directory, self._links)
         self._server = PeerServer(str(process.bind_address))
         self._server.handle(StoreChunk, self._store)
         self._server.handle(FetchChunk, self._fetch)
+        self._server.handle(FindChunks, self._find)
+        self._server.handle(CopyChunk, self._copy)
         self._reporter = Reporter(
             process.name,
             self._directory,
@@ -61,6 +70,7 @@
             group.start_soon(supervise, self._links.run)
             group.start_soon(supervise, self._directory.run)
             group.start_soon(supervise, self._reporter.run)
+            group.start_soon(supervise, self._scrub)
             await stopping.wait()
             self._leaving = True
             await self._reporter.report()
@@ -79,6 +89,11 @@
             self._leaving,
         )
 
+    async def _scrub(self) -> None:
+        while True:
+            await self._folder.scrub()
+            await anyio.sleep(SCRUB_S)
+
     async def _store(self, call: Call, message: StoreChunk) -> Message:
         await self._folder.store(message.digest, message.data)
         return ChunkStored(message.digest)
@@ -86,6 +101,14 @@
     async def _fetch(self, call: Call, message: FetchChunk) -> Message:
         return ChunkData(await self._folder.fetch(message.digest))
 
+    async def _find(self, call: Call, message: FindChunks) -> Message:
+        return ChunksFound(await self._folder.find(message.digests))
+
+    async def _copy(self, call: Call, message: CopyChunk) -> Message:
+        data = await self._chunks.fetch(message.digest, message.from_addresses)
+        await self._folder.store(message.digest, data)
+        return ChunkStored(message.digest)
+
 
 async def _serve(settings: BulkSettings, stopping: anyio.Event) -> None:
     await Bulk(settings).serve(stopping)
--- a/plumvane/chunks/client.py
+++ b/plumvane/chunks/client.py
@@ -6,7 +6,11 @@
 
 from plumvane import clock, hashing
 from plumvane.chunks.folder import digest_of
-from plumvane.errors import BulkUnavailableError, PlumvaneError
+from plumvane.errors import (
+    BulkUnavailableError,
+    NotFoundError,
+    PlumvaneError,
+)
 from plumvane.instances.directory import Directory, Instance
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import ChunkData, FetchChunk, StoreChunk
@@ -16,6 +20,8 @@
 COPIES = 2
 CALL_TIMEOUT_S = 5.0
 RETRY_AFTER_S = 5.0
+# An instance that did not answer is tried last for this.
+AVOID_S = 10.0
 
 
 class ChunkClient:
@@ -30,6 +36,29 @@
         """
         self._directory = directory
         self._links = links
+        self._avoid_until_by_address: dict[str, float] = {}
+
+    def available(self) -> bool:
+        """Returns whether enough instances are live to keep a chunk safe."""
+        return len(self._directory.live("bulk")) >= COPIES
+
+    def targets(self, digest: str, holders: list[Instance]) -> list[Instance]:
+        """Returns where a further copy may go, the best place first.
+
+        Args:
+            digest: The chunk's digest.
+            holders: Instances that hold it.
+        """
+        names = {instance.name for instance in holders}
+        centres = {instance.data_centre for instance in holders}
+        now = clock.monotonic()
+        return sorted(
+            (i for i in self._ranked(digest) if i.name not in names),
+            key=lambda i: (
+                self._avoid_until_by_address.get(i.address, 0.0) > now,
+                i.data_centre in centres,
+            ),
+        )
 
     async def store(self, data: bytes) -> tuple[str, tuple[str, ...]]:
         """Stores a chunk at two instances, in two data centres if there are.
@@ -40,20 +69,28 @@
         Raises:
             BulkUnavailableError: Fewer than two instances took it.
         """
-        digest = digest_of(data)
-        held: list[Instance] = []
-        untried = self._ranked(digest)
-        while untried and len(held) < COPIES:
-            centres = {instance.data_centre for instance in held}
-            untried.sort(key=lambda i: i.data_centre in centres)
-            instance = untried.pop(0)
-            if await self._store_at(instance.address, digest, data):
-                held.append(instance)
-        if len(held) < COPIES:
+        if not self.available():
             raise BulkUnavailableError(
-                f"{len(held)} of {COPIES} bulk instances took the chunk.",
+                f"Fewer than {COPIES} bulk instances are live.",
                 retry_after_s=RETRY_AFTER_S,
             )
+        digest = digest_of(data)
+        held: list[Instance] = []
+        tried: set[str] = set()
+        while len(held) < COPIES:
+            targets = [
+                instance
+                for instance in self.targets(digest, held)
+                if instance.name not in tried
+            ]
+            if not targets:
+                raise BulkUnavailableError(
+                    f"{len(held)} of {COPIES} bulk instances took the chunk.",
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            tried.add(targets[0].name)
+            if await self._store_at(targets[0].address, digest, data):
+                held.append(targets[0])
         return digest, tuple(instance.address for instance in held)
 
     async def fetch(self, digest: str, addresses: Iterable[str]) -> bytes:
@@ -66,15 +103,17 @@
         Raises:
             BulkUnavailableError: No instance gave it.
         """
-        others = [i.address for i in self._ranked(digest)]
-        for address in dict.fromkeys([*addresses, *others]):
+        for address in self._sources(digest, addresses):
             try:
                 reply = await self._links.call(
                     address,
                     FetchChunk(digest),
                     deadline=clock.monotonic() + CALL_TIMEOUT_S,
                 )
+            except NotFoundError:
+                continue
             except PlumvaneError:
+                self._avoid(address)
                 continue
             if isinstance(reply, ChunkData) and digest_of(reply.data) == digest:
                 return reply.data
@@ -95,5 +134,22 @@
                 deadline=clock.monotonic() + CALL_TIMEOUT_S,
             )
         except PlumvaneError:
+            self._avoid(address)
             return False
         return True
+
+    def _sources(self, digest: str, addresses: Iterable[str]) -> list[str]:
+        """Returns where a chunk may be, the likeliest place first."""
+        live = [i.address for i in self._ranked(digest)]
+        now = clock.monotonic()
+        return sorted(
+            dict.fromkeys([*addresses, *live]),
+            key=lambda address: (
+                address not in live,
+                self._avoid_until_by_address.get(address, 0.0) > now,
+            ),
+        )
+
+    def _avoid(self, address: str) -> None:
+        """Tries an instance that did not answer last for a while."""
+        self._avoid_until_by_address[address] = clock.monotonic() + AVOID_S
--- a/plumvane/chunks/folder.py
+++ b/plumvane/chunks/folder.py
@@ -6,13 +6,25 @@
 import os
 import pathlib
 import secrets
+from collections.abc import Iterable
 
+import anyio
 import anyio.to_thread
 
-from plumvane.errors import BadRequestError, NotFoundError
+from plumvane import clock, events
+from plumvane.errors import (
+    BadRequestError,
+    BulkUnavailableError,
+    NotFoundError,
+)
 
 __all__ = ["ChunkFolder", "digest_of"]
 
+HEX_DIGITS = frozenset("0123456789abcdef")
+SCRUB_BYTES_PER_S = 8 * 1024 * 1024
+# A partial file of this age is left over from a crash.
+STALE_S = 600.0
+
 
 def digest_of(data: bytes) -> str:
     """Returns the SHA-256 of a chunk, in hex."""
@@ -35,10 +47,17 @@
 
         Raises:
             BadRequestError: The digest is not the data's.
+            BulkUnavailableError: The disk does not take it.
         """
         if digest_of(data) != digest:
             raise BadRequestError("The chunk does not match its digest.")
-        await anyio.to_thread.run_sync(self._write, digest, data)
+        path = self._path(digest)
+        try:
+            await anyio.to_thread.run_sync(self._write, path, digest, data)
+        except OSError as error:
+            raise BulkUnavailableError(
+                f"The chunk cannot be written: {error.strerror}."
+            ) from error
 
     async def fetch(self, digest: str) -> bytes:
         """Returns a chunk.
@@ -46,31 +65,83 @@
         Raises:
             NotFoundError: There is no such chunk, or it is damaged.
         """
-        try:
-            data = await anyio.to_thread.run_sync(self._path(digest).read_bytes)
-        except FileNotFoundError:
-            raise NotFoundError(f"There is no chunk {digest}.") from None
-        if digest_of(data) != digest:
-            raise NotFoundError(f"Chunk {digest} is damaged here.")
+        path = self._path(digest)
+        data = await anyio.to_thread.run_sync(_read_whole, path, digest)
+        if data is None:
+            raise NotFoundError(f"There is no whole chunk {digest} here.")
         return data
 
+    async def find(self, digests: Iterable[str]) -> tuple[str, ...]:
+        """Returns those of some chunks that are here."""
+        paths = [(digest, self._path(digest)) for digest in digests]
+        return await anyio.to_thread.run_sync(_existing, paths)
+
+    async def scrub(self) -> None:
+        """Reads every chunk once, slowly, and removes damaged ones.
+
+        Files that a crash left behind half written are removed too.
+        """
+        for path in await anyio.to_thread.run_sync(self._files):
+            if path.name.startswith("."):
+                await anyio.to_thread.run_sync(_remove_stale, path)
+                continue
+            data = await anyio.to_thread.run_sync(_read_whole, path, path.name)
+            await anyio.sleep(len(data or b"") / SCRUB_BYTES_PER_S)
+
     def _path(self, digest: str) -> pathlib.Path:
-        if len(digest) != 64 or not digest.isalnum():
-            raise BadRequestError("A digest is 64 hex digits.")
+        if len(digest) != 64 or not set(digest) <= HEX_DIGITS:
+            raise BadRequestError("A digest is 64 lower-case hex digits.")
         return self._folder / digest[:2] / digest
 
-    def _write(self, digest: str, data: bytes) -> None:
-        path = self._path(digest)
-        if path.exists():
-            return
-        path.parent.mkdir(exist_ok=True)
-        partial = path.with_name(f".{digest}.{secrets.token_hex(4)}")
-        with open(partial, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(partial, path)
+    def _files(self) -> list[pathlib.Path]:
+        return sorted(self._folder.glob("??/*")) + sorted(
+            self._folder.glob("??/.*")
+        )
+
+    def _write(self, path: pathlib.Path, digest: str, data: bytes) -> None:
+        if _read_whole(path, digest) is None:
+            path.parent.mkdir(exist_ok=True)
+            partial = path.with_name(f".{digest}.{secrets.token_hex(4)}")
+            with open(partial, "wb") as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(partial, path)
         _sync_folder(path.parent)
+        _sync_folder(self._folder)
+
+
+def _read_whole(path: pathlib.Path, digest: str) -> bytes | None:
+    """Reads a chunk; a damaged one is removed and None returned."""
+    try:
+        data = path.read_bytes()
+    except FileNotFoundError:
+        return None
+    except OSError as error:
+        events.log(
+            events.Event.CHUNK_DAMAGED, chunk=digest, cause=str(error.strerror)
+        )
+        return None
+    if digest_of(data) != digest:
+        events.log(
+            events.Event.CHUNK_DAMAGED, chunk=digest, cause="wrong digest"
+        )
+        path.unlink(missing_ok=True)
+        return None
+    return data
+
+
+def _existing(paths: list[tuple[str, pathlib.Path]]) -> tuple[str, ...]:
+    return tuple(digest for digest, path in paths if path.exists())
+
+
+def _remove_stale(path: pathlib.Path) -> None:
+    """Removes a partial file that no running write can own."""
+    try:
+        if path.stat().st_mtime < clock.wall() - STALE_S:
+            path.unlink()
+    except FileNotFoundError:
+        return
 
 
 def _sync_folder(folder: pathlib.Path) -> None:
--- a/plumvane/entry/api.py
+++ b/plumvane/entry/api.py
@@ -227,12 +227,10 @@
 
     async def batch_results(self, http: HttpRequest) -> Response:
         """Serves GET /v1/batches/{job_id}/results."""
-        state = await self._batches.show(
+        blocks = await self._batches.results(
             self._team(http), http.path_params["job_id"]
         )
-        return StreamingResponse(
-            self._batches.results(state), media_type="application/jsonl"
-        )
+        return StreamingResponse(blocks, media_type="application/jsonl")
 
     async def show_document(self, http: HttpRequest) -> Response:
         """Serves GET /v1/fleet/document."""
@@ -511,9 +509,16 @@
         "items": state.items,
         "done": state.done,
         "failed": [
-            {"index": item.index, "cause": item.cause} for item in state.failed
+            {
+                "index": item.index,
+                "cause": item.cause,
+                "kind": item.kind.value,
+            }
+            for item in state.failed
         ],
+        "failed_count": state.failed_count,
         "deadline": state.deadline,
+        "late": state.late,
         "expected_finish": state.expected_finish,
         "created": state.created,
     }
--- a/plumvane/entry/batches.py
+++ b/plumvane/entry/batches.py
@@ -2,26 +2,32 @@
 
 from __future__ import annotations
 
+import array
 import hashlib
-import json
+import secrets
 from collections.abc import AsyncIterator
 
 import msgspec
+import xxhash
 
 from plumvane import clock, hashing
 from plumvane.chunks.client import ChunkClient
 from plumvane.entry.owners import OwnerClient
+from plumvane.entry.results import ResultReader
 from plumvane.errors import (
     BadRequestError,
     BodyTooLargeError,
+    BulkUnavailableError,
     DeadlineExceededError,
     PlumvaneError,
 )
 from plumvane.fleet.current import CurrentDocument
 from plumvane.peers.messages import (
     ChunkRef,
+    FetchResults,
     JobCall,
     JobState,
+    ResultPage,
     SubmitJob,
 )
 
@@ -29,9 +35,12 @@
 
 MAX_LINE_BYTES = 256 * 1024
 MAX_ITEMS = 1_000_000
+# Bounds the list of chunks, which must fit in one value of the store.
+MAX_JOB_BYTES = 2 * 1024**3
 CHUNK_BYTES = 512 * 1024
 CALL_TIMEOUT_S = 10.0
 DEFAULT_WINDOW_S = 86_400.0
+BUCKETS = 256
 
 
 class _Item(msgspec.Struct):
@@ -53,9 +62,10 @@
         self._chunks = chunks
         self._lines: list[bytes] = []
         self._bytes = 0
+        self._size = 0
         self._digest = hashlib.sha256()
         self._decoder = msgspec.json.Decoder(_Item)
-        self._custom_ids: set[bytes] = set()
+        self._custom_ids = _CustomIds()
         self.refs: list[ChunkRef] = []
         self.items = 0
         self.model = ""
@@ -85,6 +95,13 @@
                     not_run=True,
                 )
         await self._add(rest)
+        repeated = self._custom_ids.repeated()
+        if repeated is not None:
+            first, second = repeated
+            raise BadRequestError(
+                f"Line {second} repeats the custom_id of line {first}.",
+                not_run=True,
+            )
         await self._flush()
         if not self.items:
             raise BadRequestError("The job has no items.", not_run=True)
@@ -95,6 +112,11 @@
             return
         self.items += 1
         self._check(line)
+        self._size += len(line)
+        if self._size > MAX_JOB_BYTES:
+            raise BodyTooLargeError(
+                f"A job has at most {MAX_JOB_BYTES} bytes.", not_run=True
+            )
         self._digest.update(line + b"\n")
         self._lines.append(line)
         self._bytes += len(line)
@@ -117,13 +139,7 @@
             raise BadRequestError(
                 f"Line {self.items} is invalid: {error}.", not_run=True
             ) from None
-        digest = hashlib.blake2b(item.custom_id.encode(), digest_size=16)
-        if digest.digest() in self._custom_ids:
-            raise BadRequestError(
-                f"Line {self.items} repeats custom_id {item.custom_id!r}.",
-                not_run=True,
-            )
-        self._custom_ids.add(digest.digest())
+        self._custom_ids.add(item.custom_id, self.items)
         model = item.body.get("model")
         if not isinstance(model, str):
             raise BadRequestError(
@@ -141,13 +157,47 @@
         if not self._lines:
             return
         data = msgspec.msgpack.encode(self._lines)
-        digest, addresses = await self._chunks.store(data)
+        try:
+            digest, addresses = await self._chunks.store(data)
+        except BulkUnavailableError as error:
+            raise BulkUnavailableError(
+                error.detail, not_run=True, retry_after_s=error.retry_after_s
+            ) from error
         first = self.items - len(self._lines)
         self.refs.append(ChunkRef(digest, first, len(self._lines), addresses))
         self._lines = []
         self._bytes = 0
 
 
+class _CustomIds:
+    """Digests of the custom ids of a job, in 12 bytes each."""
+
+    def __init__(self) -> None:
+        # A random seed, so that nobody can choose ids that collide.
+        self._seed = secrets.randbits(64)
+        self._digests_by_bucket = [array.array("Q") for _ in range(BUCKETS)]
+        self._lines_by_bucket = [array.array("I") for _ in range(BUCKETS)]
+
+    def add(self, custom_id: str, line: int) -> None:
+        """Adds the custom id of a line."""
+        digest = xxhash.xxh3_64_intdigest(custom_id.encode(), seed=self._seed)
+        bucket = digest % BUCKETS
+        self._digests_by_bucket[bucket].append(digest)
+        self._lines_by_bucket[bucket].append(line)
+
+    def repeated(self) -> tuple[int, int] | None:
+        """Returns the numbers of two lines with one custom id, or None."""
+        for digests, lines in zip(
+            self._digests_by_bucket, self._lines_by_bucket, strict=True
+        ):
+            line_by_digest: dict[int, int] = {}
+            for digest, line in zip(digests, lines, strict=True):
+                first = line_by_digest.setdefault(digest, line)
+                if first != line:
+                    return first, line
+        return None
+
+
 class BatchService:
     """Submits, shows, cancels and reads batch jobs."""
 
@@ -223,36 +273,43 @@
             team, deadline=clock.monotonic() + CALL_TIMEOUT_S
         )
 
-    async def results(self, state: JobState) -> AsyncIterator[bytes]:
-        """Yields the result lines of a job, then its failed items.
+    async def results(self, team: str, job_id: str) -> AsyncIterator[bytes]:
+        """Opens the result lines of a job.
+
+        The first lines are read before this returns, so that their error can
+        be answered as one; a later error breaks the stream off.
 
         Args:
-            state: The job's state.
+            team: Team of the caller.
+            job_id: Identifier of the job.
+
+        Returns:
+            Blocks of lines in the order of the items, failed items included.
+
+        Raises:
+            NotFoundError: The team has no such job.
+            BulkUnavailableError: A chunk cannot be read now.
         """
-        for ref in sorted(state.results, key=lambda ref: ref.first_item):
-            data = await self._chunks.fetch(ref.digest, ref.bulk_addresses)
-            wanted = set(ref.covered())
-            lines = msgspec.msgpack.decode(data, type=list[tuple[int, bytes]])
-            found = [line for index, line in lines if index in wanted]
-            yield b"".join(line + b"\n" for line in found)
-        for item in state.failed:
-            answer = {
-                "custom_id": await self._custom_id(state, item.index),
-                "response": None,
-                "error": {"code": "item_failed", "message": item.cause},
-            }
-            yield json.dumps(answer).encode() + b"\n"
-
-    async def _custom_id(self, state: JobState, index: int) -> str:
-        for chunk in state.chunks:
-            if chunk.first_item <= index < chunk.first_item + chunk.items:
-                data = await self._chunks.fetch(
-                    chunk.digest, chunk.bulk_addresses
-                )
-                lines = msgspec.msgpack.decode(data, type=list[bytes])
-                line = lines[index - chunk.first_item]
-                return str(json.loads(line)["custom_id"])
-        raise PlumvaneError(f"Item {index} has no input.")
+        reader = ResultReader(self._chunks, self._pages(team, job_id))
+        blocks = reader.blocks()
+        first = await anext(blocks, b"")
+        return _chain(first, blocks)
+
+    async def _pages(self, team: str, job_id: str) -> AsyncIterator[ResultPage]:
+        partition = partition_of_job(job_id)
+        from_item = 0
+        while True:
+            page = await self._owners.call(
+                partition,
+                FetchResults(partition, job_id, team, from_item),
+                deadline=clock.monotonic() + CALL_TIMEOUT_S,
+            )
+            if not isinstance(page, ResultPage):
+                raise PlumvaneError("The owner's reply is not understood.")
+            yield page
+            if page.last:
+                return
+            from_item = page.next_item
 
     async def _call(self, message: SubmitJob | JobCall) -> JobState:
         reply = await self._owners.call(
@@ -274,3 +331,11 @@
 def partition_of_job(job_id: str) -> int:
     """Returns the partition of a job."""
     return hashing.partition_of("", job_id)
+
+
+async def _chain(
+    first: bytes, blocks: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    yield first
+    async for block in blocks:
+        yield block
--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import TypeVar
 
 import anyio
@@ -15,14 +15,18 @@
     ProtocolError,
 )
 from plumvane.fleet.current import CurrentDocument
+from plumvane.jobs.handout import HandOut
+from plumvane.jobs.job import Job
 from plumvane.jobs.table import JobTable
 from plumvane.partitions.log import PartitionLog
 from plumvane.partitions.records import LogRecord
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
+    ChunkRef,
     Claim,
     Complete,
     Done,
+    FetchResults,
     JobCall,
     JobList,
     JobStates,
@@ -71,6 +75,7 @@
         self._may_promise = may_promise
         self._ledgers_by_partition: dict[int, RequestLedger] = {}
         self._jobs_by_partition: dict[int, JobTable] = {}
+        self._hand_out = HandOut()
         self._handlers_by_type: dict[
             type[Message], Callable[..., Awaitable[Message]]
         ] = {
@@ -81,6 +86,7 @@
             Lookup: self._lookup,
             SubmitJob: self._submit,
             JobCall: self._job,
+            FetchResults: self._fetch_results,
             JobList: self._list_jobs,
             PullWork: self._pull,
             RangeDone: self._report,
@@ -125,6 +131,11 @@
         self._ledgers_by_partition.pop(partition, None)
         self._jobs_by_partition.pop(partition, None)
 
+    def chunks(self) -> Iterator[ChunkRef]:
+        """Yields the references of all jobs of the partitions owned here."""
+        for jobs in list(self._jobs_by_partition.values()):
+            yield from jobs.chunks()
+
     async def expire_claims(self) -> None:
         """Takes lapsed range claims back; runs always."""
         while True:
@@ -168,32 +179,57 @@
         return self._ledger(message.partition).lookup(message.team, message.key)
 
     async def _submit(self, message: SubmitJob) -> Message:
-        return await self._jobs(message.partition).submit(message)
+        jobs = self._jobs(message.partition)
+        await jobs.submit(message)
+        self._hand_out.foresee_all(self._all_jobs())
+        return jobs.show(message.job_id, message.team)
 
     async def _job(self, message: JobCall) -> Message:
         jobs = self._jobs(message.partition)
         if message.cancel:
             return await jobs.cancel(message.job_id, message.team)
+        self._hand_out.foresee_all(self._all_jobs())
         return jobs.show(message.job_id, message.team)
 
+    async def _fetch_results(self, message: FetchResults) -> Message:
+        return self._jobs(message.partition).page(
+            message.job_id, message.team, message.from_item
+        )
+
     async def _list_jobs(self, message: JobList) -> Message:
+        self._hand_out.foresee_all(self._all_jobs())
         found = []
         for jobs in self._jobs_by_partition.values():
             found.extend(jobs.jobs_of(message.team))
         return JobStates(tuple(found))
 
+    def _all_jobs(self) -> list[Job]:
+        return [
+            job
+            for jobs in self._jobs_by_partition.values()
+            for job in jobs.jobs()
+        ]
+
     async def _pull(self, message: PullWork) -> Message:
-        order = self._current.document.policies.batch_order
+        document = self._current.document
         for jobs in list(self._jobs_by_partition.values()):
-            grant = jobs.pull(message, order)
-            if grant is not None:
-                return grant
-        return NO_WORK
+            await jobs.forget_worker(
+                message.sidecar_address, message.incarnation
+            )
+        grant = self._hand_out.pull(
+            message,
+            self._all_jobs(),
+            document.policies.batch_order,
+            {name: team.share for name, team in document.teams.items()},
+        )
+        return grant or NO_WORK
 
     async def _report(self, message: RangeDone) -> Message:
         wanted = await self._jobs(message.partition).report(message)
         if not wanted:
-            raise NotFoundError(f"Job {message.job_id} wants no more items.")
+            raise NotFoundError(
+                f"Job {message.job_id} no longer wants this range."
+            )
         return Done()
 
     async def _settle(
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -6,6 +6,7 @@
 import anyio.abc
 
 from plumvane.chunks.client import ChunkClient
+from plumvane.chunks.keeper import ChunkKeeper
 from plumvane.entry.api import Api
 from plumvane.entry.batches import BatchService
 from plumvane.entry.host import PartitionHost
@@ -65,6 +66,10 @@
             on_taken=self._host.take,
             on_lost=self._host.drop,
         )
+        self._chunks = ChunkClient(self._directory, self._links)
+        self._keeper = ChunkKeeper(
+            self._directory, self._links, self._chunks, self._host.chunks
+        )
         self._owners = OwnerClient(self._ownership, self._host, self._links)
         self._server = PeerServer(str(process.bind_address))
         self._server.handle(Report, self._take_report)
@@ -85,6 +90,7 @@
                 self._directory.run,
                 self._ownership.run,
                 self._host.expire_claims,
+                self._keeper.run,
                 self._watch_document,
             ):
                 group.start_soon(supervise, task)
@@ -117,11 +123,10 @@
         )
 
     def _make_web(self, runner: RequestRunner) -> HttpServer:
-        chunks = ChunkClient(self._directory, self._links)
         api = Api(
             self._current,
             runner,
-            BatchService(self._owners, chunks, self._current),
+            BatchService(self._owners, self._chunks, self._current),
             self._owners,
             DocumentStore(self._store, self._settings.process.name),
             self._directory,
--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -27,6 +27,7 @@
     "StoreUnavailableError",
     "UnauthorizedError",
     "UpstreamFailedError",
+    "UpstreamLostError",
     "UpstreamUnavailableError",
     "error_from_code",
 ]
@@ -218,6 +219,14 @@
     default_remedy = "Correct the request, or retry with a new key."
 
 
+class UpstreamLostError(UpstreamFailedError):
+    """The upstream was lost before its answer was whole."""
+
+    code = "upstream_lost"
+    status = 502
+    default_remedy = "Retry after a while; the upstream may be restarting."
+
+
 class RequestCancelledError(PlumvaneError):
     """The request was cancelled before it completed."""
 
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -43,6 +43,8 @@
     CONFIGURATION_CHANGED = (8002, "An operator's change is accepted.")
     CONFIGURATION_REFUSED = (8003, "An operator's change is refused.")
     CHUNK_COPIED = (9001, "A missing copy of a chunk was made again.")
+    CHUNK_DAMAGED = (9002, "A chunk on the disk is damaged and not used.")
+    CHUNK_MISSING = (9003, "No live bulk instance holds a chunk.")
 
     @property
     def number(self) -> int:
--- a/plumvane/jobs/job.py
+++ b/plumvane/jobs/job.py
@@ -2,26 +2,41 @@
 
 from __future__ import annotations
 
+import bisect
 import dataclasses
 import itertools
 from collections import deque
 
-from plumvane import clock
+from plumvane import clock, events
+from plumvane.jobs.intervals import IntervalSet, runs
 from plumvane.partitions.records import JobAccepted
 from plumvane.peers.messages import (
     ChunkRef,
     FailedItem,
+    FailureKind,
     JobState,
     RangeDone,
     RangeGrant,
+    ResultPage,
 )
 
 __all__ = ["Job", "RangeClaim"]
 
 # A range's claim lapses unless it is renewed.
 CLAIM_S = 15.0
-# An item that failed this often is given up.
+# An item that its engine answered with an error this often is given up.
 MAX_ATTEMPTS = 3
+# An item whose worker or engine was lost this often, while no other item of
+# its range ran, is given up.
+MAX_LOSSES = 5
+# A lost range is handed out again in this many pieces.
+LOST_PIECES = 8
+# Failed items that a job's state lists; the results list all.
+MAX_LISTED = 100
+# References and failed items in one page of results.
+PAGE_REFS = 32
+PAGE_FAILED = 1000
+ENDED_CLAIMS = 256
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,6 +48,7 @@
         first_item: Index of the first item.
         items: How many items.
         sidecar_address: Who has it.
+        incarnation: Process of the sidecar that has it.
         deadline: When it lapses, seconds since the Unix epoch.
     """
 
@@ -40,15 +56,12 @@
     first_item: int
     items: int
     sidecar_address: str
+    incarnation: str
     deadline: float
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Interval:
-    """Items that wait to be handed out."""
-
-    first_item: int
-    items: int
+    def indexes(self) -> range:
+        """Returns the indexes of its items."""
+        return range(self.first_item, self.first_item + self.items)
 
 
 class Job:
@@ -57,6 +70,9 @@
     Attributes:
         accepted: The record that made the job.
         cancelled: Whether it was cancelled.
+        items: How many items it has.
+        expected_finish: When it is expected to end, seconds since the Unix
+            epoch, or None while no rate is known.
     """
 
     def __init__(
@@ -72,16 +88,25 @@
         self.accepted = accepted
         self.cancelled = False
         self.items = sum(chunk.items for chunk in accepted.chunks)
+        self.expected_finish: float | None = None
         self._partition = partition
         self._epoch = epoch
         self._done = bytearray(self.items)
         self._done_count = 0
         self._results: list[ChunkRef] = []
+        self._longest_result = 0
         self._failed_by_index: dict[int, FailedItem] = {}
         self._attempts_by_index: dict[int, int] = {}
-        self._waiting: deque[_Interval] = deque()
+        self._losses_by_index: dict[int, int] = {}
+        self._waiting = IntervalSet()
+        self._waiting.add(0, self.items)
+        # Pieces of lost ranges; never merged, so that a bad item stands out.
+        self._suspects: deque[tuple[int, int]] = deque()
         self._claims_by_id: dict[str, RangeClaim] = {}
         self._claim_numbers = itertools.count(1)
+        # A late renewal of an ended claim must not bring it back.
+        self._ended_claims: deque[str] = deque(maxlen=ENDED_CLAIMS)
+        self._recovering_until = 0.0
 
     @property
     def state(self) -> str:
@@ -100,76 +125,115 @@
     @property
     def has_waiting(self) -> bool:
         """Whether items wait to be handed out."""
-        return bool(self._waiting) and not self.cancelled
-
-    def queue_open_items(self) -> None:
-        """Queues all items that are not done; called once after loading."""
-        self._waiting.clear()
-        first = None
-        for index in range(self.items + 1):
-            is_open = index < self.items and self._is_open(index)
-            if is_open and first is None:
-                first = index
-            elif not is_open and first is not None:
-                self._waiting.append(_Interval(first, index - first))
-                first = None
+        self._drop_closed_suspects()
+        return bool(self._waiting or self._suspects) and not self.cancelled
+
+    @property
+    def claims(self) -> tuple[RangeClaim, ...]:
+        """The ranges that are handed out."""
+        return tuple(self._claims_by_id.values())
+
+    def chunks(self) -> list[ChunkRef]:
+        """Returns the references of its input and its results."""
+        return [*self.accepted.chunks, *self._results]
+
+    def recovered(self, now: float) -> None:
+        """Takes in that the job was rebuilt from the log of another owner.
+
+        Its claims are unknown; until their holders have renewed them, items
+        are handed out from the end, where few of them are.
+        """
+        self._recovering_until = now + CLAIM_S
 
     def apply_done(self, results: ChunkRef) -> None:
-        """Takes a committed chunk of results in."""
-        self._results.append(results)
-        for index in results.covered():
-            if self._is_open(index):
-                self._done[index] = 1
-                self._done_count += 1
+        """Takes a committed chunk of results in; an item's first one wins."""
+        fresh = tuple(i for i in results.covered() if self._is_open(i))
+        if not fresh:
+            return
+        for index in fresh:
+            self._done[index] = 1
+        self._done_count += len(fresh)
+        self._drop_waiting(fresh)
+        ref = narrowed(results, fresh)
+        self._longest_result = max(self._longest_result, ref.items)
+        bisect.insort(self._results, ref, key=_first_item)
 
     def apply_failed(self, items: tuple[FailedItem, ...]) -> None:
         """Takes committed failures in."""
-        for item in items:
-            if self._is_open(item.index):
-                self._failed_by_index[item.index] = item
+        fresh = [item for item in items if self._is_open(item.index)]
+        for item in fresh:
+            self._failed_by_index[item.index] = item
+        self._drop_waiting(tuple(sorted(item.index for item in fresh)))
 
     def apply_cancelled(self) -> None:
         """Takes a committed cancel in."""
         self.cancelled = True
-        self._waiting.clear()
+        self._waiting = IntervalSet()
+        self._suspects.clear()
         self._claims_by_id.clear()
 
-    def grant(self, items: int, sidecar_address: str) -> RangeGrant | None:
+    def grant(
+        self, items: int, sidecar_address: str, incarnation: str = ""
+    ) -> RangeGrant | None:
         """Hands out the next waiting items.
 
         Args:
             items: How many at most.
             sidecar_address: Who takes them.
+            incarnation: Process of the sidecar.
 
         Returns:
             The grant, or None if no item waits.
         """
         if not self.has_waiting:
             return None
-        interval = self._waiting.popleft()
-        taken = min(items, interval.items)
-        if taken < interval.items:
-            self._waiting.appendleft(
-                _Interval(interval.first_item + taken, interval.items - taken)
-            )
+        first, taken = self._next_range(items)
         number = next(self._claim_numbers)
         claim = RangeClaim(
             f"{self.accepted.job_id}:{self._epoch}:{number}",
-            interval.first_item,
+            first,
             taken,
             sidecar_address,
+            incarnation,
             clock.wall() + CLAIM_S,
         )
         self._claims_by_id[claim.claim_id] = claim
         return self._message(claim)
 
+    def renew(self, report: RangeDone) -> bool:
+        """Renews a claim; adopts one that is unknown but not handed out.
+
+        Args:
+            report: A report on a range that is not finished.
+
+        Returns:
+            Whether the sidecar shall go on with the range.
+        """
+        if self.cancelled or report.claim_id in self._ended_claims:
+            return False
+        claim = self._claims_by_id.get(report.claim_id)
+        if claim is not None:
+            claim.deadline = clock.wall() + CLAIM_S
+            return True
+        if not self._withdraw(report.first_item, report.items):
+            return False
+        self._claims_by_id[report.claim_id] = RangeClaim(
+            report.claim_id,
+            report.first_item,
+            report.items,
+            report.sidecar_address,
+            report.incarnation,
+            clock.wall() + CLAIM_S,
+        )
+        return True
+
     def accept(
         self, report: RangeDone
     ) -> tuple[ChunkRef | None, tuple[FailedItem, ...]]:
-        """Decides what of a report is new, and ends or renews its claim.
+        """Decides what of a report is new, and ends its claim if finished.
 
         Args:
-            report: A sidecar's report; its claim may have lapsed.
+            report: A sidecar's report; its claim may be unknown.
 
         Returns:
             Results and failures to commit; items done before are left out.
@@ -181,21 +245,23 @@
             )
             if fresh:
                 results = narrowed(report.results, fresh)
-        claim = self._claims_by_id.get(report.claim_id)
-        final = self._count_attempts(report.failed)
-        if claim is None:
-            return results, final
-        if not report.finished:
-            claim.deadline = clock.wall() + CLAIM_S
-            return results, final
-        del self._claims_by_id[report.claim_id]
-        settled = set(results.covered() if results else ())
-        settled.update(item.index for item in final)
-        self._requeue(claim, settled)
+        claim = None
+        if report.finished:
+            claim = self._claims_by_id.pop(report.claim_id, None)
+            self._ended_claims.append(report.claim_id)
+        final = tuple(
+            item
+            for item in report.failed
+            if self._is_open(item.index) and self._is_final(item, claim)
+        )
+        if claim is not None:
+            settled = set(results.covered() if results else ())
+            settled.update(item.index for item in final)
+            self._requeue(claim, settled, report.failed)
         return results, final
 
     def expire(self, now: float) -> tuple[FailedItem, ...]:
-        """Takes lapsed claims back, in halves so that a bad item stands out.
+        """Takes lapsed claims back.
 
         Args:
             now: Seconds since the Unix epoch.
@@ -203,60 +269,194 @@
         Returns:
             Items to give up, because their worker was lost each time.
         """
-        lapsed = [c for c in self._claims_by_id.values() if c.deadline <= now]
-        given_up: list[FailedItem] = []
-        for claim in lapsed:
-            del self._claims_by_id[claim.claim_id]
-            if claim.items > 1:
-                half = claim.items // 2
-                self._waiting.append(_Interval(claim.first_item, half))
-                self._waiting.append(
-                    _Interval(claim.first_item + half, claim.items - half)
-                )
-                continue
-            lost = FailedItem(claim.first_item, "The worker was lost.")
-            final = self._count_attempts((lost,))
-            given_up.extend(final)
-            if not final:
-                self._waiting.append(_Interval(claim.first_item, 1))
-        return tuple(given_up)
+        return self._lose([c for c in self.claims if c.deadline <= now])
+
+    def forget_worker(
+        self, sidecar_address: str, incarnation: str
+    ) -> tuple[FailedItem, ...]:
+        """Takes the claims of a sidecar's earlier processes back.
+
+        Args:
+            sidecar_address: The sidecar.
+            incarnation: Its process now.
+
+        Returns:
+            Items to give up, because their worker was lost each time.
+        """
+        return self._lose(
+            [
+                claim
+                for claim in self.claims
+                if claim.sidecar_address == sidecar_address
+                and claim.incarnation != incarnation
+            ]
+        )
 
     def describe(self) -> JobState:
         """Returns the job's progress."""
+        listed = sorted(self._failed_by_index)[:MAX_LISTED]
         return JobState(
             self.accepted.job_id,
             self.state,
             self.items,
             self._done_count,
-            tuple(
-                self._failed_by_index[i] for i in sorted(self._failed_by_index)
-            ),
+            tuple(self._failed_by_index[i] for i in listed),
             self.accepted.deadline,
-            tuple(self._results),
             self.accepted.time,
-            chunks=self.accepted.chunks,
+            expected_finish=self.expected_finish,
+            failed_count=len(self._failed_by_index),
+            late=self.state == "running"
+            and clock.wall() > self.accepted.deadline,
+        )
+
+    def page(self, from_item: int) -> ResultPage:
+        """Returns the references to the results from an item on.
+
+        Args:
+            from_item: Index of the first item.
+
+        Returns:
+            A page that covers the items up to its `next_item`.
+        """
+        found, next_item = self._results_from(from_item)
+        failed = [
+            self._failed_by_index[i]
+            for i in sorted(self._failed_by_index)
+            if from_item <= i < next_item
+        ]
+        if len(failed) > PAGE_FAILED:
+            next_item = failed[PAGE_FAILED].index
+            failed = failed[:PAGE_FAILED]
+        return ResultPage(
+            tuple(ref for ref in found if ref.first_item < next_item),
+            tuple(failed),
+            self._input_of([item.index for item in failed]),
+            next_item,
+            next_item >= self.items,
+        )
+
+    def _results_from(self, from_item: int) -> tuple[list[ChunkRef], int]:
+        """Returns a page of references and the first item left out."""
+        oldest = from_item - self._longest_result
+        low = bisect.bisect_left(self._results, oldest, key=_first_item)
+        found: list[ChunkRef] = []
+        for position in range(low, len(self._results)):
+            ref = self._results[position]
+            if ref.first_item + ref.items <= from_item:
+                continue
+            if len(found) >= PAGE_REFS and ref.first_item > max(
+                from_item, found[-1].first_item
+            ):
+                return found, ref.first_item
+            found.append(ref)
+        return found, self.items
+
+    def _input_of(self, indexes: list[int]) -> tuple[ChunkRef, ...]:
+        return tuple(
+            chunk
+            for chunk in self.accepted.chunks
+            if bisect.bisect_left(indexes, chunk.first_item)
+            < bisect.bisect_left(indexes, chunk.first_item + chunk.items)
         )
 
     def _is_open(self, index: int) -> bool:
         return not self._done[index] and index not in self._failed_by_index
 
-    def _count_attempts(
-        self, failed: tuple[FailedItem, ...]
-    ) -> tuple[FailedItem, ...]:
-        """Counts attempts; returns the items that failed for the last time."""
-        final = []
-        for item in failed:
-            attempts = self._attempts_by_index.get(item.index, 0) + 1
-            self._attempts_by_index[item.index] = attempts
-            if attempts >= MAX_ATTEMPTS and self._is_open(item.index):
-                final.append(item)
-        return tuple(final)
-
-    def _requeue(self, claim: RangeClaim, settled: set[int]) -> None:
+    def _drop_waiting(self, indexes: tuple[int, ...]) -> None:
+        for first, count in runs(indexes):
+            self._waiting.discard(first, count)
+
+    def _drop_closed_suspects(self) -> None:
+        while self._suspects:
+            first, items = self._suspects[0]
+            if any(self._is_open(i) for i in range(first, first + items)):
+                return
+            self._suspects.popleft()
+
+    def _next_range(self, items: int) -> tuple[int, int]:
+        if not self._waiting:
+            return self._suspects.popleft()
+        if clock.wall() < self._recovering_until:
+            return self._waiting.take_last(items)
+        return self._waiting.take_first(items)
+
+    def _withdraw(self, first: int, items: int) -> bool:
+        """Takes items of a range off the queues; returns whether any was."""
+        found = self._waiting.discard(first, items)
+        kept = deque(
+            piece
+            for piece in self._suspects
+            if not (first <= piece[0] and sum(piece) <= first + items)
+        )
+        found = found or len(kept) < len(self._suspects)
+        self._suspects = kept
+        return found
+
+    def _is_final(self, item: FailedItem, claim: RangeClaim | None) -> bool:
+        """Counts a failure; returns whether the item is given up.
+
+        A failure under an unknown claim was counted before or is of another
+        owner's claim; the item runs again.
+        """
+        if item.kind is FailureKind.REFUSED:
+            return True
+        if claim is None:
+            return False
+        if item.kind is FailureKind.LOST:
+            return claim.items == 1 and self._count_loss(item.index)
+        attempts = self._attempts_by_index.get(item.index, 0) + 1
+        self._attempts_by_index[item.index] = attempts
+        return attempts >= MAX_ATTEMPTS
+
+    def _count_loss(self, index: int) -> bool:
+        losses = self._losses_by_index.get(index, 0) + 1
+        self._losses_by_index[index] = losses
+        return losses >= MAX_LOSSES
+
+    def _requeue(
+        self,
+        claim: RangeClaim,
+        settled: set[int],
+        failed: tuple[FailedItem, ...],
+    ) -> None:
         """Queues the items of an ended claim that are still open."""
-        for index in range(claim.first_item, claim.first_item + claim.items):
-            if self._is_open(index) and index not in settled:
-                self._waiting.append(_Interval(index, 1))
+        lost = {f.index for f in failed if f.kind is FailureKind.LOST}
+        still_open = [
+            i for i in claim.indexes() if self._is_open(i) and i not in settled
+        ]
+        self._waiting.add_all(i for i in still_open if i not in lost)
+        for first, items in runs(i for i in still_open if i in lost):
+            self._queue_lost(first, items)
+
+    def _lose(self, lost: list[RangeClaim]) -> tuple[FailedItem, ...]:
+        """Takes claims of lost workers back; returns items to give up."""
+        given_up: list[FailedItem] = []
+        for claim in lost:
+            del self._claims_by_id[claim.claim_id]
+            events.log(
+                events.Event.RANGE_LOST,
+                job=self.accepted.job_id,
+                first_item=claim.first_item,
+                items=claim.items,
+            )
+            is_single = claim.items == 1 and self._is_open(claim.first_item)
+            if is_single and self._count_loss(claim.first_item):
+                given_up.append(
+                    FailedItem(
+                        claim.first_item,
+                        f"The worker was lost {MAX_LOSSES} times.",
+                        FailureKind.LOST,
+                    )
+                )
+                continue
+            self._queue_lost(claim.first_item, claim.items)
+        return tuple(given_up)
+
+    def _queue_lost(self, first: int, items: int) -> None:
+        """Queues a lost range in pieces, so that a bad item stands out."""
+        size = max(1, -(-items // LOST_PIECES))
+        for start in range(first, first + items, size):
+            self._suspects.append((start, min(size, first + items - start)))
 
     def _message(self, claim: RangeClaim) -> RangeGrant:
         last = claim.first_item + claim.items
@@ -266,9 +466,7 @@
             if chunk.first_item < last
             and chunk.first_item + chunk.items > claim.first_item
         )
-        skip = tuple(
-            i for i in range(claim.first_item, last) if not self._is_open(i)
-        )
+        skip = tuple(i for i in claim.indexes() if not self._is_open(i))
         return RangeGrant(
             self._partition,
             self.accepted.job_id,
@@ -292,3 +490,7 @@
         ref.bulk_addresses,
         () if whole else indexes,
     )
+
+
+def _first_item(ref: ChunkRef) -> int:
+    return ref.first_item
--- a/plumvane/jobs/table.py
+++ b/plumvane/jobs/table.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+
+import anyio
 
 from plumvane import clock, events
 from plumvane.errors import (
     KeyReusedError,
     NotFoundError,
+    NotOwnerError,
     StoreUnavailableError,
 )
 from plumvane.jobs.job import Job
-from plumvane.jobs.order import ORDERS_BY_NAME
 from plumvane.partitions.log import PartitionLog
 from plumvane.partitions.records import (
     ItemsDone,
@@ -21,11 +23,11 @@
     LogRecord,
 )
 from plumvane.peers.messages import (
+    ChunkRef,
     FailedItem,
     JobState,
-    PullWork,
     RangeDone,
-    RangeGrant,
+    ResultPage,
     SubmitJob,
 )
 
@@ -33,7 +35,7 @@
 
 
 class JobTable:
-    """Accepts jobs, hands out ranges and takes results in."""
+    """Accepts jobs, keeps their claims and takes results in."""
 
     def __init__(
         self,
@@ -56,6 +58,8 @@
         self._epoch = epoch
         self._may_promise = may_promise
         self._jobs_by_id: dict[str, Job] = {}
+        # Chunks of results whose record is being committed.
+        self._commits_by_digest: dict[str, anyio.Event] = {}
 
     def apply(self, record: LogRecord) -> None:
         """Takes a record of the log in, in the order of the log."""
@@ -71,10 +75,19 @@
             self._jobs_by_id[record.job_id].apply_cancelled()
 
     def start(self) -> None:
-        """Queues the open items; called once all records are applied."""
+        """Lets the jobs run on; called once all records are applied."""
+        now = clock.wall()
         for job in self._jobs_by_id.values():
-            if not job.cancelled:
-                job.queue_open_items()
+            job.recovered(now)
+
+    def jobs(self) -> list[Job]:
+        """Returns all jobs of the partition."""
+        return list(self._jobs_by_id.values())
+
+    def chunks(self) -> Iterator[ChunkRef]:
+        """Yields the references of all inputs and results."""
+        for job in self.jobs():
+            yield from job.chunks()
 
     async def submit(self, message: SubmitJob) -> JobState:
         """Accepts a job, or returns the one of the same id.
@@ -100,12 +113,18 @@
         """
         return self._job(job_id, team).describe()
 
+    def page(self, job_id: str, team: str, from_item: int) -> ResultPage:
+        """Returns a page of a job's results.
+
+        Raises:
+            NotFoundError: The team has no such job.
+        """
+        return self._job(job_id, team).page(from_item)
+
     def jobs_of(self, team: str) -> list[JobState]:
         """Returns a team's jobs, oldest first."""
         found = [
-            job.describe()
-            for job in self._jobs_by_id.values()
-            if job.accepted.team == team
+            job.describe() for job in self.jobs() if job.accepted.team == team
         ]
         return sorted(found, key=lambda state: state.created)
 
@@ -117,47 +136,28 @@
         """
         job = self._job(job_id, team)
         if job.state == "running":
-            await self._log.commit(JobCancelled(job_id))
-            job.apply_cancelled()
+            await self._commit(JobCancelled(job_id))
         return job.describe()
 
-    def pull(self, message: PullWork, batch_order: str) -> RangeGrant | None:
-        """Hands out a range of the job that goes first.
-
-        Args:
-            message: What the sidecar can take.
-            batch_order: Name of the order policy.
-        """
-        now = clock.wall()
-        key = ORDERS_BY_NAME[batch_order]
-        waiting = [
-            job
-            for job in self._jobs_by_id.values()
-            if job.accepted.model == message.model and job.has_waiting
-        ]
-        if not waiting:
-            return None
-        job = min(waiting, key=lambda job: key(job, now))
-        return job.grant(message.items, message.sidecar_address)
-
     async def report(self, report: RangeDone) -> bool:
         """Takes a sidecar's report on a range in.
 
         Returns:
-            Whether the job still wants its items.
+            Whether the job still wants the range's other items.
         """
         job = self._jobs_by_id.get(report.job_id)
-        if job is None or job.cancelled:
+        if job is None:
             return False
+        was_running = job.state == "running"
+        wanted = job.renew(report) if not report.finished else was_running
         results, failed = job.accept(report)
         if results is not None:
-            await self._log.commit(ItemsDone(report.job_id, results))
-            job.apply_done(results)
+            await self._commit_results(ItemsDone(report.job_id, results))
         if failed:
-            await self._give_up(job, report.job_id, failed)
-        if job.state == "completed":
+            await self._give_up(report.job_id, failed)
+        if was_running and job.state == "completed":
             events.log(events.Event.JOB_FINISHED, job=report.job_id)
-        return True
+        return wanted
 
     async def expire(self) -> None:
         """Takes lapsed claims of all jobs back."""
@@ -165,13 +165,46 @@
         for job_id, job in list(self._jobs_by_id.items()):
             failed = job.expire(now)
             if failed:
-                await self._give_up(job, job_id, failed)
+                await self._give_up(job_id, failed)
+
+    async def forget_worker(
+        self, sidecar_address: str, incarnation: str
+    ) -> None:
+        """Takes the claims of a sidecar's earlier processes back."""
+        for job_id, job in list(self._jobs_by_id.items()):
+            failed = job.forget_worker(sidecar_address, incarnation)
+            if failed:
+                await self._give_up(job_id, failed)
+
+    async def _commit_results(self, record: ItemsDone) -> None:
+        """Commits results once, however often they are reported."""
+        digest = record.results.digest
+        running = self._commits_by_digest.get(digest)
+        if running is not None:
+            await running.wait()
+            if self._log.lost:
+                raise NotOwnerError("Another instance took over.")
+            return
+        self._commits_by_digest[digest] = anyio.Event()
+        try:
+            await self._commit(record)
+        finally:
+            self._commits_by_digest.pop(digest).set()
+
+    async def _commit(self, record: LogRecord) -> None:
+        """Commits and applies a record, also if the caller goes away.
+
+        Raises:
+            NotOwnerError: Another owner has taken the partition.
+        """
+        with anyio.CancelScope(shield=True):
+            await self._log.commit(record)
+            self.apply(record)
 
     async def _give_up(
-        self, job: Job, job_id: str, failed: tuple[FailedItem, ...]
+        self, job_id: str, failed: tuple[FailedItem, ...]
     ) -> None:
-        await self._log.commit(ItemsFailed(job_id, failed))
-        job.apply_failed(failed)
+        await self._commit(ItemsFailed(job_id, failed))
         for item in failed:
             events.log(
                 events.Event.ITEM_FAILED,
@@ -196,11 +229,8 @@
             message.deadline,
             clock.wall(),
         )
-        await self._log.commit(record)
-        self.apply(record)
+        await self._commit(record)
         job = self._jobs_by_id[message.job_id]
-        if not job.has_waiting and job.remaining == job.items:
-            job.queue_open_items()
         events.log(
             events.Event.JOB_ACCEPTED, job=message.job_id, items=job.items
         )
--- a/plumvane/peers/messages.py
+++ b/plumvane/peers/messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 import functools
 import operator
 from collections.abc import Iterable
@@ -18,18 +19,25 @@
     "Attach",
     "CancelRun",
     "ChunkData",
+    "ChunkRef",
     "ChunkStored",
+    "ChunksFound",
     "Claim",
     "ClaimGranted",
     "ClaimResult",
     "Committed",
+    "CopyChunk",
     "Complete",
     "DispatchRequest",
     "DocumentData",
     "Done",
+    "FailedItem",
     "Failure",
+    "FailureKind",
     "FetchChunk",
     "FetchDocument",
+    "FetchResults",
+    "FindChunks",
     "FetchViews",
     "InstanceView",
     "JobCall",
@@ -46,6 +54,7 @@
     "RenewClaims",
     "Report",
     "ReportReply",
+    "ResultPage",
     "Settle",
     "Settled",
     "StoreChunk",
@@ -383,6 +392,30 @@
     data: bytes
 
 
+class FindChunks(Message, frozen=True, tag="findchunks"):
+    """Asks a bulk instance which chunks it has."""
+
+    digests: tuple[str, ...]
+
+
+class ChunksFound(Message, frozen=True, tag="chunksfound"):
+    """The chunks asked for that are on the disk."""
+
+    digests: tuple[str, ...]
+
+
+class CopyChunk(Message, frozen=True, tag="copychunk"):
+    """Asks a bulk instance to fetch a chunk from another and keep it.
+
+    Attributes:
+        digest: SHA-256 of the chunk, in hex.
+        from_addresses: Bulk instances that hold it.
+    """
+
+    digest: str
+    from_addresses: tuple[str, ...]
+
+
 class ChunkRef(msgspec.Struct, frozen=True):
     """Where a run of items is kept.
 
@@ -445,16 +478,32 @@
     cancel: bool = False
 
 
-class FailedItem(msgspec.Struct, frozen=True):
-    """An item that is given up.
+class FailureKind(enum.Enum):
+    """Why an attempt at an item failed.
+
+    Attributes:
+        ERROR: The engine answered with an error.
+        LOST: The engine or the worker was lost while the item ran.
+        REFUSED: The engine refused the item as invalid.
+    """
+
+    ERROR = "error"
+    LOST = "lost"
+    REFUSED = "refused"
+
+
+class FailedItem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An item that failed.
 
     Attributes:
         index: Index of the item in the job.
         cause: Error of its last attempt.
+        kind: Kind of the failure.
     """
 
     index: int
     cause: str
+    kind: FailureKind = FailureKind.ERROR
 
 
 class JobState(Message, frozen=True, tag="jobstate"):
@@ -465,12 +514,12 @@
         state: `running`, `completed` or `cancelled`.
         items: How many items it has.
         done: Items with a result.
-        failed: Items that are given up.
+        failed: The first items that are given up.
         deadline: When it must have ended.
-        expected_finish: When it is expected to end, if known.
-        chunks: Where the input is.
-        results: Where the results are, in the order of the items.
         created: When it was accepted.
+        expected_finish: When it is expected to end, if known.
+        failed_count: How many items are given up.
+        late: Whether it runs on after its deadline.
     """
 
     job_id: str
@@ -479,10 +528,44 @@
     done: int
     failed: tuple[FailedItem, ...]
     deadline: float
-    results: tuple[ChunkRef, ...]
     created: float = 0.0
     expected_finish: float | None = None
-    chunks: tuple[ChunkRef, ...] = ()
+    failed_count: int = 0
+    late: bool = False
+
+
+class FetchResults(Message, frozen=True, tag="fetchresults"):
+    """Asks for a page of a job's results.
+
+    Attributes:
+        partition: Number of the partition.
+        job_id: Identifier of the job.
+        team: Team of the caller.
+        from_item: Index of the page's first item.
+    """
+
+    partition: int
+    job_id: str
+    team: str
+    from_item: int = 0
+
+
+class ResultPage(Message, frozen=True, tag="resultpage"):
+    """Where the results of some neighbouring items of a job are.
+
+    Attributes:
+        results: Chunks that hold them; they may hold others too.
+        failed: Items of the page that are given up.
+        chunks: Input of the failed items.
+        next_item: Index of the first item after the page.
+        last: Whether the job has no items after the page.
+    """
+
+    results: tuple[ChunkRef, ...]
+    failed: tuple[FailedItem, ...]
+    chunks: tuple[ChunkRef, ...]
+    next_item: int
+    last: bool
 
 
 class JobList(Message, frozen=True, tag="joblist"):
@@ -504,11 +587,15 @@
         model: Model behind the sidecar.
         sidecar_address: Peer address of the sidecar.
         items: How many items it can take.
+        incarnation: The sidecar's process.
+        item_rate: Batch items a second that it does, or 0 if not known.
     """
 
     model: str
     sidecar_address: str
     items: int
+    incarnation: str = ""
+    item_rate: float = 0.0
 
 
 class RangeGrant(Message, frozen=True, tag="range"):
@@ -548,6 +635,10 @@
             a result.
         failed: Items that failed in this attempt.
         finished: Whether the claim ends; otherwise it is renewed.
+        first_item: Index of the range's first item.
+        items: How many items the range has.
+        sidecar_address: Peer address of the sidecar.
+        incarnation: The sidecar's process.
     """
 
     partition: int
@@ -556,6 +647,10 @@
     results: ChunkRef | None
     failed: tuple[FailedItem, ...]
     finished: bool
+    first_item: int = 0
+    items: int = 0
+    sidecar_address: str = ""
+    incarnation: str = ""
 
 
 def _leaves(base: type[Message]) -> list[type[Message]]:
--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -4,37 +4,71 @@
 
 import json
 import random
+import secrets
+from collections import deque
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
 import anyio
 import msgspec
 
 from plumvane import clock
+from plumvane.chunks.cache import ChunkCache
 from plumvane.chunks.client import ChunkClient
-from plumvane.errors import BulkUnavailableError, NotFoundError, PlumvaneError
+from plumvane.errors import (
+    BadRequestError,
+    DeadlineExceededError,
+    LinkLostError,
+    NotFoundError,
+    NotOwnerError,
+    PlumvaneError,
+    UpstreamLostError,
+)
 from plumvane.instances.reporter import Reporter
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     ChunkRef,
     FailedItem,
+    FailureKind,
     PullWork,
     RangeDone,
     RangeGrant,
 )
 from plumvane.sidecar.dispatcher import completion_outcome
-from plumvane.upstreams.engine import EngineClient
+from plumvane.sidecar.ranges import RangeRun
+from plumvane.upstreams.engine import EngineClient, Token
 from plumvane.upstreams.gate import Gate, Work
 
 __all__ = ["BatchWorker"]
 
 # Ranges that run at once, so that the end of one leaves no gap.
 RANGES = 2
-ITEMS_PER_RANGE = 64
+# The ranges of a sidecar together hold the work of this time.
+RANGES_S = 60.0
+FIRST_RANGE_ITEMS = 64
+MAX_RANGE_ITEMS = 2048
+# Items of one range that run or queue at the gate.
+QUEUED_ITEMS = 256
 RENEW_S = 4.0
+# Results are reported at least this often while a range runs.
+SAVE_S = 20.0
+SAVE_BYTES = 512 * 1024
+# Unsaved results at which no further item is started.
+MAX_UNSAVED_BYTES = 8 * 1024 * 1024
 CALL_TIMEOUT_S = 5.0
 RETRY_S = 0.5
 IDLE_MIN_S = 0.1
 IDLE_MAX_S = 2.0
+# A range whose results nobody takes is dropped after this.
+GIVE_UP_S = 600.0
+LEAVE_S = 10.0
+# An item is never dropped at the gate: a late job goes on.
+ITEM_DEADLINE_S = 7 * 86_400.0
+# An engine that gives no token for this is taken as lost.
+SILENT_ENGINE_S = 60.0
+# Completions that the item rate is measured over.
+RATE_ITEMS = 256
+MIN_RATE_ITEMS = 8
 
 
 class BatchWorker:
@@ -67,9 +101,21 @@
         self._engine = engine
         self._links = links
         self._chunks = chunks
+        self._inputs = ChunkCache(chunks)
         self._reporter = reporter
-        self.leaving = False
-        self._running = 0
+        self._incarnation = secrets.token_hex(8)
+        self._runs: set[RangeRun] = set()
+        self._completed: deque[float] = deque(maxlen=RATE_ITEMS)
+        self._saved = anyio.Event()
+        self._leaving = False
+
+    @property
+    def item_rate(self) -> float:
+        """Items a second that complete here; 0 if not known."""
+        if len(self._completed) < MIN_RATE_ITEMS:
+            return 0.0
+        took = self._completed[-1] - self._completed[0]
+        return (len(self._completed) - 1) / max(took, 0.001)
 
     async def run(self) -> None:
         """Pulls and runs ranges until the sidecar leaves."""
@@ -77,27 +123,38 @@
             for _ in range(RANGES):
                 group.start_soon(self._pull_loop)
 
+    def leave(self) -> None:
+        """Stops pulling and hands back what is not done."""
+        self._leaving = True
+        for run in self._runs:
+            run.scope.cancel()
+
     async def _pull_loop(self) -> None:
         idle_s = IDLE_MIN_S
-        while not self.leaving:
-            pulled = await self._pull()
-            if pulled is None:
-                await anyio.sleep(idle_s * random.uniform(0.5, 1.0))
-                idle_s = min(IDLE_MAX_S, idle_s * 2)
+        while not self._leaving:
+            pulled = await self._pull() if self._has_room() else None
+            if pulled is not None and await self._run_range(*pulled):
+                idle_s = IDLE_MIN_S
                 continue
-            idle_s = IDLE_MIN_S
-            owner, grant = pulled
-            await self._run_range(owner, grant)
+            if not self._runs:
+                self._completed.clear()
+            await anyio.sleep(idle_s * random.uniform(0.5, 1.0))
+            idle_s = min(IDLE_MAX_S, idle_s * 2)
 
     async def _pull(self) -> tuple[str, RangeGrant] | None:
         owners = list(self._reporter.owners)
         random.shuffle(owners)
         for owner in owners:
+            message = PullWork(
+                self._model,
+                self._address,
+                self._range_items(),
+                self._incarnation,
+                self.item_rate,
+            )
             try:
                 reply = await self._links.call(
-                    owner,
-                    PullWork(self._model, self._address, ITEMS_PER_RANGE),
-                    deadline=clock.monotonic() + CALL_TIMEOUT_S,
+                    owner, message, deadline=clock.monotonic() + CALL_TIMEOUT_S
                 )
             except PlumvaneError:
                 continue
@@ -105,22 +162,59 @@
                 return owner, reply
         return None
 
-    async def _run_range(self, owner: str, grant: RangeGrant) -> None:
-        run = _RangeRun(owner, grant)
+    def _range_items(self) -> int:
+        items = int(self.item_rate * RANGES_S / RANGES) or FIRST_RANGE_ITEMS
+        return min(items, MAX_RANGE_ITEMS)
+
+    def _has_room(self) -> bool:
+        """Returns whether more results may come before some are saved."""
+        unsaved = sum(run.unsaved_bytes for run in self._runs)
+        return unsaved < MAX_UNSAVED_BYTES and self._chunks.available()
+
+    async def _run_range(self, owner: str, grant: RangeGrant) -> bool:
+        """Runs a range and reports it; returns whether an item was tried."""
+        run = RangeRun(owner, grant)
+        self._runs.add(run)
+        tried = False
         try:
-            lines = await self._load(grant)
-        except (BulkUnavailableError, NotFoundError):
-            await self._report(run, finished=True)
-            return
-        with anyio.CancelScope() as scope:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._renew, run, scope)
-                async with anyio.create_task_group() as items:
-                    for index, line in lines.items():
-                        items.start_soon(self._run_item, run, index, line)
+                group.start_soon(self._keep, run)
+                with run.scope:
+                    tried = await self._run_items(run)
+                await self._finish(run)
                 group.cancel_scope.cancel()
-        if not scope.cancelled_caught:
-            await self._report(run, finished=True)
+        finally:
+            self._runs.discard(run)
+        return tried
+
+    async def _run_items(self, run: RangeRun) -> bool:
+        """Runs the items of a range; returns whether any was tried."""
+        try:
+            lines = await self._load(run.grant)
+        except PlumvaneError:
+            return False
+        tried: set[int] = set()
+        items = iter(lines.items())
+        async with anyio.create_task_group() as group:
+            for _ in range(min(QUEUED_ITEMS, len(lines))):
+                group.start_soon(self._run_each, run, items, tried)
+        return bool(tried)
+
+    async def _run_each(
+        self,
+        run: RangeRun,
+        items: Iterator[tuple[int, bytes]],
+        tried: set[int],
+    ) -> None:
+        for index, line in items:
+            while not self._has_room():
+                saved = self._saved
+                with anyio.move_on_after(RENEW_S):
+                    await saved.wait()
+            if not await self._run_item(run, index, line):
+                # The engine is away; the rest is handed back.
+                return
+            tried.add(index)
 
     async def _load(self, grant: RangeGrant) -> dict[int, bytes]:
         """Returns the input lines of a range's open items by index."""
@@ -128,7 +222,7 @@
         wanted.difference_update(grant.skip)
         lines: dict[int, bytes] = {}
         for chunk in grant.chunks:
-            data = await self._chunks.fetch(chunk.digest, chunk.bulk_addresses)
+            data = await self._inputs.fetch(chunk)
             for offset, line in enumerate(
                 msgspec.msgpack.decode(data, type=list[bytes])
             ):
@@ -136,61 +230,127 @@
                     lines[chunk.first_item + offset] = line
         return lines
 
-    async def _renew(self, run: _RangeRun, scope: anyio.CancelScope) -> None:
+    async def _keep(self, run: RangeRun) -> None:
+        """Keeps the claim and saves results while the range runs."""
         while True:
             await anyio.sleep(RENEW_S)
             try:
-                await self._call_owner(run, finished=False)
+                if self._is_save_due(run):
+                    await self._save(run, finished=False)
+                else:
+                    await self._call_owner(run)
             except NotFoundError:
-                scope.cancel()
+                run.scope.cancel()
             except PlumvaneError:
                 continue
 
-    async def _report(self, run: _RangeRun, *, finished: bool) -> None:
+    def _is_save_due(self, run: RangeRun) -> bool:
+        if not run.has_unsaved or run.saving.locked():
+            return False
+        waited_s = clock.monotonic() - run.saved
+        return waited_s >= SAVE_S or run.unsaved_bytes >= SAVE_BYTES
+
+    async def _finish(self, run: RangeRun) -> None:
         """Stores the results and reports the range until it is taken."""
-        give_up = clock.monotonic() + 60.0
+        give_up = clock.monotonic() + GIVE_UP_S
         while clock.monotonic() < give_up:
             try:
-                if run.lines_by_index and run.results is None:
-                    run.results = await self._store_results(run)
-                await self._call_owner(run, finished=finished)
+                if run.stored is not None:
+                    await self._save(run, finished=False)
+                await self._save(run, finished=True)
                 return
             except NotFoundError:
-                return
+                if run.stored is None and not run.has_unsaved:
+                    return
             except PlumvaneError:
+                if self._leaving:
+                    give_up = min(give_up, clock.monotonic() + LEAVE_S)
                 await anyio.sleep(RETRY_S)
 
-    async def _store_results(self, run: _RangeRun) -> ChunkRef:
-        indexes = sorted(run.lines_by_index)
-        data = msgspec.msgpack.encode(
-            [(index, run.lines_by_index[index]) for index in indexes]
-        )
+    async def _save(self, run: RangeRun, *, finished: bool) -> None:
+        """Stores unsaved results and reports them.
+
+        Raises:
+            NotFoundError: The results are taken, but no others are wanted.
+            PlumvaneError: They are not known to be taken.
+        """
+        async with run.saving:
+            if run.stored is None and run.has_unsaved:
+                run.stored = await self._store(run.unsaved())
+            try:
+                await self._call_owner(
+                    run, results=run.stored, finished=finished
+                )
+            except NotFoundError:
+                run.taken()
+                raise
+            run.taken()
+            self._saved.set()
+            self._saved = anyio.Event()
+
+    async def _store(self, lines: list[tuple[int, bytes]]) -> ChunkRef:
+        data = msgspec.msgpack.encode(lines)
         digest, addresses = await self._chunks.store(data)
+        indexes = tuple(index for index, _ in lines)
         span = indexes[-1] - indexes[0] + 1
         return ChunkRef(
             digest,
             indexes[0],
             span,
             addresses,
-            () if span == len(indexes) else tuple(indexes),
+            () if span == len(indexes) else indexes,
         )
 
-    async def _call_owner(self, run: _RangeRun, *, finished: bool) -> None:
+    async def _call_owner(
+        self,
+        run: RangeRun,
+        *,
+        results: ChunkRef | None = None,
+        finished: bool = False,
+    ) -> None:
+        """Reports to the partition's owner, wherever it is now.
+
+        Args:
+            run: The range.
+            results: Chunk with results, if any.
+            finished: Whether the range ends; otherwise its claim is renewed.
+
+        Raises:
+            NotFoundError: The range is no longer wanted.
+            PlumvaneError: No owner took the report.
+        """
         grant = run.grant
-        await self._links.call(
-            run.owner,
-            RangeDone(
-                grant.partition,
-                grant.job_id,
-                grant.claim_id,
-                run.results if finished else None,
-                tuple(run.failed) if finished else (),
-                finished,
-            ),
-            deadline=clock.monotonic() + CALL_TIMEOUT_S,
+        message = RangeDone(
+            grant.partition,
+            grant.job_id,
+            grant.claim_id,
+            results,
+            tuple(run.failed) if finished else (),
+            finished,
+            grant.first_item,
+            grant.items,
+            self._address,
+            self._incarnation,
         )
+        failure: PlumvaneError = NotOwnerError("No owner is known.")
+        for owner in dict.fromkeys([run.owner, *self._reporter.owners]):
+            try:
+                await self._links.call(
+                    owner, message, deadline=clock.monotonic() + CALL_TIMEOUT_S
+                )
+            except (
+                NotOwnerError,
+                LinkLostError,
+                DeadlineExceededError,
+            ) as error:
+                failure = error
+                continue
+            run.owner = owner
+            return
+        raise failure
 
-    async def _run_item(self, run: _RangeRun, index: int, line: bytes) -> None:
+    async def _run_item(self, run: RangeRun, index: int, line: bytes) -> bool:
+        """Runs an item; returns False if the engine could not be asked."""
         item = json.loads(line)
         request_id = f"{run.grant.claim_id}:{index}"
         try:
@@ -198,15 +358,19 @@
                 request_id, item["body"], run.grant.job_deadline
             )
         except PlumvaneError as error:
-            run.failed.append(FailedItem(index, str(error)))
-            return
+            if isinstance(error, UpstreamLostError) and error.not_run:
+                return False
+            run.failed.append(FailedItem(index, str(error), _kind(error)))
+            return True
         answer = {
             "id": request_id,
             "custom_id": item["custom_id"],
             "response": {"status_code": 200, "body": body},
             "error": None,
         }
-        run.lines_by_index[index] = json.dumps(answer).encode()
+        run.add(index, json.dumps(answer).encode())
+        self._completed.append(clock.monotonic())
+        return True
 
     async def _complete(
         self, request_id: str, body: dict[str, Any], deadline: float
@@ -216,19 +380,21 @@
         tokens = 0
         attempt = 0
         while True:
-            work = Work(online=False, deadline=max(deadline, clock.wall() + 60))
+            latest = clock.wall() + ITEM_DEADLINE_S
+            work = Work(online=False, deadline=max(deadline, latest))
             await self._gate.enter(work)
             stream_id = f"{request_id}:{attempt}"
             attempt += 1
             finish_reason = None
             ended = False
+            stream = self._engine.stream(
+                stream_id,
+                body,
+                resume_text="".join(text),
+                resume_tokens=tokens,
+            )
             try:
-                async for token in self._engine.stream(
-                    stream_id,
-                    body,
-                    resume_text="".join(text),
-                    resume_tokens=tokens,
-                ):
+                async for token in _watched(stream):
                     text.append(token.text)
                     tokens += token.tokens
                     finish_reason = token.finish_reason
@@ -240,6 +406,8 @@
                 self._gate.leave(work)
                 if not ended:
                     await self._engine.cancel(stream_id)
+            if ended and finish_reason is None:
+                raise UpstreamLostError("The engine ended the stream early.")
             if ended:
                 outcome = completion_outcome(
                     request_id,
@@ -251,20 +419,26 @@
                 return json.loads(outcome.body)
 
 
-class _RangeRun:
-    """A range that runs here.
+async def _watched(stream: AsyncIterator[Token]) -> AsyncIterator[Token]:
+    """Yields the pieces of a stream.
 
-    Attributes:
-        owner: Peer address of the owner that granted it.
-        grant: The grant.
-        lines_by_index: Result lines so far.
-        failed: Items that failed in this attempt.
-        results: The stored results.
+    Raises:
+        UpstreamLostError: The stream went silent.
     """
+    while True:
+        try:
+            with anyio.fail_after(SILENT_ENGINE_S):
+                token = await anext(stream)
+        except StopAsyncIteration:
+            return
+        except TimeoutError:
+            raise UpstreamLostError("The engine went silent.") from None
+        yield token
+
 
-    def __init__(self, owner: str, grant: RangeGrant) -> None:
-        self.owner = owner
-        self.grant = grant
-        self.lines_by_index: dict[int, bytes] = {}
-        self.failed: list[FailedItem] = []
-        self.results: ChunkRef | None = None
+def _kind(error: PlumvaneError) -> FailureKind:
+    if isinstance(error, BadRequestError):
+        return FailureKind.REFUSED
+    if isinstance(error, UpstreamLostError):
+        return FailureKind.LOST
+    return FailureKind.ERROR
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -108,7 +108,7 @@
     async def _drain(self, batch_done: anyio.Event) -> None:
         self._leaving = True
         if self._batch is not None:
-            self._batch.leaving = True
+            self._batch.leave()
         await self._reporter.report()
         await batch_done.wait()
         while self._runs.active() or len(self._runs):
--- /dev/null
+++ b/plumvane/sidecar/ranges.py
@@ -0,0 +1,66 @@
+"""A range of batch items that runs at this sidecar."""
+
+from __future__ import annotations
+
+import anyio
+
+from plumvane import clock
+from plumvane.peers.messages import ChunkRef, FailedItem, RangeGrant
+
+__all__ = ["RangeRun"]
+
+
+class RangeRun:
+    """Results of a range, until the owner has taken them.
+
+    Attributes:
+        owner: Peer address of the partition's owner.
+        grant: The grant.
+        scope: Cancels the items.
+        saving: Held while results are stored and reported.
+        failed: Items that failed in this attempt.
+        stored: Chunk of results that the owner has not taken yet.
+        saved: Monotonic time at which results were taken last.
+    """
+
+    def __init__(self, owner: str, grant: RangeGrant) -> None:
+        """Starts a range without results.
+
+        Args:
+            owner: Peer address of the owner that granted it.
+            grant: The grant.
+        """
+        self.owner = owner
+        self.grant = grant
+        self.scope = anyio.CancelScope()
+        self.saving = anyio.Lock()
+        self.failed: list[FailedItem] = []
+        self.stored: ChunkRef | None = None
+        self.saved = clock.monotonic()
+        self._lines_by_index: dict[int, bytes] = {}
+
+    @property
+    def unsaved_bytes(self) -> int:
+        """Size of the results that the owner has not taken."""
+        return sum(len(line) for line in self._lines_by_index.values())
+
+    @property
+    def has_unsaved(self) -> bool:
+        """Whether there are results that the owner has not taken."""
+        return bool(self._lines_by_index)
+
+    def add(self, index: int, line: bytes) -> None:
+        """Takes the result of an item in."""
+        self._lines_by_index[index] = line
+
+    def unsaved(self) -> list[tuple[int, bytes]]:
+        """Returns the results not taken yet, by ascending index."""
+        return sorted(self._lines_by_index.items())
+
+    def taken(self) -> None:
+        """Forgets the results of the stored chunk."""
+        if self.stored is not None:
+            for index in self.stored.covered():
+                self._lines_by_index.pop(index, None)
+        self.stored = None
+        self.saved = clock.monotonic()
--- a/plumvane/upstreams/engine.py
+++ b/plumvane/upstreams/engine.py
@@ -10,7 +10,11 @@
 import anyio
 import httpcore
 
-from plumvane.errors import BadRequestError, UpstreamFailedError
+from plumvane.errors import (
+    BadRequestError,
+    UpstreamFailedError,
+    UpstreamLostError,
+)
 
 __all__ = ["EngineClient", "Token"]
 
@@ -90,8 +94,11 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ) as error:
-            raise UpstreamFailedError(
-                f"The engine was lost: {type(error).__name__}."
+            raise UpstreamLostError(
+                f"The engine was lost: {type(error).__name__}.",
+                not_run=isinstance(
+                    error, (httpcore.ConnectError, httpcore.ConnectTimeout)
+                ),
             ) from error
 
     async def cancel(self, request_id: str) -> None:
@@ -131,10 +138,15 @@
 def _parse(line: bytes) -> Token | None:
     if line == b"[DONE]":
         return None
-    piece = json.loads(line)
-    if "error" in piece:
-        raise UpstreamFailedError(str(piece["error"]))
-    choice = piece["choices"][0]
-    return Token(
-        choice["text"], piece.get("tokens", 1), choice.get("finish_reason")
-    )
+    try:
+        piece = json.loads(line)
+        if "error" in piece:
+            raise UpstreamFailedError(str(piece["error"]))
+        choice = piece["choices"][0]
+        return Token(
+            choice["text"], piece.get("tokens", 1), choice.get("finish_reason")
+        )
+    except (ValueError, KeyError, IndexError, TypeError) as error:
+        raise UpstreamFailedError(
+            f"The engine's answer is not understood: {error!r}."
+        ) from error
--- /dev/null
+++ b/tests/test_jobs_intervals.py
@@ -0,0 +1,40 @@
+"""Interval sets against sets of indexes."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies as st
+
+from plumvane.jobs.intervals import IntervalSet, runs
+
+SIZE = 60
+_steps = st.lists(
+    st.tuples(
+        st.sampled_from(["add", "discard", "take_first", "take_last"]),
+        st.integers(0, SIZE),
+        st.integers(1, SIZE // 2),
+    )
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(_steps)
+def test_agrees_with_a_set(steps: list[tuple[str, int, int]]) -> None:
+    intervals = IntervalSet()
+    expected: set[int] = set()
+    for name, first, count in steps:
+        indexes = set(range(first, first + count))
+        if name == "add":
+            intervals.add(first, count)
+            expected |= indexes
+        elif name == "discard":
+            hit = intervals.discard(first, count)
+            assert hit == bool(expected & indexes)
+            expected -= indexes
+        elif expected:
+            taken, length = getattr(intervals, name)(count)
+            assert 1 <= length <= count
+            assert set(range(taken, taken + length)) <= expected
+            expected -= set(range(taken, taken + length))
+        assert list(intervals) == runs(sorted(expected))
+        assert bool(intervals) == bool(expected)
--- /dev/null
+++ b/tests/test_jobs_job.py
@@ -0,0 +1,211 @@
+"""Rules of the batch job."""
+
+from __future__ import annotations
+
+from plumvane import clock
+from plumvane.jobs.job import (
+    MAX_ATTEMPTS,
+    MAX_LOSSES,
+    PAGE_FAILED,
+    PAGE_REFS,
+    Job,
+)
+from plumvane.peers.messages import (
+    ChunkRef,
+    FailedItem,
+    FailureKind,
+    RangeDone,
+    RangeGrant,
+)
+from tests.jobs import accepted, done, make_job, ref, renewal
+
+
+def _grant(job: Job, items: int = 64, incarnation: str = "") -> RangeGrant:
+    grant = job.grant(items, "sidecar", incarnation)
+    assert grant is not None
+    return grant
+
+
+def _report(job: Job, report: RangeDone) -> tuple[FailedItem, ...]:
+    """Gives a report to a job and commits what is new."""
+    results, failed = job.accept(report)
+    if results is not None:
+        job.apply_done(results)
+    job.apply_failed(failed)
+    return failed
+
+
+def test_items_handed_back_form_one_range() -> None:
+    job = make_job(64)
+    _report(job, done(_grant(job), ref(0, 10)))
+    again = _grant(job)
+    assert (again.first_item, again.items) == (10, 54)
+
+
+def test_first_result_of_an_item_wins() -> None:
+    job = make_job(10)
+    job.apply_done(ref(0, 6, "one"))
+    job.apply_done(ref(4, 6, "two"))
+    covered = {r.digest: tuple(r.covered()) for r in job.page(0).results}
+    assert covered == {"one": tuple(range(6)), "two": tuple(range(6, 10))}
+    assert job.state == "completed"
+
+
+def test_report_repeated_counts_once() -> None:
+    job = make_job(4)
+    failed = (FailedItem(3, "engine error"),)
+    report = done(_grant(job), ref(0, 3), failed)
+    for _ in range(MAX_ATTEMPTS + 2):
+        _report(job, report)
+    state = job.describe()
+    assert (state.done, state.failed_count, state.state) == (3, 0, "running")
+
+
+def test_engine_errors_are_retried_up_to_the_bound() -> None:
+    job = make_job(1)
+    attempts = 0
+    while job.state == "running":
+        attempts += 1
+        failed = (FailedItem(0, f"error {attempts}"),)
+        _report(job, done(_grant(job), failed=failed))
+    assert attempts == MAX_ATTEMPTS
+    assert job.describe().failed[0].cause == f"error {MAX_ATTEMPTS}"
+
+
+def test_refused_item_fails_at_once() -> None:
+    job = make_job(2)
+    failed = (FailedItem(1, "max_tokens", FailureKind.REFUSED),)
+    assert _report(job, done(_grant(job), ref(0, 1), failed)) == failed
+    assert job.state == "completed"
+
+
+def test_item_handed_back_untried_is_no_attempt() -> None:
+    job = make_job(1)
+    for _ in range(MAX_LOSSES + MAX_ATTEMPTS):
+        _report(job, done(_grant(job)))
+    assert job.describe().failed_count == 0
+    assert _grant(job).items == 1
+
+
+def test_lost_engine_blames_no_item_of_a_wider_range() -> None:
+    job = make_job(64)
+    for _ in range(MAX_LOSSES):
+        lost = tuple(FailedItem(i, "lost", FailureKind.LOST) for i in range(64))
+        grant = _grant(job)
+        _report(job, done(grant, failed=lost))
+    assert job.describe().failed_count == 0
+
+
+def test_item_that_kills_its_worker_is_found_and_given_up() -> None:
+    job = make_job(64)
+    bad = 37
+    handed_out = 0
+    while job.state == "running":
+        grant = _grant(job)
+        items = range(grant.first_item, grant.first_item + grant.items)
+        if bad not in items:
+            _report(job, done(grant, ref(grant.first_item, grant.items)))
+            continue
+        handed_out += 1
+        job.apply_failed(job.expire(clock.wall() + 3600.0))
+    assert [item.index for item in job.describe().failed] == [bad]
+    assert job.describe().done == 63
+    # Once in the whole range, once in a piece, then alone.
+    assert handed_out == 2 + MAX_LOSSES
+
+
+def test_claims_of_a_restarted_sidecar_lapse_at_once() -> None:
+    job = make_job(64)
+    _grant(job, incarnation="first")
+    assert not job.has_waiting
+    assert job.forget_worker("sidecar", "second") == ()
+    assert job.has_waiting
+
+
+def test_new_owner_adopts_a_claim_that_is_renewed() -> None:
+    old = make_job(128)
+    grant = _grant(old)
+    new = Job(accepted(items=128), 0, 2)
+    new.recovered(clock.wall())
+    # Handed out from the end, so the old claim's items still wait.
+    assert _grant(new).first_item == 64
+    assert new.renew(renewal(grant))
+    assert not new.has_waiting
+    _report(new, done(grant, ref(0, 64)))
+    assert new.describe().done == 64
+
+
+def test_renewal_of_a_range_handed_out_again_is_refused() -> None:
+    job = make_job(64)
+    grant = _grant(job)
+    job.expire(clock.wall() + 3600.0)
+    while job.has_waiting:
+        _grant(job)
+    assert not job.renew(renewal(grant))
+
+
+def test_late_renewal_does_not_bring_an_ended_claim_back() -> None:
+    job = make_job(64)
+    grant = _grant(job)
+    _report(job, done(grant))
+    assert not job.renew(renewal(grant))
+    assert _grant(job).items == 64
+
+
+def test_cancelled_job_hands_out_nothing_and_keeps_results() -> None:
+    job = make_job(64)
+    grant = _grant(job, 32)
+    job.apply_cancelled()
+    assert job.grant(1, "sidecar") is None
+    assert not job.renew(renewal(grant))
+    _report(job, done(grant, ref(0, 8)))
+    assert (job.describe().done, job.state) == (8, "cancelled")
+    assert job.grant(1, "sidecar") is None
+
+
+def test_late_job_goes_on_and_says_so() -> None:
+    job = make_job(2, deadline=clock.wall() - 1.0)
+    assert (job.describe().late, job.has_waiting) == (True, True)
+    _report(job, done(_grant(job), ref(0, 2)))
+    assert (job.describe().late, job.state) == (False, "completed")
+
+
+def _read(job: Job) -> list[int]:
+    """Reads all pages and returns the indexes of their lines."""
+    found: list[int] = []
+    from_item = 0
+    while True:
+        page = job.page(from_item)
+        assert len(page.results) <= 2 * PAGE_REFS
+        assert len(page.failed) <= PAGE_FAILED
+        covered = [i for r in page.results for i in r.covered()]
+        covered.extend(item.index for item in page.failed)
+        found.extend(
+            i for i in sorted(covered) if from_item <= i < page.next_item
+        )
+        if page.last:
+            return found
+        assert page.next_item > from_item
+        from_item = page.next_item
+
+
+def test_pages_cover_each_item_once_in_order() -> None:
+    items = 40 * PAGE_REFS
+    job = make_job(items)
+    failed = tuple(range(5, items, 17))
+    job.apply_failed(tuple(FailedItem(i, "cause") for i in failed))
+    # One chunk with gaps spans many small ones.
+    wide = tuple(range(0, 400, 2))
+    job.apply_done(ChunkRef("wide", 0, 399, ("bulk",), wide))
+    for first in range(0, items, 4):
+        job.apply_done(ref(first, 4))
+    assert _read(job) == list(range(items))
+
+
+def test_state_lists_few_of_many_failed_items() -> None:
+    job = make_job(5000)
+    job.apply_failed(tuple(FailedItem(i, "cause") for i in range(4000)))
+    state = job.describe()
+    assert state.failed_count == 4000
+    assert len(state.failed) == 100
+    assert _read(job) == list(range(4000))
--- /dev/null
+++ b/tests/test_jobs_table.py
@@ -0,0 +1,183 @@
+"""The batch jobs of a partition over its log."""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+
+from plumvane.errors import KeyReusedError, StoreUnavailableError
+from plumvane.jobs.job import Job
+from plumvane.jobs.table import JobTable
+from plumvane.partitions.log import PartitionLog
+from plumvane.partitions.records import JobAccepted
+from plumvane.peers.messages import FailedItem, RangeGrant, SubmitJob
+from plumvane.store.memory import MemoryStore
+from tests.jobs import accepted, done, ref
+
+
+class _HeldStore(MemoryStore):
+    """A store whose writes wait until they are let through."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.open = anyio.Event()
+        self.open.set()
+        self.writes = 0
+
+    async def put(self, *args: object, **fields: object) -> int:
+        self.writes += 1
+        await self.open.wait()
+        return await super().put(*args, **fields)  # type: ignore[arg-type]
+
+
+@asynccontextmanager
+async def _owned(
+    store: MemoryStore, epoch: int = 1, *, may_promise: bool = True
+) -> AsyncIterator[JobTable]:
+    log = PartitionLog(store, 0, epoch)
+    table = JobTable(log, 0, epoch, may_promise=lambda: may_promise)
+    for record in await log.recover():
+        table.apply(record)
+    table.start()
+    async with anyio.create_task_group() as group:
+        group.start_soon(log.run)
+        yield table
+        group.cancel_scope.cancel()
+
+
+def _submit(record: JobAccepted, digest: bytes = b"d") -> SubmitJob:
+    return SubmitJob(
+        0,
+        record.job_id,
+        record.team,
+        digest,
+        record.model,
+        record.chunks,
+        record.deadline,
+    )
+
+
+def _job(table: JobTable) -> Job:
+    return table.jobs()[0]
+
+
+def _grant(table: JobTable, items: int = 64) -> RangeGrant:
+    grant = _job(table).grant(items, "sidecar")
+    assert grant is not None
+    return grant
+
+
+def _run(test: Callable[[], Awaitable[None]]) -> Callable[[], None]:
+    """Makes a test of a coroutine."""
+
+    @functools.wraps(test)
+    def run() -> None:
+        async def bounded() -> None:
+            with anyio.fail_after(30.0):
+                await test()
+
+        anyio.run(bounded)
+
+    return run
+
+
+@_run
+async def test_resent_job_is_the_same_job() -> None:
+    store = MemoryStore()
+    record = accepted(items=64)
+    async with _owned(store) as table:
+        async with anyio.create_task_group() as group:
+            group.start_soon(table.submit, _submit(record))
+            group.start_soon(table.submit, _submit(record))
+        assert _grant(table).items == 64
+        await table.submit(_submit(record))
+        assert not _job(table).has_waiting
+    async with _owned(store, 2) as table:
+        state = await table.submit(_submit(record))
+        assert (len(table.jobs()), state.items) == (1, 64)
+
+
+@_run
+async def test_key_with_another_input_is_refused() -> None:
+    record = accepted()
+    async with _owned(MemoryStore()) as table:
+        await table.submit(_submit(record))
+        try:
+            await table.submit(_submit(record, b"other"))
+        except KeyReusedError as error:
+            assert error.not_run
+        else:
+            raise AssertionError("the other input was taken")
+
+
+@_run
+async def test_job_is_refused_as_not_run_without_a_lease() -> None:
+    async with _owned(MemoryStore(), may_promise=False) as table:
+        try:
+            await table.submit(_submit(accepted()))
+        except StoreUnavailableError as error:
+            assert error.not_run and error.retry_after_s
+        else:
+            raise AssertionError("the job was taken")
+        assert table.jobs() == []
+
+
+@_run
+async def test_commit_is_taken_in_when_its_caller_goes_away() -> None:
+    store = _HeldStore()
+    async with _owned(store) as table:
+        await table.submit(_submit(accepted(items=64)))
+        grant = _grant(table)
+        store.open = anyio.Event()
+        async with anyio.create_task_group() as callers:
+            callers.start_soon(table.report, done(grant, ref(0, 64)))
+            await anyio.wait_all_tasks_blocked()
+            callers.cancel_scope.cancel()
+            store.open.set()
+        assert _job(table).state == "completed"
+
+
+@_run
+async def test_results_reported_again_during_their_commit_are_one() -> None:
+    store = _HeldStore()
+    async with _owned(store) as table:
+        await table.submit(_submit(accepted(items=64)))
+        report = done(_grant(table), ref(0, 64))
+        store.open = anyio.Event()
+        async with anyio.create_task_group() as callers:
+            for _ in range(5):
+                callers.start_soon(table.report, report)
+            await anyio.wait_all_tasks_blocked()
+            assert not _job(table).describe().done
+            store.open.set()
+    records = await PartitionLog(store, 0, 2).recover()
+    assert [type(r).__name__ for r in records] == ["JobAccepted", "ItemsDone"]
+
+
+@_run
+async def test_results_under_a_former_owners_claim_count() -> None:
+    store = MemoryStore()
+    async with _owned(store) as table:
+        await table.submit(_submit(accepted(items=64)))
+        grant = _grant(table)
+    async with _owned(store, 2) as table:
+        failed = (FailedItem(63, "engine error"),)
+        assert await table.report(done(grant, ref(0, 63), failed))
+        state = _job(table).describe()
+        assert (state.done, state.failed_count) == (63, 0)
+        assert _grant(table).first_item == 63
+
+
+@_run
+async def test_cancelled_job_takes_results_and_stops_the_range() -> None:
+    async with _owned(MemoryStore()) as table:
+        await table.submit(_submit(accepted(items=64)))
+        grant = _grant(table)
+        state = await table.cancel("batch-1", "intake")
+        assert state.state == "cancelled"
+        assert not await table.report(done(grant, finished=False))
+        assert not await table.report(done(grant, ref(0, 8)))
+        assert _job(table).describe().done == 8
