Notice lost, refused and one-way silent connections between peers

Cause: ZeroMQ connects again by itself and drops the frames in between, so a call whose reply was lost hung to its deadline while pings went on being answered. Any frame from the peer counted as a sign of life, so a stream hid that nothing got through to the peer. A call that the socket did not take was dropped without a word. The calls of a killed peer were never cancelled.

Ruled out: switching ZeroMQ's reconnection off, which finds a lost connection only after the silence limit of 2 s.

Change: a socket monitor ends the session with its connection, and the calls fail as lost; only a round trip counts as a sign of life; a call that was never sent fails as not run; the server cancels calls of a peer that has been silent for 10 s.

--- a/plumvane/peers/channel.py
+++ b/plumvane/peers/channel.py
@@ -5,7 +5,7 @@
 import anyio
 import zmq
 
-__all__ = ["Channel"]
+__all__ = ["Channel", "ConnectionMonitor"]
 
 # Frames taken from a socket before other tasks get a turn.
 FRAMES_PER_TURN = 64
@@ -75,3 +75,37 @@
     def _has_frames(self) -> bool:
         events = self._socket.getsockopt(zmq.EVENTS)
         return isinstance(events, int) and bool(events & zmq.POLLIN)
+
+
+class ConnectionMonitor:
+    """Tells when the connection of a socket is lost or refused.
+
+    ZeroMQ connects again by itself and may have dropped frames meanwhile, so
+    the socket's owner has to know.
+    """
+
+    def __init__(self, socket: zmq.Socket[bytes]) -> None:
+        """Watches a socket that is not connected yet.
+
+        Args:
+            socket: The socket.
+        """
+        self._watched = socket
+        self._monitor = socket.get_monitor_socket(
+            zmq.EVENT_DISCONNECTED | zmq.EVENT_CLOSED
+        )
+
+    async def lost(self) -> None:
+        """Returns once the connection is lost, or was refused."""
+        while True:
+            try:
+                self._monitor.recv_multipart(zmq.NOBLOCK)
+                return
+            except zmq.Again:
+                pass
+            await anyio.wait_readable(self._monitor.fileno())
+
+    def close(self) -> None:
+        """Stops watching."""
+        self._watched.disable_monitor()
+        self._monitor.close(linger=0)
--- a/plumvane/peers/link.py
+++ b/plumvane/peers/link.py
@@ -22,24 +22,34 @@
     error_from_code,
 )
 from plumvane.peers import wire
-from plumvane.peers.channel import Channel
+from plumvane.peers.channel import Channel, ConnectionMonitor
 from plumvane.peers.messages import Failure, Message, decode, encode
 
 __all__ = ["Link", "LinkPool", "Pending"]
 
-# A connection with calls in flight is asked for a sign of life after this.
+# A connection with calls in flight and no round trip for this is probed.
 HEARTBEAT_S = 0.5
-# A connection with calls in flight and no sign of life for this is replaced.
+# A connection with calls in flight and no round trip for this is replaced.
 SILENCE_S = 2.0
+# Frames that may wait for a peer that does not read.
+SEND_QUEUE_FRAMES = 100_000
+# Pause before a peer that refused the connection is tried again.
+RECONNECT_S = 0.05
 # A connection without calls is closed after this.
 IDLE_S = 30.0
 
 
 class Pending:
-    """The parts and the end of one call."""
+    """The parts and the end of one call.
+
+    Attributes:
+        call_id: Number of the call.
+        sent: Monotonic time at which it was sent; 0 before.
+    """
 
     def __init__(self, call_id: int) -> None:
         self.call_id = call_id
+        self.sent = 0.0
         self._parts: deque[Message] = deque()
         self._reply: Message | None = None
         self._error: PlumvaneError | None = None
@@ -110,7 +120,9 @@
         self._channel: Channel | None = None
         self._welcomed = anyio.Event()
         self._wanted = anyio.Event()
-        self._heard = 0.0
+        # When the last frame was sent that the peer has answered.
+        self._answered = 0.0
+        self._ping_times: deque[float] = deque()
         self._refusal: ProtocolError | None = None
 
     async def run(self) -> None:
@@ -151,34 +163,58 @@
         self._wanted.set()
         try:
             await self._welcomed.wait()
-            self._send(wire.Kind.CALL, pending.call_id, encode(message))
+            self._send_call(pending, message)
             yield pending
         finally:
             if self._pending_by_call.pop(pending.call_id, None) is not None:
                 self._send(wire.Kind.CANCEL, pending.call_id)
 
+    def _send_call(self, pending: Pending, message: Message) -> None:
+        """Sends a call, or fails it as not sent."""
+        if pending.call_id not in self._pending_by_call:
+            return
+        pending.sent = clock.monotonic()
+        if not self._send(wire.Kind.CALL, pending.call_id, encode(message)):
+            pending.fail(
+                LinkLostError(
+                    f"The connection to {self.address} takes no call.",
+                    not_run=True,
+                )
+            )
+
     async def _run_session(self) -> None:
         socket = self._context.socket(zmq.DEALER)
         socket.setsockopt(zmq.IDENTITY, secrets.token_bytes(12))
         socket.setsockopt(zmq.LINGER, 0)
-        socket.setsockopt(zmq.RECONNECT_IVL, 50)
-        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 500)
+        socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
+        monitor = ConnectionMonitor(socket)
         socket.connect(f"tcp://{self.address}")
         self._channel = Channel(socket)
-        self._heard = clock.monotonic()
+        self._answered = clock.monotonic()
+        self._ping_times.clear()
         hello = f"{wire.PROTOCOL_VERSION} {self._name}".encode()
         self._channel.send(wire.pack(wire.Kind.HELLO), hello)
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._channel.watch)
                 group.start_soon(self._receive, self._channel, group)
+                group.start_soon(self._end_when_lost, monitor, group)
                 await self._keep_alive()
                 group.cancel_scope.cancel()
         finally:
+            monitor.close()
             self._channel.close()
             self._channel = None
             self._fail_all()
 
+    async def _end_when_lost(
+        self, monitor: ConnectionMonitor, group: anyio.abc.TaskGroup
+    ) -> None:
+        """Ends the session with its connection, which may have lost frames."""
+        await monitor.lost()
+        await anyio.sleep(RECONNECT_S)
+        group.cancel_scope.cancel()
+
     async def _keep_alive(self) -> None:
         """Returns when the connection is silent or no longer needed."""
         idle_deadline = clock.monotonic() + IDLE_S
@@ -186,16 +222,17 @@
             await anyio.sleep(HEARTBEAT_S / 2)
             now = clock.monotonic()
             if not self._pending_by_call:
-                self._heard = now
+                self._answered = now
                 if now >= idle_deadline:
                     self._wanted = anyio.Event()
                     return
                 continue
             idle_deadline = now + IDLE_S
-            if now - self._heard >= SILENCE_S:
+            if now - self._answered >= SILENCE_S:
                 events.log(events.Event.PEER_SILENT, peer=self.address)
                 return
-            if now - self._heard >= HEARTBEAT_S:
+            if now - self._answered >= HEARTBEAT_S:
+                self._ping_times.append(now)
                 self._send(wire.Kind.PING, 0)
 
     def _fail_all(self) -> None:
@@ -203,7 +240,10 @@
         for pending in pending_by_call.values():
             pending.fail(
                 self._refusal
-                or LinkLostError(f"The connection to {self.address} was lost.")
+                or LinkLostError(
+                    f"The connection to {self.address} was lost.",
+                    not_run=not pending.sent,
+                )
             )
         self._refusal = None
         # Calls still waiting for the greeting must see their failure.
@@ -211,18 +251,19 @@
         self._welcomed = anyio.Event()
         self._wanted = anyio.Event()
 
-    def _send(self, kind: wire.Kind, call_id: int, body: bytes = b"") -> None:
-        if self._channel is not None:
-            self._channel.send(wire.pack(kind, call_id), body)
+    def _send(self, kind: wire.Kind, call_id: int, body: bytes = b"") -> bool:
+        if self._channel is None:
+            return False
+        return self._channel.send(wire.pack(kind, call_id), body)
 
     async def _receive(
         self, channel: Channel, group: anyio.abc.TaskGroup
     ) -> None:
         while True:
             head, body = await channel.receive()
-            self._heard = clock.monotonic()
             header = wire.unpack(head)
             if header.kind == wire.Kind.WELCOME:
+                self._answered = clock.monotonic()
                 self._welcomed.set()
             elif header.kind == wire.Kind.UNKNOWN_SESSION:
                 group.cancel_scope.cancel()
@@ -230,13 +271,21 @@
                 self._refusal = ProtocolError(body.decode())
                 events.log(events.Event.PEER_REFUSED, peer=self.address)
                 group.cancel_scope.cancel()
-            elif header.kind != wire.Kind.PONG:
+            elif header.kind == wire.Kind.PONG:
+                if self._ping_times:
+                    self._take_proof(self._ping_times.popleft())
+            else:
                 self._take(header, body)
 
+    def _take_proof(self, sent: float) -> None:
+        """Takes in that the peer has answered a frame."""
+        self._answered = max(self._answered, sent)
+
     def _take(self, header: wire.Header, body: bytes) -> None:
         pending = self._pending_by_call.get(header.call_id)
         if pending is None:
             return
+        self._take_proof(pending.sent)
         try:
             message = decode(body)
         except msgspec.DecodeError as error:
--- a/plumvane/peers/server.py
+++ b/plumvane/peers/server.py
@@ -21,7 +21,10 @@
 
 # A peer that has said nothing for this and has no calls is forgotten.
 SESSION_IDLE_S = 120.0
-SWEEP_S = 30.0
+# A peer with calls in flight asks for signs of life; one silent for this is
+# gone, and its calls are cancelled.
+SESSION_SILENCE_S = 10.0
+SWEEP_S = 2.0
 
 M = TypeVar("M", bound=Message)
 Handler = Callable[["Call", Any], Awaitable[Message]]
@@ -199,7 +202,13 @@
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(SWEEP_S)
-            oldest = clock.monotonic() - SESSION_IDLE_S
+            now = clock.monotonic()
             for identity, session in list(self._sessions_by_identity.items()):
-                if session.heard < oldest and not session.scopes_by_call:
-                    del self._sessions_by_identity[identity]
+                limit_s = SESSION_IDLE_S
+                if session.scopes_by_call:
+                    limit_s = SESSION_SILENCE_S
+                if now - session.heard < limit_s:
+                    continue
+                del self._sessions_by_identity[identity]
+                for scope in list(session.scopes_by_call.values()):
+                    scope.cancel()
