Rework claims, dispatch and commit of requests

Cause, one by one: - A new owner did not know its predecessor's claims and granted them again. - A Complete that the caller's deadline cancelled left its result marked as not stored for ever, and a Complete in an outage waited without bound. - A repeated claim of a non-idempotent request was granted before its start was durable. - Release freed non-idempotent requests whose deadline had passed while they ran, so the same key could run twice. A sidecar that had been restarted, or had forgotten an acknowledged run, told the owner "never seen". - "Not run" was claimed for a lost link, and for a key that had a result while no upstream was live. - Cancel worked only at the entry that ran the request and was not stored. - A refusal of the sidecar (deadline passed in the queue) was stored as the request's result. - Waiters on a partition that moved away were granted by the dead ledger.

Ruled out: a claim that names the sidecar's incarnation; entries know it only by reports, which lag. The time of the claim against the start of the sidecar needs no such knowledge and errs towards "unknown".

Change: a new owner fetches the entries' claims and held results, and until then grants no key that may be claimed. Results are committed by tasks of the ledger; entries hold theirs until they are durable. Orphans are settled by the owner with nobody waiting. Parts carry their offset in the answer, so that a resumed or repeated stream has no gap and no repeat. Cancel goes through the owner and is the request's stored result. Results past the document's retention are forgotten.

--- a/plumvane/entry/api.py
+++ b/plumvane/entry/api.py
@@ -28,6 +28,7 @@
     LeavingError,
     NotFoundError,
     PlumvaneError,
+    RequestCancelledError,
     UnauthorizedError,
     error_from_code,
 )
@@ -35,7 +36,13 @@
 from plumvane.fleet.document import FleetDocument, Workload, token_digest
 from plumvane.fleet.revisions import DocumentStore
 from plumvane.instances.directory import Directory
-from plumvane.peers.messages import ClaimResult, JobState, Lookup, Outcome
+from plumvane.peers.messages import (
+    CancelRequest,
+    ClaimResult,
+    JobState,
+    Lookup,
+    Outcome,
+)
 
 __all__ = ["Api"]
 
@@ -143,6 +150,7 @@
             stream=stream,
             rank=workload.rank if workload else 0,
             prefix=prompt[:PREFIX_CHARACTERS],
+            new_key="idempotency-key" not in http.headers,
         )
         running = self._runner.start(request)
         if stream:
@@ -170,6 +178,7 @@
             online=True,
             idempotent=service.idempotent,
             deadline=_deadline(http, SERVICE_TIMEOUT_S),
+            new_key="idempotency-key" not in http.headers,
         )
         return _answer_response(await self._runner.start(request).answer())
 
@@ -193,9 +202,15 @@
         """Serves POST /v1/requests/{key}/cancel."""
         team = self._team(http)
         key = http.path_params["key"]
-        if not await self._runner.cancel(team, key):
-            raise NotFoundError(f"Request {key!r} does not run here.")
-        return JSONResponse({"key": key, "state": "cancelled"})
+        partition = hashing.partition_of(team, key)
+        reply = await self._owners.call(
+            partition,
+            CancelRequest(partition, team, key),
+            deadline=clock.monotonic() + LOOKUP_TIMEOUT_S,
+        )
+        if not isinstance(reply, ClaimResult):
+            raise PlumvaneError("The owner's reply is not understood.")
+        return JSONResponse(_cancel_body(key, reply))
 
     async def submit_batch(self, http: HttpRequest) -> Response:
         """Serves POST /v1/batches."""
@@ -503,6 +518,16 @@
     return b"data: " + json.dumps(piece).encode() + b"\n\n"
 
 
+def _cancel_body(key: str, result: ClaimResult) -> dict[str, object]:
+    error = result.outcome.error
+    cancelled = error is not None and error.code == RequestCancelledError.code
+    return {
+        "key": key,
+        "state": "cancelled" if cancelled else "completed",
+        "durable": result.durable,
+    }
+
+
 def _job_body(state: JobState) -> dict[str, object]:
     return {
         "id": state.job_id,
--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import anyio
+import anyio.abc
 
-from plumvane import clock
+from plumvane import events
+from plumvane.entry.control import LinkRunControl
+from plumvane.entry.inheritance import ClaimInheritance
 from plumvane.errors import (
     NotFoundError,
     NotOwnerError,
-    PlumvaneError,
     ProtocolError,
 )
 from plumvane.fleet.current import CurrentDocument
@@ -20,6 +22,7 @@
 from plumvane.partitions.records import LogRecord
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
+    CancelRequest,
     Claim,
     Complete,
     Done,
@@ -33,20 +36,20 @@
     RangeGrant,
     Release,
     RenewClaims,
-    Settle,
-    Settled,
+    Renewed,
     SubmitJob,
 )
 from plumvane.peers.server import Call, PeerServer
-from plumvane.requests.ledger import RequestLedger
+from plumvane.requests.ledger import OwnerState, RequestLedger
 
 __all__ = ["PartitionHost"]
 
 EXPIRE_S = 1.0
-SETTLE_TIMEOUT_S = 2.0
 
 M = TypeVar("M", bound=Message)
 OwnerHandler = Callable[[M], Awaitable[Message]]
+# The first owner of a partition has no predecessor.
+FIRST_EPOCH = 1
 NO_WORK = RangeGrant(0, "", 0, 0, "", 0.0, 0.0, ())
 
 
@@ -58,6 +61,9 @@
         current: CurrentDocument,
         links: LinkPool,
         may_promise: Callable[[], bool],
+        *,
+        store_is_down: Callable[[], bool],
+        inheritance: ClaimInheritance,
     ) -> None:
         """Creates a host of no partition.
 
@@ -65,10 +71,19 @@
             current: Fleet document in force.
             links: Connections to the sidecars.
             may_promise: Whether the owner's lease covers an answer now.
+            store_is_down: Whether the store does not answer now.
+            inheritance: Fetches the claims of a former owner's time.
         """
         self._current = current
-        self._links = links
         self._may_promise = may_promise
+        self._inheritance = inheritance
+        self._state = OwnerState(
+            may_promise,
+            store_is_down,
+            lambda: float(current.document.retention_s),
+        )
+        self._control = LinkRunControl(links)
+        self._group: anyio.abc.TaskGroup | None = None
         self._ledgers_by_partition: dict[int, RequestLedger] = {}
         self._jobs_by_partition: dict[int, JobTable] = {}
         self._handlers_by_type: dict[
@@ -78,6 +93,7 @@
             Complete: self._complete,
             Release: self._release,
             RenewClaims: self._renew,
+            CancelRequest: self._cancel,
             Lookup: self._lookup,
             SubmitJob: self._submit,
             JobCall: self._job,
@@ -108,7 +124,7 @@
     ) -> None:
         """Builds the state of a partition just taken from its records."""
         ledger = RequestLedger(
-            log, may_promise=self._may_promise, settle=self._settle
+            partition, log, self._state, self._control, self._spawn
         )
         jobs = JobTable(
             log, partition, log.epoch, may_promise=self._may_promise
@@ -119,12 +135,25 @@
         jobs.start()
         self._ledgers_by_partition[partition] = ledger
         self._jobs_by_partition[partition] = jobs
+        self._spawn(ledger.run)
+        if log.epoch == FIRST_EPOCH:
+            ledger.finish_inheriting()
+        else:
+            self._spawn(self._inheritance.run, partition, ledger)
 
     def drop(self, partition: int) -> None:
         """Forgets a partition that is no longer owned."""
-        self._ledgers_by_partition.pop(partition, None)
+        ledger = self._ledgers_by_partition.pop(partition, None)
+        if ledger is not None:
+            ledger.close()
         self._jobs_by_partition.pop(partition, None)
 
+    async def run(self) -> None:
+        """Runs the tasks of the ledgers; must start before the first one."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
+
     async def expire_claims(self) -> None:
         """Takes lapsed range claims back; runs always."""
         while True:
@@ -160,12 +189,18 @@
         return Done()
 
     async def _renew(self, message: RenewClaims) -> Message:
+        known: set[str] = set()
         for ledger in self._ledgers_by_partition.values():
-            ledger.renew(set(message.request_ids))
-        return Done()
+            known |= ledger.renew(message.request_ids)
+        return Renewed(tuple(i for i in message.request_ids if i not in known))
 
     async def _lookup(self, message: Lookup) -> Message:
-        return self._ledger(message.partition).lookup(message.team, message.key)
+        ledger = self._ledger(message.partition)
+        return await ledger.lookup(message.team, message.key)
+
+    async def _cancel(self, message: CancelRequest) -> Message:
+        ledger = self._ledger(message.partition)
+        return await ledger.cancel(message.team, message.key)
 
     async def _submit(self, message: SubmitJob) -> Message:
         return await self._jobs(message.partition).submit(message)
@@ -196,15 +231,23 @@
             raise NotFoundError(f"Job {message.job_id} wants no more items.")
         return Done()
 
-    async def _settle(
-        self, address: str, request_id: str, deadline: float
-    ) -> Settled:
-        try:
-            reply = await self._links.call(
-                address,
-                Settle(request_id, deadline),
-                deadline=clock.monotonic() + SETTLE_TIMEOUT_S,
-            )
-        except PlumvaneError:
-            return Settled("unknown")
-        return reply if isinstance(reply, Settled) else Settled("unknown")
+    def _spawn(
+        self, function: Callable[..., Awaitable[Any]], *args: Any
+    ) -> None:
+        """Starts a task whose failure is logged."""
+        if self._group is None:
+            raise RuntimeError("The host does not run.")
+        self._group.start_soon(_run_logged, function, *args)
+
+
+async def _run_logged(
+    function: Callable[..., Awaitable[Any]], *args: Any
+) -> None:
+    try:
+        await function(*args)
+    except Exception as error:
+        events.log(
+            events.Event.TASK_FAILED,
+            task=getattr(function, "__qualname__", repr(function)),
+            error=repr(error),
+        )
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -9,6 +9,7 @@
 from plumvane.entry.api import Api
 from plumvane.entry.batches import BatchService
 from plumvane.entry.host import PartitionHost
+from plumvane.entry.inheritance import ClaimInheritance
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.runner import RequestRunner
 from plumvane.entry.status import FleetStatus
@@ -54,8 +55,18 @@
         self._links = LinkPool(process.name)
         self._directory = Directory(settings.platform.instances_url)
         self._store = HttpStore(settings.platform.store_url or "")
+        self._inheritance = ClaimInheritance(
+            process.name,
+            self._directory,
+            self._links,
+            lambda: self._ownership.lease_holders(),
+        )
         self._host = PartitionHost(
-            self._current, self._links, lambda: self._ownership.may_promise()
+            self._current,
+            self._links,
+            lambda: self._ownership.may_promise(),
+            store_is_down=self._store.is_down,
+            inheritance=self._inheritance,
         )
         self._ownership = Ownership(
             self._store,
@@ -65,7 +76,9 @@
             on_taken=self._host.take,
             on_lost=self._host.drop,
         )
-        self._owners = OwnerClient(self._ownership, self._host, self._links)
+        self._owners = OwnerClient(
+            self._ownership, self._host, self._links, self._store.is_down
+        )
         self._server = PeerServer(str(process.bind_address))
         self._server.handle(Report, self._take_report)
         self._server.handle(FetchDocument, self._send_document)
@@ -83,6 +96,7 @@
             for task in (
                 self._links.run,
                 self._directory.run,
+                self._host.run,
                 self._ownership.run,
                 self._host.expire_claims,
                 self._watch_document,
@@ -90,6 +104,8 @@
                 group.start_soon(supervise, task)
             async with anyio.create_task_group() as runs:
                 runner = self._make_runner(runs)
+                runner.register(self._server)
+                self._inheritance.register(self._server, runner.claims_of)
                 web = self._make_web(runner)
                 group.start_soon(web.run)
                 group.start_soon(supervise, runner.renew_claims)
--- a/plumvane/partitions/ownership.py
+++ b/plumvane/partitions/ownership.py
@@ -140,6 +140,10 @@
         found = {o.address for o in self._owners_by_partition.values()}
         return sorted(found - {""})
 
+    def lease_holders(self) -> set[str]:
+        """Returns the names of the instances that hold a lease."""
+        return set(self._leases_by_instance)
+
     def may_promise(self) -> bool:
         """Returns whether the lease covers an answer given now."""
         if self._lease is None:
--- a/plumvane/partitions/records.py
+++ b/plumvane/partitions/records.py
@@ -24,7 +24,17 @@
 
 
 class RequestStarted(_Record, frozen=True, tag="rs"):
-    """A non-idempotent request is about to be dispatched."""
+    """A non-idempotent request is about to be dispatched.
+
+    Attributes:
+        team: Team of the caller.
+        key: Idempotency key.
+        request_id: Identifier of the run.
+        digest: Digest of the request.
+        deadline: Deadline of the request, seconds since the Unix epoch.
+        sidecar_address: Sidecar that it is dispatched to.
+        time: When it was claimed, seconds since the Unix epoch.
+    """
 
     team: str
     key: str
@@ -32,6 +42,7 @@
     digest: bytes
     deadline: float
     sidecar_address: str
+    time: float = 0.0
 
 
 class RequestReleased(_Record, frozen=True, tag="rr"):
--- a/plumvane/peers/messages.py
+++ b/plumvane/peers/messages.py
@@ -16,6 +16,7 @@
 __all__ = [
     "Acknowledge",
     "Attach",
+    "CancelRequest",
     "CancelRun",
     "ChunkData",
     "ChunkStored",
@@ -27,8 +28,10 @@
     "DispatchRequest",
     "DocumentData",
     "Done",
+    "EntryClaims",
     "Failure",
     "FetchChunk",
+    "FetchClaims",
     "FetchDocument",
     "FetchViews",
     "InstanceView",
@@ -44,10 +47,12 @@
     "RangeGrant",
     "Release",
     "RenewClaims",
+    "Renewed",
     "Report",
     "ReportReply",
     "Settle",
     "Settled",
+    "StopRun",
     "StoreChunk",
     "SubmitJob",
     "TextPart",
@@ -103,7 +108,9 @@
         idempotent: Whether the request may run again.
         deadline: Deadline of the request.
         entry_address: Peer address of the claiming entry.
-        sidecar_address: Sidecar chosen for a non-idempotent request.
+        sidecar_address: Sidecar chosen for a non-idempotent request; empty
+            if none is live.
+        new_key: Whether the entry made the key, so nobody else has it.
     """
 
     partition: int
@@ -115,12 +122,19 @@
     deadline: float
     entry_address: str
     sidecar_address: str = ""
+    new_key: bool = False
 
 
 class ClaimGranted(Message, frozen=True, tag="granted"):
-    """The claimant runs the request."""
+    """The claimant runs the request.
+
+    Attributes:
+        request_id: Identifier of the run.
+        claimed_at: When the claim was made.
+    """
 
     request_id: str
+    claimed_at: float = 0.0
 
 
 class ClaimResult(Message, frozen=True, tag="result"):
@@ -163,7 +177,10 @@
 
 
 class Release(Message, frozen=True, tag="release"):
-    """Gives a claim up; no upstream was given the request."""
+    """Gives a claim up.
+
+    Of a non-idempotent request only if no upstream was given it.
+    """
 
     partition: int
     team: str
@@ -177,6 +194,48 @@
     request_ids: tuple[str, ...]
 
 
+class Renewed(Message, frozen=True, tag="renewed"):
+    """The owner's answer to `RenewClaims`.
+
+    Attributes:
+        unknown_ids: Runs that the owner has no claim of.
+    """
+
+    unknown_ids: tuple[str, ...]
+
+
+class FetchClaims(Message, frozen=True, tag="fetchclaims"):
+    """A new owner asks an entry for its claims on a partition."""
+
+    partition: int
+
+
+class EntryClaims(Message, frozen=True, tag="entryclaims"):
+    """An entry's claims on a partition.
+
+    Attributes:
+        claims: Claims of the runs that go on there.
+        results: Results that the entry holds until they are durable.
+    """
+
+    claims: tuple[Claim, ...]
+    results: tuple[Complete, ...] = ()
+
+
+class CancelRequest(Message, frozen=True, tag="cancelreq"):
+    """Asks a partition's owner to cancel a request."""
+
+    partition: int
+    team: str
+    key: str
+
+
+class StopRun(Message, frozen=True, tag="stoprun"):
+    """Tells an entry that the request of a run was cancelled."""
+
+    request_id: str
+
+
 class Lookup(Message, frozen=True, tag="lookup"):
     """Asks for a stored result."""
 
@@ -199,6 +258,7 @@
         rank: Rank of the workload; a lower one goes first.
         resume_text: Text that an earlier run already gave.
         resume_tokens: How many tokens that text has.
+        claimed_at: When the request was claimed.
     """
 
     request_id: str
@@ -211,6 +271,7 @@
     rank: int = 0
     resume_text: str = ""
     resume_tokens: int = 0
+    claimed_at: float = 0.0
 
 
 class CancelRun(Message, frozen=True, tag="cancelrun"):
@@ -234,12 +295,16 @@
         sequence: Number of the part in the run, from 0.
         text: The text.
         tokens: How many tokens it holds.
+        offset: Characters of the answer before it.
+        token_offset: Tokens of the answer before it.
     """
 
     request_id: str
     sequence: int
     text: str
     tokens: int
+    offset: int = 0
+    token_offset: int = 0
 
 
 class Acknowledge(Message, frozen=True, tag="ack"):
@@ -249,14 +314,27 @@
 
 
 class Settle(Message, frozen=True, tag="settle"):
-    """Asks what became of a run, and forbids it if it is unseen."""
+    """Asks what became of a run, and forbids it if it is unseen.
+
+    Attributes:
+        request_id: Identifier of the run.
+        deadline: Deadline of the request.
+        claimed_at: When the request was claimed.
+    """
 
     request_id: str
     deadline: float
+    claimed_at: float = 0.0
 
 
 class Settled(Message, frozen=True, tag="settled"):
-    """What became of a run: `forbidden`, `running` or `done`."""
+    """What became of a run.
+
+    Attributes:
+        state: `forbidden`, `running`, `done`, or `unknown` if the sidecar
+            cannot tell whether it ran.
+        outcome: The answer, if it is done.
+    """
 
     state: str
     outcome: Outcome | None = None
--- a/plumvane/requests/ledger.py
+++ b/plumvane/requests/ledger.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import abc
 import dataclasses
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
 
@@ -12,8 +13,12 @@
     DeadlineExceededError,
     KeyReusedError,
     NotFoundError,
+    NotOwnerError,
     OutcomeUnknownError,
+    PlumvaneError,
+    RequestCancelledError,
     StoreUnavailableError,
+    UpstreamUnavailableError,
 )
 from plumvane.partitions.log import PartitionLog
 from plumvane.partitions.records import (
@@ -28,40 +33,61 @@
     ClaimResult,
     Committed,
     Complete,
+    EntryClaims,
     Failure,
     Outcome,
     Settled,
 )
+from plumvane.requests.claims import ClaimedRun, ClaimTable, RequestKey
+from plumvane.requests.results import ResultTable
 
-__all__ = ["RequestLedger", "Settler"]
+__all__ = ["OwnerState", "RequestLedger", "RunControl", "unknown_outcome"]
 
 # A claim that its entry has not renewed for this is orphaned.
 CLAIM_SILENCE_S = 4.0
+REAP_S = 0.5
+# A claim or a result waits this long for its commit.
+COMMIT_WAIT_S = 1.0
+# How long a sidecar that runs an orphan is left before it is asked again.
+SETTLE_POLL_S = 0.5
+RETRY_AFTER_S = 2.0
 
-Settler = Callable[[str, str, float], Awaitable[Settled]]
+Spawn = Callable[..., None]
 
 
-@dataclasses.dataclass(slots=True)
-class _Run:
-    """A request that runs.
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerState:
+    """What the owner knows of its lease and of the store.
 
     Attributes:
-        request_id: Identifier of the run.
-        digest: Digest of the request.
-        idempotent: Whether it may run again.
-        deadline: Deadline of the request.
-        sidecar_address: Sidecar of a non-idempotent run.
-        renewed: Monotonic time at which its entry last named it.
-        ended: Set when the run has a result or was released.
+        may_promise: Whether the owner's lease covers an answer now.
+        store_is_down: Whether the store does not answer now.
+        retention_s: How long results are kept, in seconds.
     """
 
-    request_id: str
-    digest: bytes
-    idempotent: bool
-    deadline: float
-    sidecar_address: str
-    renewed: float
-    ended: anyio.Event
+    may_promise: Callable[[], bool]
+    store_is_down: Callable[[], bool]
+    retention_s: Callable[[], float]
+
+
+class RunControl(abc.ABC):
+    """Reaches the sidecars and entries that run a claimed request."""
+
+    @abc.abstractmethod
+    async def settle(self, run: ClaimedRun) -> Settled:
+        """Asks a run's sidecar what became of it, and forbids an unseen run.
+
+        Returns:
+            The sidecar's word; `unknown` if it is lost.
+        """
+
+    @abc.abstractmethod
+    async def stop(self, run: ClaimedRun) -> None:
+        """Tells a run's entry and sidecar that it was cancelled."""
+
+    @abc.abstractmethod
+    async def forget(self, run: ClaimedRun) -> None:
+        """Lets a run's sidecar forget its answer."""
 
 
 class RequestLedger:
@@ -69,46 +95,95 @@
 
     def __init__(
         self,
+        partition: int,
         log: PartitionLog,
-        *,
-        may_promise: Callable[[], bool],
-        settle: Settler,
+        state: OwnerState,
+        control: RunControl,
+        spawn: Spawn,
     ) -> None:
-        """Creates an empty ledger.
+        """Creates an empty ledger that grants no claim it cannot prove free.
 
         Args:
+            partition: Number of the partition.
             log: The partition's log.
-            may_promise: Whether the owner's lease covers an answer now.
-            settle: Asks a sidecar what became of a run.
+            state: The owner's lease and store.
+            control: Reaches the runs.
+            spawn: Starts a task, as `TaskGroup.start_soon`.
         """
+        self._partition = partition
         self._log = log
-        self._may_promise = may_promise
-        self._settle = settle
-        self._results_by_key: dict[tuple[str, str], RequestCompleted] = {}
-        self._runs_by_key: dict[tuple[str, str], _Run] = {}
-        self._held_keys: set[tuple[str, str]] = set()
+        self._state = state
+        self._control = control
+        self._spawn = spawn
+        self._results = ResultTable()
+        self._claims = ClaimTable()
+        self._inherited = anyio.Event()
+        self._closed = False
 
     def __len__(self) -> int:
-        return len(self._results_by_key)
+        return len(self._results)
 
     def apply(self, record: LogRecord) -> None:
         """Takes a record of the log in, in the order of the log."""
         if isinstance(record, RequestCompleted):
-            key = (record.team, record.key)
-            self._results_by_key.setdefault(key, record)
-            self._end_run(key)
+            self._results.add_stored(record)
+            self._claims.end((record.team, record.key))
         elif isinstance(record, RequestStarted):
-            self._runs_by_key[record.team, record.key] = _Run(
-                record.request_id,
-                record.digest,
-                False,
-                record.deadline,
-                record.sidecar_address,
-                clock.monotonic(),
-                anyio.Event(),
-            )
+            self._apply_started(record)
         elif isinstance(record, RequestReleased):
-            self._end_run((record.team, record.key))
+            self._claims.end((record.team, record.key), record.request_id)
+
+    def announce(self, announced: EntryClaims) -> None:
+        """Takes in an entry's claims and results of the last owner's time.
+
+        Idempotent runs only: the log has the others.
+        """
+        for message in announced.results:
+            if self._results.get((message.team, message.key)) is None:
+                self._put_result(message)
+        for claim in announced.claims:
+            key = (claim.team, claim.key)
+            if self._claims.renew(claim.request_id) or not claim.idempotent:
+                continue
+            if self._results.get(key) is None and self._claims.get(key) is None:
+                self._claims.add(claim, clock.wall()).started.set()
+
+    def finish_inheriting(self) -> None:
+        """Ends the time in which entries announce the claims they have."""
+        self._inherited.set()
+
+    def close(self) -> None:
+        """Ends all waiting; the partition is no longer owned here."""
+        self._closed = True
+        self._inherited.set()
+        self._results.release_waiters()
+        for run in self._claims:
+            self._claims.end(run.key)
+
+    async def run(self) -> None:
+        """Settles orphaned runs and forgets old results until closed."""
+        while not self._closed:
+            await anyio.sleep(REAP_S)
+            if self._state.may_promise() or self._state.store_is_down():
+                self.reap()
+            self._results.forget_before(
+                clock.wall() - self._state.retention_s()
+            )
+
+    def reap(self) -> None:
+        """Gives up the claims of entries that have gone silent."""
+        silent = clock.monotonic() - CLAIM_SILENCE_S
+        for run in self._claims:
+            if run.renewed > silent or run.is_settling:
+                continue
+            events.log(
+                events.Event.CLAIM_ORPHANED, request_id=run.claim.request_id
+            )
+            if run.claim.idempotent:
+                self._claims.end(run.key)
+            else:
+                run.is_settling = True
+                self._spawn(self._settle_orphan, run)
 
     async def claim(self, claim: Claim) -> ClaimGranted | ClaimResult:
         """Grants the right to run a request, or returns its result.
@@ -119,30 +194,33 @@
             KeyReusedError: The key was used with another body.
             DeadlineExceededError: The deadline passed while waiting.
             StoreUnavailableError: A non-idempotent run cannot be recorded.
+            UpstreamUnavailableError: There is no sidecar for it.
             NotOwnerError: Another instance took the partition.
         """
         key = (claim.team, claim.key)
         while True:
-            result = self._result(key, claim.digest)
-            if result is not None:
-                return result
-            run = self._runs_by_key.get(key)
+            self._check_open()
+            if (found := self._results.get(key)) is not None:
+                _check_digest(key, found.digest, claim.digest)
+                return await self._claim_result(key, found)
+            run = self._claims.get(key)
             if run is None:
-                return await self._grant(key, claim)
-            if run.digest != claim.digest:
-                raise KeyReusedError(
-                    f"Key {claim.key!r} runs with another body."
-                )
-            if run.request_id == claim.request_id:
-                return ClaimGranted(claim.request_id)
-            await self._wait(key, run, claim.deadline)
-
-    def renew(self, request_ids: set[str]) -> None:
-        """Takes in that entries still run these requests."""
-        now = clock.monotonic()
-        for run in self._runs_by_key.values():
-            if run.request_id in request_ids:
-                run.renewed = now
+                if not self._inherited.is_set() and not _is_free(claim):
+                    await self._wait(self._inherited, claim)
+                    continue
+                return await self._grant(claim)
+            _check_digest(key, run.claim.digest, claim.digest)
+            if run.claim.request_id == claim.request_id:
+                return await self._granted(run)
+            await self._wait(run.ended, claim)
+
+    def renew(self, request_ids: tuple[str, ...]) -> set[str]:
+        """Takes in that entries still run these requests.
+
+        Returns:
+            Those that this ledger knows.
+        """
+        return {i for i in request_ids if self._claims.renew(i)}
 
     async def complete(self, message: Complete) -> Committed:
         """Commits a run's result unless the request has one.
@@ -153,150 +231,262 @@
         Raises:
             NotOwnerError: Another instance took the partition.
         """
+        self._check_open()
         key = (message.team, message.key)
-        found = self._results_by_key.get(key)
+        found = self._results.get(key)
         if found is None:
-            record = RequestCompleted(
-                message.team,
-                message.key,
-                message.request_id,
-                message.digest,
-                message.outcome,
-                clock.wall(),
-            )
-            self._results_by_key[key] = found = record
-            self._held_keys.add(key)
-            await self._commit_result(key, record)
-        durable = key not in self._held_keys
-        if found.request_id == message.request_id:
-            return Committed(found.request_id, durable=durable)
-        return Committed(found.request_id, found.outcome, durable=durable)
+            found = self._put_result(message)
+        result = await self._claim_result(key, found)
+        if result.outcome == message.outcome:
+            return Committed(result.request_id, durable=result.durable)
+        return Committed(result.request_id, result.outcome, result.durable)
 
     async def release(self, team: str, key: str, request_id: str) -> None:
-        """Gives a claim up that was not run."""
-        run = self._runs_by_key.get((team, key))
-        if run is None or run.request_id != request_id:
-            return
-        if not run.idempotent:
-            await self._log.commit(RequestReleased(team, key, request_id))
-        self._end_run((team, key))
+        """Gives a claim up.
 
-    def lookup(self, team: str, key: str) -> ClaimResult:
-        """Returns a stored result.
+        Raises:
+            NotOwnerError: Another instance took the partition.
+        """
+        self._check_open()
+        run = self._claims.get((team, key))
+        if run is not None and run.claim.request_id == request_id:
+            self._withdraw(run)
+
+    async def cancel(self, team: str, key: str) -> ClaimResult:
+        """Cancels a request that runs; a finished one keeps its result.
+
+        Returns:
+            The result of the request.
 
         Raises:
-            NotFoundError: The request is unknown, or still runs.
+            NotFoundError: The request is unknown.
+            NotOwnerError: Another instance took the partition.
         """
-        found = self._results_by_key.get((team, key))
+        await self._inherited.wait()
+        self._check_open()
+        found = self._results.get((team, key))
         if found is None:
-            state = "unknown"
-            if (team, key) in self._runs_by_key:
-                state = "still running"
-            raise NotFoundError(f"Request {key!r} is {state}.")
-        durable = (team, key) not in self._held_keys
-        return ClaimResult(found.request_id, found.outcome, durable)
+            run = self._claims.get((team, key))
+            if run is None:
+                raise NotFoundError(f"Request {key!r} is unknown.")
+            found = self._put_result(_completion(run, cancelled_outcome()))
+            self._spawn(self._control.stop, run)
+        return await self._claim_result((team, key), found)
+
+    async def lookup(self, team: str, key: str) -> ClaimResult:
+        """Returns a stored result.
 
-    def _result(
-        self, key: tuple[str, str], digest: bytes
-    ) -> ClaimResult | None:
-        found = self._results_by_key.get(key)
+        Raises:
+            NotFoundError: The request is unknown, or still runs.
+            NotOwnerError: Another instance took the partition.
+        """
+        found = self._results.get((team, key))
         if found is None:
-            return None
-        if found.digest != digest:
-            raise KeyReusedError(f"Key {key[1]!r} has another body's result.")
-        return ClaimResult(
-            found.request_id, found.outcome, key not in self._held_keys
+            await self._inherited.wait()
+            found = self._results.get((team, key))
+        self._check_open()
+        if found is not None:
+            return await self._claim_result((team, key), found)
+        state = "unknown"
+        if self._claims.get((team, key)) is not None:
+            state = "still running"
+        raise NotFoundError(f"Request {key!r} is {state}.")
+
+    def _apply_started(self, record: RequestStarted) -> None:
+        claim = Claim(
+            self._partition,
+            record.team,
+            record.key,
+            record.request_id,
+            record.digest,
+            False,
+            record.deadline,
+            "",
+            record.sidecar_address,
         )
+        self._claims.add(claim, record.time).started.set()
+
+    def _check_open(self) -> None:
+        if self._closed or self._log.lost:
+            raise NotOwnerError("Another instance owns the partition.")
+
+    def _check_lease(self) -> None:
+        """Refuses to answer on a lapsed lease while the store is up."""
+        if not self._state.may_promise() and not self._state.store_is_down():
+            raise NotOwnerError("The owner's lease has lapsed.")
+
+    async def _claim_result(
+        self, key: RequestKey, found: RequestCompleted
+    ) -> ClaimResult:
+        """Returns a result once it is stored, or soon if the store is down."""
+        if not self._results.is_stored(key):
+            if not self._state.store_is_down():
+                with anyio.move_on_after(COMMIT_WAIT_S):
+                    await self._results.stored(key)
+            self._check_open()
+        durable = self._results.is_stored(key)
+        if not durable:
+            self._check_lease()
+        return ClaimResult(found.request_id, found.outcome, durable)
 
-    async def _grant(self, key: tuple[str, str], claim: Claim) -> ClaimGranted:
-        if not claim.idempotent and not self._may_promise():
-            raise StoreUnavailableError(
-                "The store does not answer, so the run cannot be recorded.",
+    async def _grant(self, claim: Claim) -> ClaimGranted:
+        if claim.idempotent:
+            self._check_lease()
+            run = self._claims.add(claim, clock.wall())
+            run.started.set()
+            return ClaimGranted(claim.request_id, run.claimed_at)
+        if not self._state.may_promise() or self._state.store_is_down():
+            raise _not_recorded()
+        if not claim.sidecar_address:
+            raise UpstreamUnavailableError(
+                "No upstream is live.",
                 not_run=True,
-                retry_after_s=2.0,
+                retry_after_s=RETRY_AFTER_S,
             )
-        run = _Run(
-            claim.request_id,
-            claim.digest,
-            claim.idempotent,
-            claim.deadline,
-            claim.sidecar_address,
-            clock.monotonic(),
-            anyio.Event(),
-        )
-        self._runs_by_key[key] = run
-        if not claim.idempotent:
-            await self._log.commit(
-                RequestStarted(
-                    claim.team,
-                    claim.key,
-                    claim.request_id,
-                    claim.digest,
-                    claim.deadline,
-                    claim.sidecar_address,
-                )
+        run = self._claims.add(claim, clock.wall())
+        self._spawn(self._record_start, run)
+        return await self._granted(run)
+
+    async def _granted(self, run: ClaimedRun) -> ClaimGranted:
+        """Grants a run once its start is durable, or withdraws it."""
+        with anyio.move_on_after(COMMIT_WAIT_S):
+            await run.started.wait()
+        self._check_open()
+        if not run.started.is_set():
+            self._withdraw(run)
+        if run.ended.is_set():
+            raise _not_recorded()
+        return ClaimGranted(run.claim.request_id, run.claimed_at)
+
+    async def _record_start(self, run: ClaimedRun) -> None:
+        claim = run.claim
+        await self._commit(
+            RequestStarted(
+                claim.team,
+                claim.key,
+                claim.request_id,
+                claim.digest,
+                claim.deadline,
+                claim.sidecar_address,
+                run.claimed_at,
             )
-        return ClaimGranted(claim.request_id)
-
-    async def _wait(
-        self, key: tuple[str, str], run: _Run, deadline: float
-    ) -> None:
-        """Waits for a run's end, for its loss or for a deadline."""
-        left_s = deadline - clock.wall()
-        if left_s <= 0:
-            raise DeadlineExceededError(
-                f"Request {key[1]!r} still runs; its result stays readable."
+        )
+        run.started.set()
+
+    def _withdraw(self, run: ClaimedRun) -> None:
+        """Ends a run that was not given to an upstream."""
+        self._claims.end(run.key, run.claim.request_id)
+        if not run.claim.idempotent:
+            self._spawn(
+                self._commit,
+                RequestReleased(*run.key, run.claim.request_id),
             )
-        silent_at = run.renewed + CLAIM_SILENCE_S
-        wait_s = min(left_s, max(0.05, silent_at - clock.monotonic()))
-        with anyio.move_on_after(wait_s):
-            await run.ended.wait()
-            return
-        if run.renewed + CLAIM_SILENCE_S <= clock.monotonic():
-            await self._recover_orphan(key, run)
 
-    async def _recover_orphan(self, key: tuple[str, str], run: _Run) -> None:
-        events.log(events.Event.CLAIM_ORPHANED, request_id=run.request_id)
-        if run.idempotent:
-            self._end_run(key)
-            return
-        settled = await self._settle(
-            run.sidecar_address, run.request_id, run.deadline
-        )
-        if settled.state == "forbidden":
-            await self.release(key[0], key[1], run.request_id)
-        elif settled.state == "done" and settled.outcome is not None:
-            await self._store_outcome(key, run, settled.outcome)
-        elif settled.state == "unknown":
-            await self._store_outcome(key, run, unknown_outcome())
-        else:
-            run.renewed = clock.monotonic()
-
-    async def _store_outcome(
-        self, key: tuple[str, str], run: _Run, outcome: Outcome
-    ) -> None:
-        await self.complete(
-            Complete(0, key[0], key[1], run.request_id, run.digest, outcome)
+    def _put_result(self, message: Complete) -> RequestCompleted:
+        record = RequestCompleted(
+            message.team,
+            message.key,
+            message.request_id,
+            message.digest,
+            message.outcome,
+            clock.wall(),
         )
+        key = (message.team, message.key)
+        self._results.hold(record)
+        self._claims.end(key)
+        self._spawn(self._store_result, key, record)
+        return record
 
-    async def _commit_result(
-        self, key: tuple[str, str], record: RequestCompleted
+    async def _store_result(
+        self, key: RequestKey, record: RequestCompleted
     ) -> None:
-        """Commits a result, then lets the callers that wait see it."""
-        await self._log.commit(record)
-        self._held_keys.discard(key)
-        self._end_run(key)
+        if await self._commit(record):
+            self._results.mark_stored(key)
+
+    async def _commit(self, record: LogRecord) -> bool:
+        """Commits a record; returns whether the partition is still owned."""
+        try:
+            await self._log.commit(record)
+        except NotOwnerError:
+            self.close()
+            return False
+        return True
+
+    async def _wait(self, event: anyio.Event, claim: Claim) -> None:
+        """Waits for an event until the claim's deadline."""
+        with anyio.move_on_after(max(0.0, claim.deadline - clock.wall())):
+            await event.wait()
+            return
+        raise DeadlineExceededError(
+            f"Request {claim.key!r} still runs; its result stays readable."
+        )
 
-    def _end_run(self, key: tuple[str, str]) -> None:
-        run = self._runs_by_key.pop(key, None)
-        if run is not None:
-            run.ended.set()
+    async def _settle_orphan(self, run: ClaimedRun) -> None:
+        """Asks an orphan's sidecar until it has a result or never runs."""
+        while not run.ended.is_set() and not self._closed:
+            settled = await self._control.settle(run)
+            if settled.state == "running":
+                await anyio.sleep(SETTLE_POLL_S)
+                continue
+            if run.ended.is_set() or self._closed:
+                return
+            if settled.state == "forbidden":
+                self._withdraw(run)
+                return
+            outcome = settled.outcome or unknown_outcome()
+            await self._store_orphan(run, outcome)
+
+    async def _store_orphan(self, run: ClaimedRun, outcome: Outcome) -> None:
+        self._put_result(_completion(run, outcome))
+        await self._results.stored(run.key)
+        if self._results.is_stored(run.key):
+            await self._control.forget(run)
 
 
 def unknown_outcome() -> Outcome:
     """Returns the answer for a run that cannot be settled."""
-    error = OutcomeUnknownError(
-        "The upstream was lost after the request was sent; it may have run."
+    return _error_outcome(
+        OutcomeUnknownError(
+            "The upstream was lost after the request was sent; it may have run."
+        )
     )
+
+
+def cancelled_outcome() -> Outcome:
+    """Returns the answer for a request that was cancelled."""
+    return _error_outcome(RequestCancelledError("The request was cancelled."))
+
+
+def _error_outcome(error: PlumvaneError) -> Outcome:
     failure = Failure(error.code, error.detail, error.remedy)
     return Outcome(error.status, b"", error=failure)
+
+
+def _not_recorded() -> StoreUnavailableError:
+    return StoreUnavailableError(
+        "The store does not answer, so the run cannot be recorded.",
+        not_run=True,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _is_free(claim: Claim) -> bool:
+    """Returns whether no former claim of the key can be unknown here."""
+    return claim.new_key or not claim.idempotent
+
+
+def _check_digest(key: RequestKey, first: bytes, second: bytes) -> None:
+    if first != second:
+        raise KeyReusedError(f"Key {key[1]!r} was sent with another body.")
+
+
+def _completion(run: ClaimedRun, outcome: Outcome) -> Complete:
+    claim = run.claim
+    return Complete(
+        claim.partition,
+        claim.team,
+        claim.key,
+        claim.request_id,
+        claim.digest,
+        outcome,
+    )
--- a/plumvane/sidecar/dispatcher.py
+++ b/plumvane/sidecar/dispatcher.py
@@ -9,13 +9,15 @@
 import anyio
 import anyio.abc
 
-from plumvane import clock
+from plumvane import clock, events
 from plumvane.errors import (
     BadRequestError,
     DeadlineExceededError,
     LeavingError,
+    OutcomeUnknownError,
     PlumvaneError,
     RequestCancelledError,
+    UpstreamFailedError,
 )
 from plumvane.peers.messages import (
     Acknowledge,
@@ -26,7 +28,6 @@
     Message,
     Outcome,
     Settle,
-    Settled,
 )
 from plumvane.peers.server import Call, PeerServer, failure_from_error
 from plumvane.upstreams.engine import EngineClient
@@ -101,13 +102,7 @@
 
     async def settle(self, call: Call, message: Settle) -> Message:
         """Tells what became of a run, and forbids an unseen one."""
-        run = self._runs.get(message.request_id)
-        if run is None:
-            self._runs.forbid(message.request_id, message.deadline)
-            return Settled("forbidden")
-        if run.outcome is None:
-            return Settled("running")
-        return Settled("done", run.outcome)
+        return self._runs.settle(message)
 
     async def cancel(self, call: Call, message: CancelRun) -> Message:
         """Cancels a run; a finished one keeps its answer."""
@@ -120,14 +115,15 @@
 
     async def _follow(self, call: Call, run: Run, sequence: int) -> Outcome:
         """Sends parts as they come; returns the outcome after the last."""
-        while True:
-            if run.request.stream:
-                while sequence < len(run.parts):
-                    call.send_part(run.parts[sequence])
-                    sequence += 1
-            if run.outcome is not None:
-                return run.outcome
-            await run.changed()
+        with run.followed():
+            while True:
+                if run.request.stream:
+                    while sequence < len(run.parts):
+                        call.send_part(run.parts[sequence])
+                        sequence += 1
+                if run.outcome is not None:
+                    return run.outcome
+                await run.changed()
 
     async def _execute(self, run: Run) -> None:
         request = run.request
@@ -142,10 +138,21 @@
                 finally:
                     self._gate.leave(work)
             except PlumvaneError as error:
-                run.end(_error_outcome(error))
+                run.end(_outcome_of(run, error))
+            except Exception as error:
+                events.log(
+                    events.Event.TASK_FAILED, task="run", error=repr(error)
+                )
+                failed = UpstreamFailedError("The sidecar failed.")
+                run.end(_outcome_of(run, failed))
 
     async def _run_upstream(self, run: Run) -> Outcome:
         request = run.request
+        if request.deadline <= clock.wall():
+            raise DeadlineExceededError(
+                "The deadline passed in the queue.", not_run=True
+            )
+        run.is_given = True
         try:
             with anyio.fail_after(max(0.0, request.deadline - clock.wall())):
                 if isinstance(self._upstream, ServiceClient):
@@ -225,6 +232,18 @@
     return Outcome(error.status, b"", error=failure_from_error(error))
 
 
+def _outcome_of(run: Run, error: PlumvaneError) -> Outcome:
+    """Returns the outcome of a run that ended with an error.
+
+    A non-idempotent run may have taken effect unless the error says not.
+    """
+    lost = isinstance(error, UpstreamFailedError | DeadlineExceededError)
+    may_have_run = run.is_given and not error.not_run
+    if lost and may_have_run and not run.request.idempotent:
+        error = OutcomeUnknownError(f"{error.detail} It may have run.")
+    return _error_outcome(error)
+
+
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
         value = json.loads(body)
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -28,7 +28,7 @@
 
 __all__ = ["Sidecar", "run"]
 
-SWEEP_S = 30.0
+SWEEP_S = 5.0
 DRAIN_POLL_S = 0.05
 
 
--- a/plumvane/store/http.py
+++ b/plumvane/store/http.py
@@ -21,6 +21,8 @@
 __all__ = ["HttpStore"]
 
 CALL_TIMEOUT_S = 2.0
+# The store is down once calls have failed for this with none answered.
+DOWN_AFTER_S = 0.5
 # A watch answers at its deadline; the margin covers the way back.
 WATCH_MARGIN_S = 2.0
 RETRY_AFTER_S = 2.0
@@ -39,6 +41,12 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=64, keepalive_expiry=30.0
         )
+        self._failing_since: float | None = None
+
+    def is_down(self) -> bool:
+        """Returns whether calls have only failed for a while."""
+        since = self._failing_since
+        return since is not None and clock.monotonic() - since >= DOWN_AFTER_S
 
     async def aclose(self) -> None:
         """Closes the connections."""
@@ -126,7 +134,7 @@
         content: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, dict[str, str], bytes]:
-        """Sends one call.
+        """Sends one call and takes in whether the store answers.
 
         Returns:
             The status, the headers by lower-case name and the body.
@@ -134,6 +142,23 @@
         Raises:
             StoreUnavailableError: No answer, or an answer of the 500s.
         """
+        try:
+            answer = await self._send(method, path, headers, content, timeout_s)
+        except StoreUnavailableError:
+            if self._failing_since is None:
+                self._failing_since = clock.monotonic()
+            raise
+        self._failing_since = None
+        return answer
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None,
+        content: bytes,
+        timeout_s: float,
+    ) -> tuple[int, dict[str, str], bytes]:
         try:
             with anyio.fail_after(timeout_s):
                 response = await self._pool.request(
--- a/plumvane/upstreams/service.py
+++ b/plumvane/upstreams/service.py
@@ -4,12 +4,13 @@
 
 import httpcore
 
-from plumvane.errors import UpstreamFailedError
+from plumvane.errors import UpstreamFailedError, UpstreamUnavailableError
 from plumvane.peers.messages import Outcome
 
 __all__ = ["ServiceClient"]
 
 CONNECTIONS = 256
+RETRY_AFTER_S = 1.0
 
 
 class ServiceClient:
@@ -33,6 +34,7 @@
             body: Body of the call.
 
         Raises:
+            UpstreamUnavailableError: The service was not reached.
             UpstreamFailedError: The service was lost; it may have run.
         """
         try:
@@ -45,6 +47,12 @@
                 },
                 content=body,
             )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise UpstreamUnavailableError(
+                "The service does not accept connections.",
+                not_run=True,
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import httpcore
+
 from standins.launcher import (
     MODEL,
     OPERATOR_TOKEN,
@@ -108,6 +110,30 @@
         )
         return status, json.loads(answer)
 
+    def stream(
+        self,
+        entry: Process,
+        prompt: str,
+        *,
+        key: str | None = None,
+        max_tokens: int = 6,
+    ) -> Iterator[dict[str, Any]]:
+        """Yields the events of a streamed completion as they come."""
+        body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens}
+        with httpcore.stream(
+            "POST",
+            f"{entry.url}/v1/completions",
+            headers=list(self._headers(key).items()),
+            content=json.dumps({**body, "stream": True}).encode(),
+            extensions={"timeout": {"read": OUTER_DEADLINE_S}},
+        ) as response:
+            rest = b""
+            for data in response.iter_stream():
+                *lines, rest = (rest + data).split(b"\n")
+                for line in lines:
+                    if line.startswith(b"data: {"):
+                        yield json.loads(line[6:])
+
     def quote(
         self, entry: Process, body: Any, *, key: str | None = None
     ) -> tuple[int, Any]:
