--- a/plumvane/httppool.py
+++ b/plumvane/httppool.py
@@ -17,7 +17,8 @@
 
 __all__ = ["NETWORK_ERRORS", "HttpPool"]
 
-KEEPALIVE_S = 30.0
+# Shorter than servers usually keep an idle connection.
+KEEPALIVE_S = 4.0
 
 #: What a call raises if the other side is lost or misbehaves.
 NETWORK_ERRORS = (
--- a/plumvane/upstreams/service.py
+++ b/plumvane/upstreams/service.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from plumvane.errors import UpstreamFailedError
+import httpcore
+
+from plumvane.errors import UpstreamFailedError, UpstreamUnavailableError
 from plumvane.httppool import NETWORK_ERRORS, HttpPool
 from plumvane.peers.messages import Outcome
 
 __all__ = ["ServiceClient"]
 
+RETRY_AFTER_S = 1.0
+
 
 class ServiceClient:
     """Calls one plain service over HTTP."""
@@ -30,6 +34,7 @@
             body: Body of the call.
 
         Raises:
+            UpstreamUnavailableError: The service was not reached.
             UpstreamFailedError: The service was lost; it may have run.
         """
         try:
@@ -42,6 +47,12 @@
                 ],
                 content=body,
             )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise UpstreamUnavailableError(
+                "The service does not accept connections.",
+                not_run=True,
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
         except NETWORK_ERRORS as error:
             raise UpstreamFailedError(
                 f"The service was lost: {type(error).__name__}."
