Keep configuration changes whole across lost answers and outages

Cause: a look through the path of a change found eight faults. A refusal during a store outage masked its own error as store_unavailable and was not recorded. A change whose answer was lost twice was recorded as refused though it may have taken effect. A resent change met a conflict with itself. The trail was read before the document, so a change made in between hid its predecessor. An entry started again knew revision 0: it refused all tokens, said it was ready, and took anybody as the first operator. Entries learned from the store alone. A sidecar whose two entries were frozen learned nothing. A document without operators locked everybody out.

Ruled out: a key chosen by the caller for each change (operators forget it; operator, base revision and content name a change as well), and a shorter store watch (360 waiting watches renewed each second are a fifth of the store's reads).

Refusals wait in bounded memory for the store. Entries ask three peers in turn and fetch what a heartbeat shows to be newer. Readiness and tokens need a document. Whole-document checks stand in a registry.

A refusal that waits for the store is lost with its process; the log has it.

--- a/plumvane/bulk/main.py
+++ b/plumvane/bulk/main.py
@@ -13,6 +13,7 @@
     ChunkData,
     ChunkStored,
     FetchChunk,
+    FetchDocument,
     Message,
     Report,
     StoreChunk,
@@ -45,6 +46,7 @@
         self._server = PeerServer(str(process.bind_address))
         self._server.handle(StoreChunk, self._store)
         self._server.handle(FetchChunk, self._fetch)
+        self._server.handle(FetchDocument, self._send_document)
         self._reporter = Reporter(
             process.name,
             self._directory,
@@ -86,6 +88,11 @@
     async def _fetch(self, call: Call, message: FetchChunk) -> Message:
         return ChunkData(await self._folder.fetch(message.digest))
 
+    async def _send_document(
+        self, call: Call, message: FetchDocument
+    ) -> Message:
+        return self._current.answer(message)
+
 
 async def _serve(settings: BulkSettings, stopping: anyio.Event) -> None:
     await Bulk(settings).serve(stopping)
--- a/plumvane/cli/main.py
+++ b/plumvane/cli/main.py
@@ -11,6 +11,7 @@
 from absl import app, flags
 
 from plumvane.cli.client import EntryClient
+from plumvane.entry import checks as _checks  # noqa: F401
 from plumvane.errors import BadRequestError, PlumvaneError
 from plumvane.fleet import document as fleet_document
 
@@ -50,7 +51,7 @@
 @command("config check")
 def config_check(client: EntryClient, args: list[str]) -> Any:
     """Config check FILE: checks a fleet document."""
-    fleet_document.parse(_read(args, 0))
+    fleet_document.check(_read(args, 0))
     return {"valid": True}
 
 
@@ -64,7 +65,7 @@
 def config_apply(client: EntryClient, args: list[str]) -> Any:
     """Config apply FILE REVISION: changes the document of a revision."""
     body = _read(args, 0)
-    fleet_document.parse(body)
+    fleet_document.check(body)
     return client.json(
         "PUT",
         "/v1/fleet/document",
--- a/plumvane/entry/api.py
+++ b/plumvane/entry/api.py
@@ -23,11 +23,13 @@
 from plumvane.errors import (
     BadRequestError,
     BodyTooLargeError,
+    ConflictError,
     DeadlineExceededError,
     ForbiddenError,
     LeavingError,
     NotFoundError,
     PlumvaneError,
+    StoreUnavailableError,
     UnauthorizedError,
     error_from_code,
 )
@@ -46,6 +48,9 @@
 LOOKUP_TIMEOUT_S = 5.0
 SERVICE_TIMEOUT_S = 60.0
 
+# Who applies the first document, which names the operators.
+FIRST_OPERATOR = "first-operator"
+
 Handler = Callable[[HttpRequest], Awaitable[Response]]
 
 
@@ -236,21 +241,29 @@
 
     async def show_document(self, http: HttpRequest) -> Response:
         """Serves GET /v1/fleet/document."""
-        self._operator(http, "view")
-        revision, _ = await self._documents.read()
-        return JSONResponse(
-            {
-                "revision": revision.number,
-                "document": json.loads(revision.document),
-            }
+        await self._operator(http, "view")
+        try:
+            revision, _ = await self._documents.read()
+        except StoreUnavailableError:
+            # What is in force here goes on being in force.
+            return _document_response(
+                self._current.revision, self._current.data, from_store=False
+            )
+        return _document_response(
+            revision.number, revision.document, from_store=True
         )
 
     async def apply_document(self, http: HttpRequest) -> Response:
         """Serves PUT /v1/fleet/document."""
-        operator = self._operator(http, "change")
-        from_revision = _from_revision(http)
-        body = await _read_body(http)
+        operator = await self._operator(http, "view")
+        from_revision = 0
+        body = b""
         try:
+            from_revision = _from_revision(http)
+            body = await _read_body(http)
+            await self._operator(http, "change")
+            if operator == FIRST_OPERATOR and from_revision != 0:
+                raise ConflictError("The first change is based on revision 0.")
             revision = await self._documents.apply(
                 body, from_revision=from_revision, operator=operator
             )
@@ -259,20 +272,22 @@
                 from_revision=from_revision,
                 operator=operator,
                 refusal=error.code,
+                document=body,
             )
             raise
-        self._current.offer(revision)
+        if revision.document:
+            self._current.offer(revision)
         return JSONResponse({"revision": revision.number})
 
     async def show_audit(self, http: HttpRequest) -> Response:
         """Serves GET /v1/fleet/audit."""
-        self._operator(http, "view")
+        await self._operator(http, "view")
         changes = await self._documents.audit()
         return JSONResponse({"changes": msgspec.to_builtins(changes)})
 
     async def show_instances(self, http: HttpRequest) -> Response:
         """Serves GET /v1/fleet/instances."""
-        self._operator(http, "view")
+        await self._operator(http, "view")
         found = await self._status.instances()
         return JSONResponse(
             {"revision": self._current.revision, "instances": found}
@@ -284,7 +299,11 @@
 
     async def readyz(self, http: HttpRequest) -> Response:
         """Serves GET /readyz: the balancer may send callers here."""
-        ready = self._directory.loaded.is_set() and not self._is_leaving()
+        ready = (
+            self._directory.loaded.is_set()
+            and self._current.loaded.is_set()
+            and not self._is_leaving()
+        )
         names = [
             instance.name
             for role in ("entry", "sidecar", "bulk")
@@ -306,17 +325,29 @@
                 "The entry is leaving.", not_run=True, retry_after_s=1.0
             )
 
+    def _check_loaded(self) -> None:
+        if not self._current.loaded.is_set():
+            raise StoreUnavailableError(
+                "This entry has just started and knows no fleet document yet.",
+                not_run=True,
+                retry_after_s=1.0,
+            )
+
     def _team(self, http: HttpRequest) -> str:
+        self._check_loaded()
         team = self._current.document.team_by_token(_token(http))
         if team is None:
             raise UnauthorizedError("The token is unknown.", not_run=True)
         return team
 
-    def _operator(self, http: HttpRequest, role: str) -> str:
+    async def _operator(self, http: HttpRequest, role: str) -> str:
+        if self._current.revision == 0:
+            revision, _ = await self._documents.read()
+            if revision.number == 0:
+                # The first document names the first operators.
+                return FIRST_OPERATOR
+            self._current.offer(revision)
         operators = self._current.document.operators
-        if not operators and self._current.revision == 0:
-            # The first document names the first operators.
-            return "first-operator"
         digest = token_digest(_token(http))
         for name, operator in operators.items():
             if operator.token_sha256 == digest:
@@ -381,7 +412,7 @@
 
 def _from_revision(http: HttpRequest) -> int:
     text = http.headers.get("if-match", "").strip('"')
-    if not text.isdigit():
+    if not (text.isascii() and text.isdigit() and len(text) < 19):
         raise BadRequestError(
             "If-Match must name the revision that the change is based on."
         )
@@ -503,6 +534,15 @@
     return b"data: " + json.dumps(piece).encode() + b"\n\n"
 
 
+def _document_response(
+    revision: int, document: bytes, *, from_store: bool
+) -> Response:
+    return JSONResponse(
+        {"revision": revision, "document": json.loads(document)},
+        headers={"plumvane-from-store": "true" if from_store else "false"},
+    )
+
+
 def _job_body(state: JobState) -> dict[str, object]:
     return {
         "id": state.job_id,
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -2,23 +2,27 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import anyio
 import anyio.abc
 
+from plumvane import hashing
 from plumvane.chunks.client import ChunkClient
+from plumvane.entry import checks as _checks  # noqa: F401
 from plumvane.entry.api import Api
 from plumvane.entry.batches import BatchService
 from plumvane.entry.host import PartitionHost
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.runner import RequestRunner
 from plumvane.entry.status import FleetStatus
-from plumvane.fleet.current import CurrentDocument, watch_store
+from plumvane.errors import StoreUnavailableError
+from plumvane.fleet.current import CurrentDocument, PeerWatch, watch_store
 from plumvane.fleet.revisions import DocumentStore
 from plumvane.instances.directory import Directory
 from plumvane.partitions.ownership import Ownership
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
-    DocumentData,
     FetchDocument,
     FetchViews,
     Message,
@@ -36,6 +40,8 @@
 DRAIN_POLL_S = 0.05
 # The platform's balancer needs this to see that the entry is not ready.
 UNREADY_S = 0.5
+# How many other entries an entry learns newer documents from.
+DOCUMENT_PEERS = 3
 
 
 class Entry:
@@ -49,6 +55,7 @@
         """
         process = settings.process
         self._settings = settings
+        self._name = process.name
         self._address = str(process.peer_address)
         self._current = CurrentDocument()
         self._links = LinkPool(process.name)
@@ -74,6 +81,10 @@
             process.name, self._directory, self._links, self._current
         )
         self._server.handle(FetchViews, self._status.send_views)
+        self._documents = DocumentStore(self._store, process.name)
+        self._peer_watch = PeerWatch(
+            self._links, self._current, self._document_peers
+        )
         self._leaving = False
 
     async def serve(self, stopping: anyio.Event) -> None:
@@ -86,6 +97,8 @@
                 self._ownership.run,
                 self._host.expire_claims,
                 self._watch_document,
+                self._peer_watch.run,
+                self._documents.run,
             ):
                 group.start_soon(supervise, task)
             async with anyio.create_task_group() as runs:
@@ -103,6 +116,8 @@
         while runner.active:
             await anyio.sleep(DRAIN_POLL_S)
         await self._ownership.release_all()
+        with contextlib.suppress(StoreUnavailableError):
+            await self._documents.flush()
         web.stop()
 
     def _make_runner(self, group: anyio.abc.TaskGroup) -> RequestRunner:
@@ -123,7 +138,7 @@
             runner,
             BatchService(self._owners, chunks, self._current),
             self._owners,
-            DocumentStore(self._store, self._settings.process.name),
+            self._documents,
             self._directory,
             self._status,
             lambda: self._leaving,
@@ -138,11 +153,18 @@
     async def _watch_document(self) -> None:
         await watch_store(self._store, self._current)
 
+    def _document_peers(self) -> list[str]:
+        names = [n for n in self._entry_names() if n != self._name]
+        chosen = hashing.rank(self._name, names)[:DOCUMENT_PEERS]
+        found = [self._directory.by_name(name) for name in chosen]
+        return [instance.address for instance in found if instance]
+
     def _entry_names(self) -> list[str]:
         return [i.name for i in self._directory.live("entry")]
 
     async def _take_report(self, call: Call, message: Report) -> Message:
         self._directory.take_report(message)
+        self._peer_watch.hint(message.address, message.revision)
         return ReportReply(
             self._current.revision, tuple(self._ownership.owner_addresses())
         )
@@ -150,7 +172,7 @@
     async def _send_document(
         self, call: Call, message: FetchDocument
     ) -> Message:
-        return DocumentData(self._current.revision, self._current.data)
+        return self._current.answer(message)
 
 
 async def _serve(settings: EntrySettings, stopping: anyio.Event) -> None:
--- a/plumvane/entry/status.py
+++ b/plumvane/entry/status.py
@@ -113,7 +113,7 @@
         "serves": instance.serves,
         "leaving": instance.state is State.LEAVING
         or (view is not None and view.leaving),
-        "revision": view.revision if view else None,
+        "revision": view.revision or None if view else None,
         "report_age_s": view.age_s if view else None,
         "load": msgspec.to_builtins(view.load) if view else None,
     }
--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -251,8 +251,13 @@
 
 
 class ConfigurationError(PlumvaneError):
-    """The fleet document is invalid."""
+    """The fleet document is invalid.
 
+    Attributes:
+        faults: One text for each fault, starting with the field's path.
+    """
+
+    faults: tuple[str, ...] = ()
     code = "configuration"
     status = 422
     default_remedy = "Correct the named field."
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -42,6 +42,8 @@
     CONFIGURATION_IN_FORCE = (8001, "A revision is in force here.")
     CONFIGURATION_CHANGED = (8002, "An operator's change is accepted.")
     CONFIGURATION_REFUSED = (8003, "An operator's change is refused.")
+    CONFIGURATION_UNREADABLE = (8004, "A revision is not understood here.")
+    AUDIT_RECORD_DROPPED = (8005, "Too many refusals wait for the store.")
     CHUNK_COPIED = (9001, "A missing copy of a chunk was made again.")
 
     @property
--- a/plumvane/fleet/document.py
+++ b/plumvane/fleet/document.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import hashlib
-from typing import Literal
+from collections.abc import Callable
+from typing import Annotated, Literal
 
 import pydantic
 
 from plumvane.errors import ConfigurationError
 
 __all__ = [
+    "CHECKS_BY_NAME",
     "FleetDocument",
     "Model",
     "Operator",
@@ -17,11 +19,30 @@
     "Service",
     "Team",
     "Workload",
+    "check",
+    "document_check",
     "parse",
     "token_digest",
 ]
 
-Name = str
+# Names stand in URLs and metrics.
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$")
+]
+Digest = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+# Checks of a whole document that upper layers add; each returns faults.
+Check = Callable[["FleetDocument"], list[str]]
+CHECKS_BY_NAME: dict[str, Check] = {}
+
+
+def document_check(name: str) -> Callable[[Check], Check]:
+    """Registers a check of whole documents."""
+
+    def register(function: Check) -> Check:
+        CHECKS_BY_NAME[name] = function
+        return function
+
+    return register
 
 
 def token_digest(token: str) -> str:
@@ -90,22 +111,12 @@
         share: Weight in the sharing of batch capacity.
     """
 
-    token_sha256: tuple[str, ...]
-    requests_per_s: float = pydantic.Field(default=1000.0, gt=0)
+    token_sha256: tuple[Digest, ...]
+    requests_per_s: float = pydantic.Field(
+        default=1000.0, gt=0, allow_inf_nan=False
+    )
     share: int = pydantic.Field(default=1, ge=1, le=1000)
 
-    @pydantic.field_validator("token_sha256")
-    @classmethod
-    def _check_digests(cls, digests: tuple[str, ...]) -> tuple[str, ...]:
-        for digest in digests:
-            if len(digest) != 64 or not all(
-                c in "0123456789abcdef" for c in digest
-            ):
-                raise ValueError(
-                    "a digest is 64 lower-case hex digits of SHA-256"
-                )
-        return digests
-
 
 class Operator(_Part):
     """A person who drives the fleet.
@@ -115,7 +126,7 @@
         role: `view` or `change`.
     """
 
-    token_sha256: str
+    token_sha256: Digest
     role: Literal["view", "change"] = "view"
 
 
@@ -156,16 +167,6 @@
     policies: Policies = Policies()
     retention_s: int = pydantic.Field(default=86_400, ge=60)
 
-    @pydantic.model_validator(mode="after")
-    def _check_references(self) -> FleetDocument:
-        for name, workload in self.workloads.items():
-            if workload.model not in self.models:
-                raise ValueError(
-                    f"workloads.{name}.model: {workload.model!r} is not "
-                    "among the models; add it or name another"
-                )
-        return self
-
     def team_by_token(self, token: str) -> str | None:
         """Returns the name of the team that holds a token, or None."""
         digest = token_digest(token)
@@ -176,7 +177,7 @@
 
 
 def parse(document: bytes) -> FleetDocument:
-    """Reads and checks a document.
+    """Reads a document and checks each field.
 
     Args:
         document: JSON.
@@ -187,8 +188,82 @@
     try:
         return FleetDocument.model_validate_json(document)
     except pydantic.ValidationError as error:
-        faults = "; ".join(
+        faults = [
             ".".join(str(p) for p in e["loc"]) + ": " + e["msg"]
-            for e in error.errors()
-        )
-        raise ConfigurationError(f"{faults}.") from error
+            for e in error.errors(include_input=False, include_url=False)
+        ]
+        raise _faulty(faults) from None
+
+
+def check(document: bytes) -> FleetDocument:
+    """Reads a document and checks it as a whole, as a change must pass.
+
+    Args:
+        document: JSON.
+
+    Raises:
+        ConfigurationError: It is invalid; the message names each field.
+    """
+    parsed = parse(document)
+    faults = [f for c in CHECKS_BY_NAME.values() for f in c(parsed)]
+    if faults:
+        raise _faulty(faults)
+    return parsed
+
+
+def _faulty(faults: list[str]) -> ConfigurationError:
+    error = ConfigurationError("; ".join(faults) + ".")
+    error.faults = tuple(faults)
+    return error
+
+
+@document_check("references")
+def _check_references(document: FleetDocument) -> list[str]:
+    return [
+        f"workloads.{name}.model: {workload.model!r} is not among the "
+        "models; add it or name another"
+        for name, workload in document.workloads.items()
+        if workload.model not in document.models
+    ]
+
+
+@document_check("names")
+def _check_names(document: FleetDocument) -> list[str]:
+    return [
+        f"services.{name}: a model has this name; sidecars could not tell "
+        "them apart; take another name"
+        for name in sorted(document.services.keys() & document.models.keys())
+    ]
+
+
+@document_check("operators")
+def _check_operators(document: FleetDocument) -> list[str]:
+    if any(o.role == "change" for o in document.operators.values()):
+        return []
+    return [
+        "operators: nobody could change this document; give one operator "
+        "the role 'change'"
+    ]
+
+
+@document_check("tokens")
+def _check_tokens(document: FleetDocument) -> list[str]:
+    held: dict[str, str] = {}
+    faults = []
+    owners = [
+        (f"teams.{name}", digest)
+        for name, team in document.teams.items()
+        for digest in team.token_sha256
+    ]
+    owners += [
+        (f"operators.{name}", operator.token_sha256)
+        for name, operator in document.operators.items()
+    ]
+    for owner, digest in owners:
+        if digest in held:
+            faults.append(
+                f"{owner}.token_sha256: {held[digest]} holds the same token; "
+                "make another"
+            )
+        held[digest] = owner
+    return faults
--- a/plumvane/instances/directory.py
+++ b/plumvane/instances/directory.py
@@ -110,7 +110,7 @@
             )
             self._instances_by_name[report.name] = instance
         instance.reported = clock.monotonic()
-        instance.revision = max(instance.revision, report.revision)
+        instance.revision = _revision_after(instance.revision, report.revision)
         instance.load = report.load
         if report.leaving:
             instance.state = State.LEAVING
@@ -168,3 +168,12 @@
             self._instances_by_name[instance.name] = instance
         if item["state"] == State.LEAVING.value:
             instance.state = State.LEAVING
+
+
+def _revision_after(known: int, reported: int) -> int:
+    """Returns the revision in force after a report.
+
+    A late report does not lower it; 0 comes from an instance that has
+    started again and knows no document yet.
+    """
+    return max(known, reported) if reported else 0
--- a/plumvane/peers/messages.py
+++ b/plumvane/peers/messages.py
@@ -343,7 +343,14 @@
 
 
 class FetchDocument(Message, frozen=True, tag="fetchdoc"):
-    """Asks a peer for its fleet document."""
+    """Asks a peer for its fleet document.
+
+    Attributes:
+        newer_than: Revision at the asker; the document is sent only if the
+            peer's is newer.
+    """
+
+    newer_than: int = -1
 
 
 class DocumentData(Message, frozen=True, tag="doc"):
@@ -351,7 +358,7 @@
 
     Attributes:
         revision: Its revision.
-        document: Its JSON.
+        document: Its JSON; empty if it is not newer than asked for.
     """
 
     revision: int
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -10,7 +10,6 @@
 from plumvane.instances.reporter import Reporter
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
-    DocumentData,
     FetchDocument,
     Message,
     Report,
@@ -153,7 +152,7 @@
     async def _send_document(
         self, call: Call, message: FetchDocument
     ) -> Message:
-        return DocumentData(self._current.revision, self._current.data)
+        return self._current.answer(message)
 
 
 async def _serve(settings: SidecarSettings, stopping: anyio.Event) -> None:
