--- a/plumvane/bulk/main.py
+++ b/plumvane/bulk/main.py
@@ -16,6 +16,7 @@
     ChunkStored,
     CopyChunk,
     FetchChunk,
+    FetchDocument,
     FindChunks,
     Message,
     Report,
@@ -54,6 +55,7 @@
         self._server.handle(FetchChunk, self._fetch)
         self._server.handle(FindChunks, self._find)
         self._server.handle(CopyChunk, self._copy)
+        self._server.handle(FetchDocument, self._send_document)
         self._reporter = Reporter(
             process.name,
             self._directory,
@@ -109,6 +111,11 @@
         await self._folder.store(message.digest, data)
         return ChunkStored(message.digest)
 
+    async def _send_document(
+        self, call: Call, message: FetchDocument
+    ) -> Message:
+        return self._current.answer(message)
+
 
 async def _serve(settings: BulkSettings, stopping: anyio.Event) -> None:
     await Bulk(settings).serve(stopping)
