--- a/bench/generator.py
+++ b/bench/generator.py
@@ -109,6 +109,7 @@
         self.between = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
         self.whole = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
         self.refused = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.send_lag = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
         self.counts = {
             "sent": 0,
             "ok": 0,
@@ -134,6 +135,7 @@
             "between_tokens_ms": _quantiles(self.between),
             "whole_ms": _quantiles(self.whole),
             "refused_ms": _quantiles(self.refused),
+            "send_lag_ms": _quantiles(self.send_lag),
             "series": self.series,
         }
 
@@ -183,6 +185,8 @@
         measured = self._plan.from_s <= at < self._plan.until_s
         measures = self.measures if measured else self._unmeasured
         measures.counts["sent"] += 1
+        lag_s = time.monotonic() - self._start - at
+        _record(measures.send_lag, lag_s)
         try:
             with anyio.fail_after(TIMEOUT_S):
                 await self._stream(number, at, measures)
--- a/bench/report.py
+++ b/bench/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import pathlib
 from typing import Any
 
@@ -11,6 +12,8 @@
 
 from matplotlib import pyplot  # noqa: E402
 
+from standins.engine import STEP_KEY  # noqa: E402
+
 __all__ = ["print_table", "save_plot", "summary"]
 
 COLUMNS = (
@@ -22,11 +25,13 @@
     "ttft p99",
     "gap p50",
     "gap p99",
+    "step p99",
     "online tok/s",
     "batch tok/s",
     "wasted %",
     "cached %",
     "max/mean",
+    "send lag p99",
 )
 
 
@@ -50,14 +55,31 @@
         "ttft p99": result["first_token_ms"]["p99"],
         "gap p50": result["between_tokens_ms"]["p50"],
         "gap p99": result["between_tokens_ms"]["p99"],
+        "step p99": _step_quantile(engines, 0.99),
         "online tok/s": (made - batch) / seconds,
         "batch tok/s": batch / seconds,
         "wasted %": 100 * wasted / max(1, made),
         "cached %": 100 * cached / max(1, cached + prefilled),
+        "send lag p99": result["send_lag_ms"]["p99"],
         "max/mean": max(requests) * len(requests) / max(1, sum(requests)),
     }
 
 
+def _step_quantile(engines: list[dict[str, int]], quantile: float) -> float:
+    """Returns a quantile of the engines' modelled steps, by online tokens."""
+    tokens_by_ms: collections.Counter[float] = collections.Counter()
+    for counts in engines:
+        for key, tokens in counts.items():
+            if key.startswith(STEP_KEY):
+                tokens_by_ms[float(key.removeprefix(STEP_KEY))] += tokens
+    left = quantile * tokens_by_ms.total()
+    for step_ms in sorted(tokens_by_ms):
+        left -= tokens_by_ms[step_ms]
+        if left <= 0:
+            return step_ms
+    return 0.0
+
+
 def print_table(results: dict[str, Any]) -> None:
     """Prints one line a variant."""
     print(
--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -13,6 +13,7 @@
     "ConflictError",
     "DeadlineExceededError",
     "ForbiddenError",
+    "HistoryLostError",
     "KeyReusedError",
     "LeavingError",
     "LinkLostError",
@@ -27,6 +28,7 @@
     "StoreUnavailableError",
     "UnauthorizedError",
     "UpstreamFailedError",
+    "UpstreamLostError",
     "UpstreamUnavailableError",
     "error_from_code",
 ]
@@ -168,6 +170,14 @@
     default_remedy = "Retry after the time in Retry-After."
 
 
+class HistoryLostError(PlumvaneError):
+    """The store no longer holds the changes that a watch asks for."""
+
+    code = "history_lost"
+    status = 503
+    default_remedy = "List the keys again and watch from that revision."
+
+
 class BulkUnavailableError(PlumvaneError):
     """Too few bulk instances are reachable to keep a chunk safe."""
 
@@ -218,6 +228,14 @@
     default_remedy = "Correct the request, or retry with a new key."
 
 
+class UpstreamLostError(UpstreamFailedError):
+    """The upstream was lost before its answer was whole."""
+
+    code = "upstream_lost"
+    status = 502
+    default_remedy = "Retry after a while; the upstream may be restarting."
+
+
 class RequestCancelledError(PlumvaneError):
     """The request was cancelled before it completed."""
 
@@ -251,8 +269,13 @@
 
 
 class ConfigurationError(PlumvaneError):
-    """The fleet document is invalid."""
+    """The fleet document is invalid.
+
+    Attributes:
+        faults: One text for each fault, starting with the field's path.
+    """
 
+    faults: tuple[str, ...] = ()
     code = "configuration"
     status = 422
     default_remedy = "Correct the named field."
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -28,6 +28,9 @@
     PARTITION_RELEASED = (3002, "The instance gave the partition up.")
     PARTITION_LOST = (3003, "Another owner's write refused this one.")
     COMMIT_SETTLED = (3004, "A write with a lost answer was read back.")
+    SEGMENTS_COMPACTED = (3005, "Closed segments of a log were compacted.")
+    PARTITION_MOVED = (3006, "The partition moved to another instance.")
+    MOVE_FAILED = (3007, "A planned move failed; the owner stays.")
     CLAIM_ORPHANED = (4001, "The entry that ran a request was lost.")
     OUTCOME_UNKNOWN = (4002, "A non-idempotent run cannot be settled.")
     JOB_ACCEPTED = (5001, "A batch job is accepted.")
@@ -42,7 +45,11 @@
     CONFIGURATION_IN_FORCE = (8001, "A revision is in force here.")
     CONFIGURATION_CHANGED = (8002, "An operator's change is accepted.")
     CONFIGURATION_REFUSED = (8003, "An operator's change is refused.")
+    CONFIGURATION_UNREADABLE = (8004, "A revision is not understood here.")
+    AUDIT_RECORD_DROPPED = (8005, "Too many refusals wait for the store.")
     CHUNK_COPIED = (9001, "A missing copy of a chunk was made again.")
+    CHUNK_DAMAGED = (9002, "A chunk on the disk is damaged and not used.")
+    CHUNK_MISSING = (9003, "No live bulk instance holds a chunk.")
 
     @property
     def number(self) -> int:
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -10,7 +10,6 @@
 from plumvane.instances.reporter import Reporter
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
-    DocumentData,
     FetchDocument,
     Message,
     Report,
@@ -28,7 +27,7 @@
 
 __all__ = ["Sidecar", "run"]
 
-SWEEP_S = 30.0
+SWEEP_S = 5.0
 DRAIN_POLL_S = 0.05
 
 
@@ -110,7 +109,7 @@
     async def _drain(self, batch_done: anyio.Event) -> None:
         self._leaving = True
         if self._batch is not None:
-            self._batch.leaving = True
+            self._batch.leave()
         await self._reporter.report()
         await batch_done.wait()
         while self._runs.active() or len(self._runs):
@@ -156,7 +155,7 @@
     async def _send_document(
         self, call: Call, message: FetchDocument
     ) -> Message:
-        return DocumentData(self._current.revision, self._current.data)
+        return self._current.answer(message)
 
 
 async def _serve(settings: SidecarSettings, stopping: anyio.Event) -> None:
--- a/plumvane/upstreams/service.py
+++ b/plumvane/upstreams/service.py
@@ -4,12 +4,13 @@
 
 import httpcore
 
-from plumvane.errors import UpstreamFailedError
+from plumvane.errors import UpstreamFailedError, UpstreamUnavailableError
+from plumvane.httppool import NETWORK_ERRORS, HttpPool
 from plumvane.peers.messages import Outcome
 
 __all__ = ["ServiceClient"]
 
-CONNECTIONS = 256
+RETRY_AFTER_S = 1.0
 
 
 class ServiceClient:
@@ -22,7 +23,7 @@
             url: Base URL of the service.
         """
         self._url = url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(max_connections=CONNECTIONS)
+        self._pool = HttpPool()
 
     async def call(self, request_id: str, path: str, body: bytes) -> Outcome:
         """Sends one call; never repeats it.
@@ -33,23 +34,26 @@
             body: Body of the call.
 
         Raises:
+            UpstreamUnavailableError: The service was not reached.
             UpstreamFailedError: The service was lost; it may have run.
         """
         try:
             response = await self._pool.request(
                 "POST",
                 self._url + path,
-                headers={
-                    "content-type": "application/json",
-                    "idempotency-key": request_id,
-                },
+                headers=[
+                    ("content-type", "application/json"),
+                    ("idempotency-key", request_id),
+                ],
                 content=body,
             )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise UpstreamUnavailableError(
+                "The service does not accept connections.",
+                not_run=True,
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
+        except NETWORK_ERRORS as error:
             raise UpstreamFailedError(
                 f"The service was lost: {type(error).__name__}."
             ) from error
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -52,6 +52,8 @@
 MAX_TOKENS = 100_000
 DEFAULT_TOKENS = 16
 POISON = "poison"
+# Counters of online tokens by the length of their step in milliseconds.
+STEP_KEY = "online_tokens_by_step_ms:"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,6 +224,8 @@
 
         `batch_tokens` are tokens of requests marked `batch`; `wasted` are
         tokens of a cancelled stream that its resumption did not bring back.
+        Online tokens are also counted by the modelled length of their step,
+        which other work on the machine does not change.
         """
         return JSONResponse(dict(self._counts))
 
@@ -255,11 +259,13 @@
         for sequence in batch:
             prefill += sequence.prefill
             sequence.prefill = 0
-        await anyio.sleep(
+        step_s = (
             model.step_s
             + model.per_sequence_s * len(batch)
             + model.prefill_token_s * prefill
         )
+        await anyio.sleep(step_s)
+        step_key = f"{STEP_KEY}{step_s * 1000:.1f}"
         self._counts["steps"] += 1
         self._counts["prefilled"] += prefill
         for sequence in batch:
@@ -269,9 +275,11 @@
             sequence.given += 1
             self._counts["tokens"] += 1
             self._counts["batch_tokens"] += sequence.batch
+            self._counts[step_key] += not sequence.batch
         for request_id, sequence in list(self._sequences_by_id.items()):
             if sequence.given >= sequence.limit:
                 del self._sequences_by_id[request_id]
+                self._counts["finished_batch"] += sequence.batch
         self._loads.append((clock.monotonic(), len(batch)))
         if len(self._loads) > 10_000:
             self._loads.popleft()
