Limit teams at the entries and bound the sidecar's queue

Cause: a team's limit in the document was not enforced, and online requests waited at a full upstream until their deadline. Ruled out: a central counter (a call for each request, and a process that all depend on); a fixed queue length (the wait it means differs by upstream). Change: each entry grants an equal part of a team's limit from a token bucket. The sidecar refuses at once, as not run, what would wait longer than half the target for the first token or past its deadline; Retry-After is the expected wait from the measured time of service. Expired work is dropped when its turn comes. A streamed request is answered with its status only once there is text or an answer, so a refusal has its own status and headers.

--- a/plumvane/entry/api.py
+++ b/plumvane/entry/api.py
@@ -38,6 +38,7 @@
 from plumvane.fleet.document import FleetDocument, Workload, token_digest
 from plumvane.fleet.revisions import DocumentStore
 from plumvane.instances.directory import Directory
+from plumvane.limits.teams import TeamLimits
 from plumvane.peers.messages import (
     CancelRequest,
     ClaimResult,
@@ -73,6 +74,7 @@
         documents: DocumentStore,
         directory: Directory,
         status: FleetStatus,
+        limits: TeamLimits,
         is_leaving: Callable[[], bool],
     ) -> None:
         """Creates the interface.
@@ -85,6 +87,7 @@
             documents: Changes the fleet document.
             directory: Instances of the fleet.
             status: State of all instances.
+            limits: Request limits by team.
             is_leaving: Whether the entry takes no new work.
         """
         self._current = current
@@ -94,6 +97,7 @@
         self._documents = documents
         self._directory = directory
         self._status = status
+        self._limits = limits
         self._is_leaving = is_leaving
 
     def application(self) -> Starlette:
@@ -126,6 +130,7 @@
         """Serves POST /v1/completions."""
         team = self._team(http)
         self._check_leaving()
+        self._limits.admit(team)
         body = await _read_body(http)
         fields = _json_object(body)
         document = self._current.document
@@ -159,6 +164,8 @@
         )
         running = self._runner.start(request)
         if stream:
+            # A refusal is then an answer with its own status and headers.
+            await running.started()
             return StreamingResponse(
                 _events(running, model), media_type="text/event-stream"
             )
@@ -168,6 +175,7 @@
         """Serves POST /v1/services/{name}."""
         team = self._team(http)
         self._check_leaving()
+        self._limits.admit(team)
         name = http.path_params["name"]
         service = self._current.document.services.get(name)
         if service is None:
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -22,6 +22,7 @@
 from plumvane.fleet.current import CurrentDocument, PeerWatch, watch_store
 from plumvane.fleet.revisions import DocumentStore
 from plumvane.instances.directory import Directory
+from plumvane.limits.teams import TeamLimits
 from plumvane.partitions.ownership import Ownership
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
@@ -162,6 +163,10 @@
             self._documents,
             self._directory,
             self._status,
+            TeamLimits(
+                lambda: self._current.document,
+                lambda: len(self._directory.live("entry")),
+            ),
             lambda: self._leaving,
         )
         http = self._settings.http
--- a/plumvane/entry/running.py
+++ b/plumvane/entry/running.py
@@ -159,6 +159,18 @@
             self._changed = anyio.Event()
             await self._changed.wait()
 
+    async def started(self) -> None:
+        """Waits until there is text or an answer.
+
+        Raises:
+            PlumvaneError: The request ended with an error before any text.
+        """
+        while not self._parts and self._answer is None:
+            if self._error is not None:
+                raise self._error
+            self._changed = anyio.Event()
+            await self._changed.wait()
+
     async def answer(self) -> Answer:
         """Returns the committed answer.
 
--- /dev/null
+++ b/plumvane/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what callers may send."""
--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -25,6 +25,9 @@
 
 UNLIMITED = 1 << 30
 DEFAULT_TARGET_S = 0.039
+DEFAULT_FIRST_TOKEN_S = 0.9
+# Part of the target for the first token that may be spent in the queue.
+QUEUE_PART = 0.5
 # Bounds of the adaptive limit.
 MIN_LIMIT = 2
 MAX_LIMIT = 512
@@ -73,6 +76,8 @@
             policies: Settings from the fleet document.
         """
         self._policies = policies
+        #: Longest wait for a place that is worth queueing for, in seconds.
+        self.queue_target_s = DEFAULT_FIRST_TOKEN_S * QUEUE_PART
 
     @abc.abstractmethod
     def limit(self) -> int:
@@ -86,9 +91,16 @@
         """Returns the least time between two starts of batch items."""
         return 0.0
 
+    def lone_step_s(self) -> float:
+        """Returns the engine's step with one request, or 0 if unknown."""
+        return 0.0
+
     def configure(self, policies: Policies, workloads: list[Workload]) -> None:
         """Takes in the settings and the online workloads of the model."""
         self._policies = policies
+        targets = [w.first_token_ms / 1000.0 for w in workloads]
+        first_token_s = min(targets, default=DEFAULT_FIRST_TOKEN_S)
+        self.queue_target_s = first_token_s * QUEUE_PART
 
     def observe_online(self, running: int) -> None:
         """Takes in how many online requests run now."""
@@ -170,6 +182,10 @@
             return step_s / STARTS_BESIDE_ONLINE
         return step_s / STARTS_ALONE
 
+    def lone_step_s(self) -> float:
+        """See base class."""
+        return max(0.0, self._model.predict(1)) if self._model.known else 0.0
+
     def configure(self, policies: Policies, workloads: list[Workload]) -> None:
         """See base class."""
         super().configure(policies, workloads)
--- a/plumvane/upstreams/gate.py
+++ b/plumvane/upstreams/gate.py
@@ -8,7 +8,7 @@
 import anyio
 
 from plumvane import clock, events
-from plumvane.errors import DeadlineExceededError
+from plumvane.errors import DeadlineExceededError, OverloadedError
 from plumvane.peers.messages import Load
 from plumvane.upstreams.admission import Admission
 
@@ -16,6 +16,8 @@
 
 # Steps until the prefill of a newcomer is past.
 SETTLED_STEPS = 2.2
+# Weight of one request in the mean time of service.
+SERVICE_WEIGHT = 0.05
 
 
 class Work:
@@ -26,6 +28,7 @@
         rank: A lower rank goes first among its kind.
         deadline: Deadline, seconds since the Unix epoch.
         admitted: Set when it may run.
+        started_at: When it was admitted, monotonic.
         scope: Cancelled when batch work must give its place up.
         preempted: Whether it had to.
     """
@@ -37,6 +40,7 @@
         "preempted",
         "rank",
         "scope",
+        "started_at",
     )
 
     def __init__(
@@ -46,6 +50,7 @@
         self.rank = rank
         self.deadline = deadline
         self.admitted = anyio.Event()
+        self.started_at = 0.0
         self.scope = anyio.CancelScope()
         self.preempted = False
 
@@ -73,6 +78,7 @@
         self._batch_running: dict[Work, None] = {}
         self._changed_at = 0.0
         self._batch_start_at = 0.0
+        self._service_s = 0.0
         self.preemptions = 0
 
     @property
@@ -87,14 +93,23 @@
 
     def load(self) -> Load:
         """Returns the load as other instances see it."""
-        return Load(self.online, self.batch, self.policy.limit(), clock.wall())
+        return Load(
+            self.online,
+            self.batch,
+            self.policy.limit(),
+            clock.wall(),
+            self.policy.lone_step_s(),
+        )
 
     async def enter(self, work: Work) -> None:
         """Waits for a place.
 
         Raises:
             DeadlineExceededError: The deadline passed in the queue.
+            OverloadedError: The queue of online requests is full.
         """
+        if work.online:
+            self._check_queue(work)
         queue = self._online_queue if work.online else self._batch_queue
         item = (work.rank, work.deadline, next(self._order), work)
         heapq.heappush(queue, item)
@@ -113,7 +128,9 @@
 
     def leave(self, work: Work) -> None:
         """Gives a place back."""
-        self._online_running.discard(work)
+        if work in self._online_running:
+            self._online_running.remove(work)
+            self._measure_service(work)
         self._batch_running.pop(work, None)
         self._changed_at = clock.monotonic()
         self._admit()
@@ -128,6 +145,35 @@
         )
         self._admit()
 
+    def expected_wait_s(self) -> float:
+        """Returns how long a new online request would wait for a place."""
+        if self._has_place_online() and not self._online_queue:
+            return 0.0
+        position = len(self._online_queue) + 1
+        return position * self._service_s / self.policy.limit()
+
+    def _check_queue(self, work: Work) -> None:
+        """Refuses a request that would wait too long.
+
+        Raises:
+            OverloadedError: The wait exceeds the target or the deadline.
+        """
+        wait_s = self.expected_wait_s()
+        left_s = work.deadline - clock.wall()
+        if wait_s <= min(self.policy.queue_target_s, left_s):
+            return
+        raise OverloadedError(
+            f"The queue is full: a place is expected in {wait_s:.2f} s.",
+            not_run=True,
+            retry_after_s=wait_s,
+        )
+
+    def _measure_service(self, work: Work) -> None:
+        took_s = clock.monotonic() - work.started_at
+        if not self._service_s:
+            self._service_s = took_s
+        self._service_s += SERVICE_WEIGHT * (took_s - self._service_s)
+
     def refresh(self) -> None:
         """Admits what a changed limit allows."""
         self._admit()
@@ -138,8 +184,11 @@
         self.leave(work)
 
     def _admit(self) -> None:
-        while self._online_queue and self._may_run_online():
+        while self._online_queue and self._has_place_online():
             work = heapq.heappop(self._online_queue)[3]
+            if work.deadline <= clock.wall():
+                # Its own waiter reports it.
+                continue
             self._online_running.add(work)
             self._start(work)
         self.policy.observe_online(len(self._online_running))
@@ -153,10 +202,10 @@
             self._start(work)
 
     def _start(self, work: Work) -> None:
-        self._changed_at = clock.monotonic()
+        self._changed_at = work.started_at = clock.monotonic()
         work.admitted.set()
 
-    def _may_run_online(self) -> bool:
+    def _has_place_online(self) -> bool:
         running = len(self._online_running)
         if not self.policy.preempts:
             running += len(self._batch_running)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -7,6 +7,7 @@
 import anyio
 
 from plumvane import clock
+from plumvane.errors import DeadlineExceededError, OverloadedError
 from plumvane.fleet.document import Policies, Workload
 from plumvane.upstreams.admission import Adaptive, make_admission
 from plumvane.upstreams.gate import Gate, Work
@@ -122,3 +123,70 @@
         assert order == ["sooner", "later", "batch"]
 
     anyio.run(run)
+
+
+def test_full_queue_refuses_at_once_with_a_time() -> None:
+    async def run() -> None:
+        gate = _gate_of_one(first_token_ms=200)
+        running = _work(online=True)
+        await gate.enter(running)
+        gate._service_s = 0.5
+        refused = await _refusal(gate, _work(online=True))
+        assert refused.not_run
+        assert refused.retry_after_s == 0.5
+        gate.leave(running)
+        await gate.enter(_work(online=True))
+
+    anyio.run(run)
+
+
+def test_request_that_would_expire_in_the_queue_is_refused_at_once() -> None:
+    async def run() -> None:
+        gate = _gate_of_one(first_token_ms=60_000)
+        await gate.enter(_work(online=True))
+        gate._service_s = 5.0
+        late = Work(online=True, deadline=clock.wall() + 2)
+        assert (await _refusal(gate, late)).not_run
+        assert not late.admitted.is_set()
+
+    anyio.run(run)
+
+
+def test_expired_work_is_not_admitted() -> None:
+    async def run() -> None:
+        gate = _gate_of_one(first_token_ms=60_000)
+        first = _work(online=True)
+        await gate.enter(first)
+        expired = Work(online=True, deadline=clock.wall() + 0.05)
+        async with anyio.create_task_group() as group:
+
+            async def wait() -> None:
+                try:
+                    await gate.enter(expired)
+                    raise AssertionError("admitted")
+                except DeadlineExceededError as error:
+                    assert error.not_run
+
+            group.start_soon(wait)
+            await anyio.wait_all_tasks_blocked()
+            expired.deadline = 0.0
+            gate.leave(first)
+            assert not expired.admitted.is_set()
+
+    anyio.run(run)
+
+
+def _gate_of_one(*, first_token_ms: int) -> Gate:
+    policies = Policies(admission="fixed", fixed_concurrency=1)
+    gate = Gate(make_admission(policies))
+    workload = Workload(kind="online", model="m", first_token_ms=first_token_ms)
+    gate.policy.configure(policies, [workload])
+    return gate
+
+
+async def _refusal(gate: Gate, work: Work) -> OverloadedError:
+    try:
+        await gate.enter(work)
+    except OverloadedError as error:
+        return error
+    raise AssertionError("not refused")
