Route by prefix within a load bound; eject failing and slow upstreams

Cause: routing knew loads by reports alone, which lag and reach two entries only, and went on sending to lost and slow upstreams. Ruled out: probing every upstream from every entry (state and traffic for every pair); ejection on latency that the load explains (the step of a lone request is compared). Change: sidecars put their load on each answer (Outcome.load, taken off before anything is stored); the entry adds its own requests in flight. The prefix's rendezvous order is walked until an upstream is within the bound on dispatches and on requests in flight. A failing or slow upstream is left out but for a probe, ever rarer; a new one gets work that grows with its age. A request is offered to two full upstreams at most. First failed with, on scratch copies: no load bound 'assert max(chosen.values()) <= 1.25 * 1000'; no slow start 'assert first["new"] <= 200 / 5 / 2'; no ejection of failing 'assert failing not in loads.usable(candidates)'; of slow 'assert 1 <= probes <= 5'; own requests not counted 'assert loads.online(candidates[0]) == 6'.

--- a/plumvane/entry/runner.py
+++ b/plumvane/entry/runner.py
@@ -42,6 +42,7 @@
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.routing.budget import RetryBudget
+from plumvane.routing.loads import UpstreamLoads
 from plumvane.routing.policies import RouteRequest, route
 
 __all__ = ["Answer", "Request", "RequestRunner", "Running"]
@@ -49,6 +50,8 @@
 RENEW_S = 1.0
 RELEASE_S = 3.0
 RETRY_AFTER_S = 1.0
+# Full upstreams that one request is offered to.
+MAX_REFUSALS = 2
 
 
 class RequestRunner:
@@ -79,7 +82,8 @@
         self._address = address
         self._owners = owners
         self._directory = directory
-        self._sidecars = SidecarClient(links)
+        self._loads = UpstreamLoads()
+        self._sidecars = SidecarClient(links, self._loads)
         self._current = current
         self._group = group
         self._held = HeldResults(owners, group)
@@ -187,7 +191,7 @@
     def _candidates(self, request: Request) -> list[Instance]:
         found = self._directory.live("sidecar", request.serves)
         policy = self._current.document.policies.routing
-        return route(policy, found, RouteRequest(request.prefix))
+        return route(policy, found, RouteRequest(request.prefix), self._loads)
 
     def _claim_message(self, running: Running) -> Claim:
         request = running.request
@@ -257,15 +261,20 @@
         self._budget.earn()
         last: PlumvaneError | None = None
         not_run = True
+        refusals = 0
         try:
             for sidecar in self._candidates(running.request):
                 self._check(running)
                 try:
                     return await self._sidecars.run(running, sidecar)
-                except (LeavingError, OverloadedError) as error:
-                    if isinstance(error, LeavingError):
-                        self._directory.mark_leaving(sidecar.address)
+                except LeavingError as error:
+                    self._directory.mark_leaving(sidecar.address)
                     last = error
+                except OverloadedError as error:
+                    last = error
+                    refusals += 1
+                    if refusals == MAX_REFUSALS:
+                        break
                 except (LinkLostError, UpstreamFailedError) as error:
                     not_run = not_run and error.not_run
                     last = error
@@ -274,6 +283,12 @@
         except PlumvaneError as error:
             error.not_run = not_run and error.not_run
             raise
+        if isinstance(last, OverloadedError):
+            raise OverloadedError(
+                last.detail,
+                not_run=not_run,
+                retry_after_s=last.retry_after_s,
+            )
         cause = last.detail if last is not None else "none is live"
         raise UpstreamUnavailableError(
             f"No upstream of {running.request.serves!r} answered: {cause}",
--- a/plumvane/entry/sidecars.py
+++ b/plumvane/entry/sidecars.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import msgspec
 
 from plumvane import clock, events
 from plumvane.entry.control import call_repeatedly, settle_run
@@ -29,6 +30,7 @@
     TextPart,
 )
 from plumvane.requests.ledger import unknown_outcome
+from plumvane.routing.loads import UpstreamLoads
 
 __all__ = ["SidecarClient"]
 
@@ -45,13 +47,15 @@
 class SidecarClient:
     """Runs a request at a sidecar and brings its whole answer."""
 
-    def __init__(self, links: LinkPool) -> None:
+    def __init__(self, links: LinkPool, loads: UpstreamLoads) -> None:
         """Creates the client.
 
         Args:
             links: Connections to the sidecars.
+            loads: Told what the sidecars say of their load and health.
         """
         self._links = links
+        self._loads = loads
 
     async def run(self, running: Running, sidecar: Instance) -> Outcome:
         """Dispatches to one sidecar; attaches again while links are lost.
@@ -65,6 +69,14 @@
         """
         running.sidecar = sidecar
         running.tried.append(sidecar)
+        with self._loads.dispatched(sidecar):
+            try:
+                return await self._run(running, sidecar)
+            except (LinkLostError, UpstreamFailedError):
+                self._loads.failed(sidecar)
+                raise
+
+    async def _run(self, running: Running, sidecar: Instance) -> Outcome:
         try:
             return await self._follow(running, sidecar, _dispatch(running))
         except LinkLostError as error:
@@ -172,20 +184,24 @@
             with anyio.fail_after(max(0.0, left_s)):
                 link = self._links.link(sidecar.address)
                 async with link.open(message) as pending:
-                    return await self._read(running, pending)
+                    return await self._read(running, sidecar, pending)
         except TimeoutError:
             raise DeadlineExceededError(
                 "The deadline passed while the request ran."
             ) from None
 
-    async def _read(self, running: Running, pending: Pending) -> Outcome:
+    async def _read(
+        self, running: Running, sidecar: Instance, pending: Pending
+    ) -> Outcome:
         while (part := await pending.part()) is not None:
             if isinstance(part, TextPart):
                 running.add_part(part)
         reply = await pending.reply()
         if not isinstance(reply, Outcome):
             raise PlumvaneError("The sidecar's reply is not understood.")
-        return _checked(running.request, reply)
+        self._loads.answered(sidecar, reply.load)
+        outcome = msgspec.structs.replace(reply, load=None)
+        return _checked(running.request, outcome)
 
 
 def _attach(running: Running) -> Attach:
--- a/plumvane/peers/messages.py
+++ b/plumvane/peers/messages.py
@@ -89,6 +89,24 @@
     retry_after_s: float | None = None
 
 
+class Load(msgspec.Struct, frozen=True):
+    """Load of an upstream as its sidecar sees it.
+
+    Attributes:
+        online: Online requests queued and running.
+        batch: Batch items queued and running.
+        limit: Requests that may run at once.
+        time: When it was taken.
+        step_s: Time between two tokens of a lone request, 0 if unknown.
+    """
+
+    online: int
+    batch: int
+    limit: int
+    time: float
+    step_s: float = 0.0
+
+
 class Outcome(Message, frozen=True, tag="out"):
     """The whole answer to a request.
 
@@ -97,12 +115,14 @@
         body: Body of the answer.
         content_type: Media type of the body.
         error: The error, if the request ended with one.
+        load: Load of the upstream, on its way to the entry; never stored.
     """
 
     status: int
     body: bytes
     content_type: str = "application/json"
     error: Failure | None = None
+    load: Load | None = None
 
 
 class Claim(Message, frozen=True, tag="claim"):
@@ -349,22 +369,6 @@
     outcome: Outcome | None = None
 
 
-class Load(msgspec.Struct, frozen=True):
-    """Load of an upstream as its sidecar sees it.
-
-    Attributes:
-        online: Online requests queued and running.
-        batch: Batch items queued and running.
-        limit: Requests that may run at once.
-        time: When it was taken.
-    """
-
-    online: int
-    batch: int
-    limit: int
-    time: float
-
-
 class Report(Message, frozen=True, tag="report"):
     """Heartbeat of a sidecar or bulk instance to an entry.
 
--- a/plumvane/routing/policies.py
+++ b/plumvane/routing/policies.py
@@ -8,13 +8,17 @@
 
 from plumvane import hashing
 from plumvane.instances.directory import Instance
+from plumvane.routing.loads import UpstreamLoads
 
 __all__ = ["POLICIES_BY_NAME", "RouteRequest", "route", "routing_policy"]
 
-# How many of the upstreams preferred by prefix are compared by load.
-AFFINITY_CANDIDATES = 2
-# Load over the mean by which the preferred upstream is passed over.
-AFFINITY_OVERLOAD = 1.25
+# Part over the mean of dispatches and of requests in flight that affinity may
+# cause at one upstream.
+AFFINITY_OVERLOAD = 1.15
+# Requests in flight over the mean that are no overload yet.
+AFFINITY_SLACK = 2.0
+# Upstreams compared by load where the prefix says nothing.
+CHOICES = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,7 +32,9 @@
     prefix: str
 
 
-RoutingPolicy = Callable[[Sequence[Instance], RouteRequest], list[Instance]]
+RoutingPolicy = Callable[
+    [Sequence[Instance], RouteRequest, UpstreamLoads], list[Instance]
+]
 POLICIES_BY_NAME: dict[str, RoutingPolicy] = {}
 
 
@@ -43,20 +49,25 @@
 
 
 def route(
-    name: str, candidates: Sequence[Instance], request: RouteRequest
+    name: str,
+    candidates: Sequence[Instance],
+    request: RouteRequest,
+    loads: UpstreamLoads,
 ) -> list[Instance]:
     """Orders the candidates by a policy, the first to try first."""
-    return POLICIES_BY_NAME[name](candidates, request)
+    return POLICIES_BY_NAME[name](candidates, request, loads)
 
 
-def _online_load(instance: Instance) -> float:
+def _reported_load(instance: Instance) -> float:
     load = instance.load
     return load.online / max(1, load.limit) if load is not None else 0.0
 
 
 @routing_policy("random")
 def random_order(
-    candidates: Sequence[Instance], request: RouteRequest
+    candidates: Sequence[Instance],
+    request: RouteRequest,
+    loads: UpstreamLoads,
 ) -> list[Instance]:
     """Orders the candidates at random; the baseline."""
     return random.sample(list(candidates), len(candidates))
@@ -64,23 +75,71 @@
 
 @routing_policy("least_loaded")
 def least_loaded(
-    candidates: Sequence[Instance], request: RouteRequest
+    candidates: Sequence[Instance],
+    request: RouteRequest,
+    loads: UpstreamLoads,
 ) -> list[Instance]:
-    """Orders the candidates by their last reported load."""
+    """Orders the candidates by their last reported load; a baseline."""
     shuffled = random.sample(list(candidates), len(candidates))
-    return sorted(shuffled, key=_online_load)
+    return sorted(shuffled, key=_reported_load)
 
 
 @routing_policy("prefix_affinity")
 def prefix_affinity(
-    candidates: Sequence[Instance], request: RouteRequest
+    candidates: Sequence[Instance],
+    request: RouteRequest,
+    loads: UpstreamLoads,
 ) -> list[Instance]:
-    """Prefers the upstreams that the prefix hashes to, within a load bound."""
-    by_name = {instance.name: instance for instance in candidates}
+    """Prefers the upstreams that the prefix hashes to, within a load bound.
+
+    The first upstream in the prefix's order whose dispatches and requests in
+    flight are near the mean is tried first; where all are over the bound, the
+    less busy of a few. Failing and slow upstreams are left out, but for a
+    probe now and then.
+    """
+    loads.keep(candidates)
+    usable = loads.usable(candidates)
+    if len(usable) < 2:
+        return usable
+    by_name = {instance.name: instance for instance in usable}
     ranked = [by_name[n] for n in hashing.rank(request.prefix, by_name)]
-    mean = sum(map(_online_load, ranked)) / max(1, len(ranked))
-    bound = max(mean * AFFINITY_OVERLOAD, 0.1)
-    near = ranked[:AFFINITY_CANDIDATES]
-    first = [i for i in near if _online_load(i) <= bound]
-    rest = sorted((i for i in ranked if i not in first), key=_online_load)
-    return first + rest
+    bound = _Bound(loads, ranked)
+    first = next((i for i in ranked if bound.allows(i)), None)
+    if first is None:
+        choices = random.sample(ranked, min(CHOICES, len(ranked)))
+        first = min(choices, key=loads.busyness)
+    rest = [instance for instance in ranked if instance is not first]
+    rest.sort(key=loads.busyness)
+    return [first, *rest]
+
+
+class _Bound:
+    """How much of the load one upstream may have.
+
+    A new upstream is allowed less, rising to the whole over its start.
+    """
+
+    def __init__(
+        self, loads: UpstreamLoads, candidates: Sequence[Instance]
+    ) -> None:
+        number = len(candidates)
+        self._loads = loads
+        self._mean_online = sum(map(loads.online, candidates)) / number
+        self._mean_rate = sum(map(loads.rate, candidates)) / number
+
+    def allows(self, instance: Instance) -> bool:
+        """Returns whether an upstream may get another request."""
+        loads = self._loads
+        # The count of dispatches grows as the square of time where their rate
+        # grows in step with it.
+        warmth = loads.warmth(instance) ** 2
+        rate = AFFINITY_OVERLOAD * self._mean_rate + 1.0
+        online = max(
+            AFFINITY_OVERLOAD * self._mean_online,
+            self._mean_online + AFFINITY_SLACK,
+        )
+        return (
+            loads.rate(instance) + 1.0 <= max(1.0, rate * warmth)
+            and loads.online(instance) + 1.0 <= online + 1.0
+            and loads.busyness(instance) < 1.0
+        )
--- a/plumvane/sidecar/dispatcher.py
+++ b/plumvane/sidecar/dispatcher.py
@@ -8,6 +8,7 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
 from plumvane import clock, events
 from plumvane.errors import (
@@ -119,7 +120,9 @@
                         call.send_part(run.parts[sequence])
                         sequence += 1
                 if run.outcome is not None:
-                    return run.outcome
+                    return msgspec.structs.replace(
+                        run.outcome, load=self._gate.load()
+                    )
                 await run.changed()
 
     async def _execute(self, run: Run) -> None:
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,177 @@
+"""Routing: affinity within a load bound, ejection, slow start."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import random
+from collections.abc import Iterator
+from unittest import mock
+
+from plumvane import clock, hashing
+from plumvane.instances.directory import Instance
+from plumvane.peers.messages import Load
+from plumvane.routing import loads as loads_module
+from plumvane.routing.loads import UpstreamLoads
+from plumvane.routing.policies import RouteRequest, prefix_affinity
+
+
+class _Clock:
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@contextlib.contextmanager
+def _stopped_clock() -> Iterator[_Clock]:
+    stopped = _Clock()
+    with mock.patch.object(clock, "monotonic", stopped):
+        yield stopped
+
+
+def _instances(number: int) -> list[Instance]:
+    return [
+        Instance(f"s{n}", "sidecar", f"127.0.0.1:{n}", "a", "m")
+        for n in range(number)
+    ]
+
+
+def _load(online: int = 0, step_s: float = 0.01, time: float = 1.0) -> Load:
+    return Load(online, 0, 40, time, step_s)
+
+
+def _run(
+    candidates: list[Instance],
+    loads: UpstreamLoads,
+    stopped: _Clock,
+    requests: int,
+    prefix: str | None = None,
+) -> collections.Counter[str]:
+    """Routes requests of 0.5 s at 100/s; returns the dispatches by name."""
+    source = random.Random(7)
+    chosen: collections.Counter[str] = collections.Counter()
+    running: collections.deque[tuple[float, contextlib.ExitStack]] = (
+        collections.deque()
+    )
+    for _ in range(requests):
+        stopped.now += 0.01
+        while running and running[0][0] <= stopped.now:
+            running.popleft()[1].close()
+        hot = source.random() < 0.5
+        name = prefix or ("hot" if hot else f"p{source.randrange(40)}")
+        first = prefix_affinity(candidates, RouteRequest(name), loads)[0]
+        chosen[first.name] += 1
+        stack = contextlib.ExitStack()
+        stack.enter_context(loads.dispatched(first))
+        running.append((stopped.now + 0.5, stack))
+    for _, stack in running:
+        stack.close()
+    return chosen
+
+
+def test_hot_prefix_overloads_no_upstream() -> None:
+    with _stopped_clock() as stopped:
+        candidates = _instances(4)
+        loads = UpstreamLoads()
+        _warm(loads, candidates, stopped)
+        chosen = _run(candidates, loads, stopped, 4000)
+    assert max(chosen.values()) <= 1.25 * 1000
+    assert min(chosen.values()) >= 0.6 * 1000
+
+
+def test_prefix_stays_where_the_load_allows() -> None:
+    with _stopped_clock() as stopped:
+        candidates = _instances(4)
+        loads = UpstreamLoads()
+        _warm(loads, candidates, stopped)
+        best = hashing.rank("note", [i.name for i in candidates])[0]
+        for _ in range(5):
+            request = RouteRequest("note")
+            assert prefix_affinity(candidates, request, loads)[0].name == best
+
+
+def test_new_upstream_is_not_flooded() -> None:
+    with _stopped_clock() as stopped:
+        old = _instances(4)
+        loads = UpstreamLoads()
+        _warm(loads, old, stopped)
+        _run(old, loads, stopped, 2000)
+        grown = [*old, Instance("new", "sidecar", "127.0.0.1:99", "a", "m")]
+        names = [i.name for i in grown]
+        prefix = next(
+            p
+            for p in map(str, range(1000))
+            if hashing.rank(p, names)[0] == "new"
+        )
+        first = _run(grown, loads, stopped, 200, prefix)
+        _run(grown, loads, stopped, 2000)
+        later = _run(grown, loads, stopped, 1000)
+    assert first["new"] <= 200 / 5 / 2
+    assert later["new"] >= 0.5 * 1000 / 5
+
+
+def test_failing_upstream_is_left_out_and_probed() -> None:
+    with _stopped_clock() as stopped:
+        candidates = _instances(3)
+        loads = UpstreamLoads()
+        _warm(loads, candidates, stopped)
+        failing = candidates[1]
+        loads.failed(failing)
+        assert failing not in loads.usable(candidates)
+        stopped.now += loads_module.FAILED_PROBE_S
+        assert loads.usable(candidates)[0] is failing
+        with loads.dispatched(failing):
+            # One probe at a time.
+            assert failing not in loads.usable(candidates)
+            loads.answered(failing, _load())
+        assert failing in loads.usable(candidates)
+
+
+def test_all_failing_upstreams_are_still_tried() -> None:
+    candidates = _instances(3)
+    loads = UpstreamLoads()
+    for instance in candidates:
+        loads.failed(instance)
+    assert loads.usable(candidates) == candidates
+
+
+def test_slow_upstream_is_left_out_and_probed_ever_less() -> None:
+    with _stopped_clock() as stopped:
+        candidates = _instances(4)
+        loads = UpstreamLoads()
+        slow = candidates[2]
+        for instance in candidates:
+            step_s = 0.05 if instance is slow else 0.01
+            loads.answered(instance, _load(step_s=step_s))
+        probes = 0
+        for _ in range(6000):
+            stopped.now += 0.01
+            if slow in loads.usable(candidates):
+                probes += 1
+                with loads.dispatched(slow):
+                    pass
+        assert 1 <= probes <= 5
+        loads.answered(slow, _load(step_s=0.012, time=2.0))
+        assert slow in loads.usable(candidates)
+
+
+def test_load_counts_other_entries_requests_and_own() -> None:
+    candidates = _instances(2)
+    loads = UpstreamLoads()
+    with loads.dispatched(candidates[0]), loads.dispatched(candidates[0]):
+        loads.answered(candidates[0], _load(online=5))
+        assert loads.online(candidates[0]) == 5
+        with loads.dispatched(candidates[0]):
+            assert loads.online(candidates[0]) == 6
+    assert loads.online(candidates[0]) == 3
+
+
+def _warm(
+    loads: UpstreamLoads, candidates: list[Instance], stopped: _Clock
+) -> None:
+    loads.keep(candidates)
+    for instance in candidates:
+        loads.answered(instance, _load())
+    stopped.now += 2 * loads_module.SLOW_START_S
