Test routing past killed and failing upstreams

Cause: ejection and the retry budget were proved on one module only. Ruled out: counting retries at the entry (the upstream's own record decides).

--- a/bench/report.py
+++ b/bench/report.py
@@ -31,6 +31,7 @@
     "wasted %",
     "cached %",
     "max/mean",
+    "tries/sent",
     "send lag p99",
 )
 
@@ -61,6 +62,7 @@
         "wasted %": 100 * wasted / max(1, made),
         "cached %": 100 * cached / max(1, cached + prefilled),
         "send lag p99": result["send_lag_ms"]["p99"],
+        "tries/sent": sum(requests) / max(1, counts["sent"]),
         "max/mean": max(requests) * len(requests) / max(1, sum(requests)),
     }
 
--- a/bench/run.py
+++ b/bench/run.py
@@ -85,7 +85,10 @@
     for number in range(scenario.engines):
         slow = number < variant.slow_engines
         factor = scenario.slow_factor if slow else 1.0
-        fleet.start_engine(f"engine-{number}", *_engine_flags(scenario, factor))
+        engine_flags = _engine_flags(scenario, factor)
+        if number < variant.failing_engines:
+            engine_flags.append("--failing")
+        fleet.start_engine(f"engine-{number}", *engine_flags)
     document = fleet.default_document()
     document["policies"] = variant.policies
     document["workloads"]["notes"].update(variant.workload)
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -51,6 +51,7 @@
         direct_streams: Drives the engines alone with so many streams each.
         slow_engines: Engines that are slower.
         kill_engines: Engines killed, with their sidecars.
+        failing_engines: Engines that answer each request by an error.
     """
 
     name: str
@@ -61,6 +62,7 @@
     direct_streams: int = 0
     slow_engines: int = 0
     kill_engines: int = 0
+    failing_engines: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,4 +169,5 @@
         direct_streams=section.getint("direct_streams", 0),
         slow_engines=section.getint("slow_engines", 0),
         kill_engines=section.getint("kill_engines", 0),
+        failing_engines=section.getint("failing_engines", 0),
     )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -48,6 +48,8 @@
     "load_lag_s", 1.0, "Seconds that the load report lags."
 )
 
+_FAILING = flags.DEFINE_bool("failing", False, "Answer 500 to each request.")
+
 BLOCK_WORDS = 16
 MAX_TOKENS = 100_000
 DEFAULT_TOKENS = 16
@@ -117,6 +119,7 @@
         *,
         checks_fencing: bool = False,
         load_lag_s: float = 1.0,
+        failing: bool = False,
     ) -> None:
         """Creates an idle engine.
 
@@ -124,7 +127,9 @@
             model: Timing and size.
             checks_fencing: Whether orders with an old number are refused.
             load_lag_s: Seconds that the load report lags.
+            failing: Whether each request is answered by an error.
         """
+        self._failing = failing
         self._model = model
         self._checks_fencing = checks_fencing
         self._load_lag_s = load_lag_s
@@ -166,6 +171,9 @@
         """Serves a completion as server-sent events."""
         body = await http.json()
         prompt = body.get("prompt", "")
+        if self._failing:
+            self._counts["requests"] += 1
+            return JSONResponse({"error": "failing"}, status_code=500)
         if POISON in prompt:
             return JSONResponse({"error": "poison"}, status_code=500)
         limit = int(body.get("max_tokens", DEFAULT_TOKENS))
@@ -326,6 +334,7 @@
         ),
         checks_fencing=_CHECKS_FENCING.value,
         load_lag_s=_LOAD_LAG_S.value,
+        failing=_FAILING.value,
     )
 
 
