Try a non-idempotent request that was not run once more

Cause: a sidecar that leaves or has just started refuses a non-idempotent dispatch as not run, and the caller got that refusal though another run was safe. And a lost sidecar's "attach was not sent" was passed on as "not run".

Ruled out: a dispatch without the check of the claim's age; a claim that a former process of the sidecar has run would run again.

Change: the entry releases the claim and claims again under a new run id, at most twice, at another sidecar where there is one. Losing the link after the dispatch is never "not run".

--- a/plumvane/entry/runner.py
+++ b/plumvane/entry/runner.py
@@ -49,6 +49,8 @@
 RENEW_S = 1.0
 RELEASE_S = 3.0
 RETRY_AFTER_S = 1.0
+# How often a non-idempotent request that was not run is tried once more.
+REFUSALS = 2
 
 
 class RequestRunner:
@@ -97,9 +99,8 @@
 
     def start(self, request: Request) -> Running:
         """Starts a request and returns its handle."""
-        request_id = f"r{request.partition:04}-{secrets.token_hex(12)}"
-        running = Running(request, request_id)
-        self._running_by_id[request_id] = running
+        running = Running(request, _new_id(request))
+        self._running_by_id[running.request_id] = running
         self._group.start_soon(self._run, running)
         return running
 
@@ -149,7 +150,9 @@
         running = self._running_by_id.get(message.request_id)
         if running is not None:
             running.cancelled = True
-            self._group.start_soon(self._sidecars.forget, running)
+            self._group.start_soon(
+                self._sidecars.forget, running.request_id, running.tried
+            )
         return Done()
 
     async def _run(self, running: Running) -> None:
@@ -166,14 +169,31 @@
             del self._running_by_id[running.request_id]
 
     async def _answer(self, running: Running) -> Answer:
+        if running.request.idempotent:
+            return await self._answer_once(running)
+        for _ in range(REFUSALS):
+            try:
+                return await self._answer_once(running)
+            except (LeavingError, UpstreamUnavailableError) as error:
+                if not error.not_run or not running.tried:
+                    raise
+                await self._release(running.request, running.request_id)
+                await anyio.sleep(error.retry_after_s or 0.0)
+            self._rename(running)
+        return await self._answer_once(running)
+
+    async def _answer_once(self, running: Running) -> Answer:
         request = running.request
         if not request.idempotent:
             live = self._candidates(request)
-            running.sidecar = live[0] if live else None
+            untried = [s for s in live if s not in running.tried]
+            running.sidecar = next(iter(untried + live), None)
         try:
             found = await self._claim(running)
         except PlumvaneError:
-            self._group.start_soon(self._release, running)
+            self._group.start_soon(
+                self._release, running.request, running.request_id
+            )
             raise
         if found is not None:
             return Answer(found.request_id, found.outcome, found.durable)
@@ -184,6 +204,13 @@
             raise
         return await self._commit(running, outcome)
 
+    def _rename(self, running: Running) -> None:
+        """Gives a request that was not run a new run."""
+        del self._running_by_id[running.request_id]
+        running.claimed = False
+        running.request_id = _new_id(running.request)
+        self._running_by_id[running.request_id] = running
+
     def _candidates(self, request: Request) -> list[Instance]:
         found = self._directory.live("sidecar", request.serves)
         policy = self._current.document.policies.routing
@@ -206,6 +233,7 @@
 
     async def _claim(self, running: Running) -> ClaimResult | None:
         """Claims the request; returns its result if it has one."""
+        self._check(running)
         request = running.request
         left_s = max(0.0, request.deadline - clock.wall())
         reply = await self._owners.call(
@@ -221,10 +249,9 @@
         running.claimed_at = reply.claimed_at
         return None
 
-    async def _release(self, running: Running) -> None:
-        request = running.request
+    async def _release(self, request: Request, request_id: str) -> None:
         message = Release(
-            request.partition, request.team, request.key, running.request_id
+            request.partition, request.team, request.key, request_id
         )
         deadline = clock.monotonic() + RELEASE_S
         try:
@@ -236,8 +263,13 @@
 
     async def _give_up(self, running: Running) -> None:
         """Ends what may still run of a request, then its claim."""
-        await self._sidecars.forget(running)
-        await self._release(running)
+        if running.request.idempotent:
+            await self._sidecars.forget(running.request_id, running.tried)
+            await self._release(running.request, running.request_id)
+        else:
+            request_id = running.request_id
+            await self._release(running.request, request_id)
+            await self._sidecars.forget(request_id, running.tried)
 
     async def _dispatch(self, running: Running) -> Outcome:
         if running.request.idempotent:
@@ -305,7 +337,7 @@
         )
 
         async def forget() -> None:
-            await self._sidecars.forget(running)
+            await self._sidecars.forget(running.request_id, running.tried)
 
         reply = await self._held.commit(message, request.deadline, forget)
         stands = reply.outcome or outcome
@@ -314,3 +346,7 @@
                 f"Request {request.key!r} was answered otherwise."
             )
         return Answer(reply.request_id, stands, reply.durable)
+
+
+def _new_id(request: Request) -> str:
+    return f"r{request.partition:04}-{secrets.token_hex(12)}"
--- a/plumvane/entry/sidecars.py
+++ b/plumvane/entry/sidecars.py
@@ -93,13 +93,15 @@
                 raise
         return await self._settle(running, sidecar)
 
-    async def forget(self, running: Running) -> None:
-        """Ends what still runs and lets the sidecars forget the answers."""
-        for sidecar in running.tried:
-            for message in (
-                CancelRun(running.request_id),
-                Acknowledge((running.request_id,)),
-            ):
+    async def forget(self, request_id: str, tried: list[Instance]) -> None:
+        """Ends what still runs and lets sidecars forget the answers.
+
+        Args:
+            request_id: Identifier of the run.
+            tried: Sidecars that it was dispatched to.
+        """
+        for sidecar in tried:
+            for message in (CancelRun(request_id), Acknowledge((request_id,))):
                 try:
                     await call_repeatedly(
                         self._links,
@@ -124,7 +126,8 @@
                 if not running.request.idempotent:
                     raise LinkLostError(error.detail) from error
                 message = _dispatch(running)
-            except LinkLostError:
+            except LinkLostError as error:
+                error.not_run = False
                 now = clock.monotonic()
                 if running.tokens > tokens:
                     tokens = running.tokens
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -220,6 +220,17 @@
         data.mkdir(exist_ok=True)
         return self._start_program(name, "bulk", {"data": {"folder": data}})
 
+    def restart(self, name: str) -> None:
+        """Starts a process that has ended again, and waits for its ports."""
+        process = self[name]
+        process.start()
+        for port in (
+            process.listen_port or process.peer_port,
+            process.http_port,
+        ):
+            if port:
+                self._wait_for_port(process, port)
+
     def list_instance(self, process: Process, state: str = "live") -> None:
         """Puts an instance in the platform's list."""
         self.call(
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -135,14 +135,21 @@
                         yield json.loads(line[6:])
 
     def quote(
-        self, entry: Process, body: Any, *, key: str | None = None
+        self,
+        entry: Process,
+        body: Any,
+        *,
+        key: str | None = None,
+        timeout_s: float = OUTER_DEADLINE_S,
     ) -> tuple[int, Any]:
         """Calls the plain service; returns the status and the JSON."""
+        headers = self._headers(key)
+        headers["plumvane-deadline"] = str(time.time() + timeout_s)
         status, answer = self._fleet.call(
             "POST",
             f"{entry.url}/v1/services/{SERVICE}",
             body,
-            self._headers(key),
+            headers,
         )
         return status, json.loads(answer)
 
--- /dev/null
+++ b/tests/test_requests_once.py
@@ -0,0 +1,152 @@
+"""Non-idempotent requests run at most once, whatever is lost."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from standins.launcher import Fleet
+from tests.fleets import Caller, running_fleet, wait_for
+
+SLOW_SERVICE = ("--delay_s=2.0",)
+
+
+def _executions(fleet: Fleet) -> dict[str, int]:
+    _, body = fleet.call("GET", f"{fleet['service-0'].url}/executions")
+    return dict(json.loads(body)["by_body"])
+
+
+def _start(function: Callable[..., Any], *args: Any, **words: Any) -> list[Any]:
+    """Calls a function in a thread; its result is added to the list."""
+    results: list[Any] = []
+
+    def run() -> None:
+        try:
+            results.append(function(*args, **words))
+        except Exception as error:
+            results.append(error)
+
+    threading.Thread(target=run, daemon=True).start()
+    return results
+
+
+def _wait_executed(fleet: Fleet, body: Any) -> None:
+    wait_for(lambda: json.dumps(body) in _executions(fleet), "the execution")
+
+
+def test_quote_of_a_killed_entry_is_settled_by_its_owner() -> None:
+    with running_fleet(
+        entries=3, engines=0, services=1, service_flags=SLOW_SERVICE
+    ) as fleet:
+        caller = Caller(fleet)
+        _start(caller.quote, fleet["entry-0"], {"load": 1}, key="q1")
+        _wait_executed(fleet, {"load": 1})
+        fleet["entry-0"].kill()
+        status, answer = caller.quote(fleet["entry-1"], {"load": 1}, key="q1")
+        stored = caller.result(fleet["entry-2"], "q1")
+        executions = _executions(fleet)
+    assert status == 200, answer
+    assert stored == (200, answer)
+    assert executions == {json.dumps({"load": 1}): 1}
+
+
+def test_quote_of_a_killed_sidecar_stays_unknown() -> None:
+    with running_fleet(
+        engines=0, services=1, service_flags=SLOW_SERVICE
+    ) as fleet:
+        caller = Caller(fleet)
+        first = _start(caller.quote, fleet["entry-0"], {"load": 2}, key="q2")
+        _wait_executed(fleet, {"load": 2})
+        fleet["service-0-sidecar"].kill()
+        wait_for(lambda: first, "the answer")
+        fleet.restart("service-0-sidecar")
+        again = [
+            caller.quote(fleet[f"entry-{n % 2}"], {"load": 2}, key="q2")
+            for n in range(4)
+        ]
+        executions = _executions(fleet)
+    status, problem = first[0]
+    assert (status, problem["code"]) == (502, "outcome_unknown"), problem
+    assert problem["not_run"] is False
+    assert all(answer == first[0] for answer in again), again
+    assert executions == {json.dumps({"load": 2}): 1}
+
+
+def test_quote_is_not_repeated_when_entry_and_sidecar_are_lost() -> None:
+    with running_fleet(
+        entries=3, engines=0, services=1, service_flags=SLOW_SERVICE
+    ) as fleet:
+        caller = Caller(fleet)
+        _start(caller.quote, fleet["entry-0"], {"load": 3}, key="q3")
+        _wait_executed(fleet, {"load": 3})
+        fleet["entry-0"].kill()
+        fleet["service-0-sidecar"].kill()
+        fleet.restart("service-0-sidecar")
+        status, problem = caller.quote(fleet["entry-1"], {"load": 3}, key="q3")
+        again = caller.quote(fleet["entry-2"], {"load": 3}, key="q3")
+        executions = _executions(fleet)
+    assert (status, problem["code"]) == (502, "outcome_unknown"), problem
+    assert again == (status, problem)
+    assert executions == {json.dumps({"load": 3}): 1}
+
+
+def test_dispatch_of_a_frozen_entry_does_not_run_after_its_release() -> None:
+    with running_fleet(entries=3, engines=0, services=1, proxied=True) as fleet:
+        caller = Caller(fleet)
+        # Opens the connection, so that the dispatch is kept back on it.
+        caller.quote(fleet["entry-0"], {"load": 0}, key="q0")
+        fleet.peer_faults("service-0-sidecar", mode="freeze", new_pass=True)
+        first = _start(caller.quote, fleet["entry-0"], {"load": 4}, key="q4")
+        wait_for(
+            lambda: (
+                caller.result(fleet["entry-1"], "q4")[1]["detail"]
+                == "Request 'q4' is still running."
+            ),
+            "the claim",
+        )
+        fleet["entry-0"].signal(signal.SIGSTOP)
+        status, answer = caller.quote(fleet["entry-1"], {"load": 4}, key="q4")
+        fleet["entry-0"].signal(signal.SIGCONT)
+        wait_for(lambda: first, "the first entry's answer")
+        executions = _executions(fleet)
+    assert status == 200, answer
+    assert executions[json.dumps({"load": 4})] == 1
+    if first[0][0] == 200:
+        assert first[0][1] == answer
+    else:
+        assert first[0][1]["not_run"] is True
+
+
+def test_lost_store_answers_do_not_repeat_a_quote() -> None:
+    with running_fleet(engines=0, services=1) as fleet:
+        caller = Caller(fleet)
+        for number in range(12):
+            fleet.store_faults(lose_answers=2)
+            body = {"load": number}
+            key = f"q{number}"
+            status, answer = caller.quote(fleet["entry-0"], body, key=key)
+            again = caller.quote(fleet["entry-1"], body, key=key)
+            assert status == 200 and again == (status, answer), answer
+        executions = _executions(fleet)
+    assert len(executions) == 12
+    assert set(executions.values()) == {1}
+
+
+def test_quote_past_its_deadline_is_not_run_again() -> None:
+    with running_fleet(
+        engines=0, services=1, service_flags=SLOW_SERVICE
+    ) as fleet:
+        caller = Caller(fleet)
+        # A sidecar that has just started refuses quotes for a moment.
+        caller.quote(fleet["entry-0"], {"load": 0}, key="q0")
+        status, problem = caller.quote(
+            fleet["entry-0"], {"load": 5}, key="q5", timeout_s=1.0
+        )
+        again = caller.quote(fleet["entry-1"], {"load": 5}, key="q5")
+        executions = _executions(fleet)
+    assert (status, problem["code"]) == (502, "outcome_unknown"), problem
+    assert again == (status, problem)
+    assert executions[json.dumps({"load": 5})] == 1
