--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -10,7 +10,6 @@
 from plumvane.instances.reporter import Reporter
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
-    DocumentData,
     FetchDocument,
     Message,
     Report,
@@ -108,7 +107,7 @@
     async def _drain(self, batch_done: anyio.Event) -> None:
         self._leaving = True
         if self._batch is not None:
-            self._batch.leaving = True
+            self._batch.leave()
         await self._reporter.report()
         await batch_done.wait()
         while self._runs.active() or len(self._runs):
@@ -153,7 +152,7 @@
     async def _send_document(
         self, call: Call, message: FetchDocument
     ) -> Message:
-        return DocumentData(self._current.revision, self._current.data)
+        return self._current.answer(message)
 
 
 async def _serve(settings: SidecarSettings, stopping: anyio.Event) -> None:
--- a/plumvane/upstreams/service.py
+++ b/plumvane/upstreams/service.py
@@ -5,11 +5,11 @@
 import httpcore
 
 from plumvane.errors import UpstreamFailedError, UpstreamUnavailableError
+from plumvane.httppool import NETWORK_ERRORS, HttpPool
 from plumvane.peers.messages import Outcome
 
 __all__ = ["ServiceClient"]
 
-CONNECTIONS = 256
 RETRY_AFTER_S = 1.0
 
 
@@ -23,7 +23,7 @@
             url: Base URL of the service.
         """
         self._url = url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(max_connections=CONNECTIONS)
+        self._pool = HttpPool()
 
     async def call(self, request_id: str, path: str, body: bytes) -> Outcome:
         """Sends one call; never repeats it.
@@ -41,10 +41,10 @@
             response = await self._pool.request(
                 "POST",
                 self._url + path,
-                headers={
-                    "content-type": "application/json",
-                    "idempotency-key": request_id,
-                },
+                headers=[
+                    ("content-type", "application/json"),
+                    ("idempotency-key", request_id),
+                ],
                 content=body,
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
@@ -53,11 +53,7 @@
                 not_run=True,
                 retry_after_s=RETRY_AFTER_S,
             ) from error
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except NETWORK_ERRORS as error:
             raise UpstreamFailedError(
                 f"The service was lost: {type(error).__name__}."
             ) from error
