Prove batch jobs under failures of real processes; measure job size

Cause: the paths between owners, sidecars and bulk instances had no proof, and the memory that a large job takes was not known.

The guards of the other process tests are still to be tried.

--- a/bench/usage.py
+++ b/bench/usage.py
@@ -5,7 +5,7 @@
 import os
 import pathlib
 
-__all__ = ["cpu_s", "resident_mb"]
+__all__ = ["cpu_s", "peak_mb", "resident_mb"]
 
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _KB_PER_MB = 1024.0
@@ -21,8 +21,17 @@
 
 def resident_mb(pid: int) -> float:
     """Returns the resident memory of a process, in MB."""
+    return _status_mb(pid, "VmRSS:")
+
+
+def peak_mb(pid: int) -> float:
+    """Returns the most resident memory that a process has had, in MB."""
+    return _status_mb(pid, "VmHWM:")
+
+
+def _status_mb(pid: int, field: str) -> float:
     status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
     for line in status.splitlines():
-        if line.startswith("VmRSS:"):
+        if line.startswith(field):
             return int(line.split()[1]) / _KB_PER_MB
     return 0.0
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -160,6 +160,7 @@
         body = await http.json()
         prompt = body.get("prompt", "")
         if POISON in prompt:
+            self._counts["poisoned"] += 1
             return JSONResponse({"error": "poison"}, status_code=500)
         limit = int(body.get("max_tokens", DEFAULT_TOKENS))
         if not 1 <= limit <= MAX_TOKENS:
--- /dev/null
+++ b/tests/batches.py
@@ -0,0 +1,83 @@
+"""Batch jobs on fleets of real processes."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import pathlib
+from collections.abc import Sequence
+from typing import Any
+
+from plumvane.entry.batches import partition_of_job
+from standins.engine import expected_text
+from standins.launcher import MODEL, Fleet, Process
+from tests.fleets import Caller, wait_for
+
+__all__ = [
+    "chunk_copies",
+    "engine_record",
+    "is_own_answer",
+    "item_lines",
+    "owner_of",
+    "wait_completed",
+]
+
+JOB_TIMEOUT_S = 120.0
+
+
+def item_lines(
+    prompts: Sequence[str], *, max_tokens: int | Sequence[int] = 4
+) -> bytes:
+    """Returns the JSONL of a job; item N has the custom id `item-N`."""
+    if isinstance(max_tokens, int):
+        max_tokens = [max_tokens] * len(prompts)
+    lines = [
+        {
+            "custom_id": f"item-{number}",
+            "body": {"model": MODEL, "prompt": prompt, "max_tokens": tokens},
+        }
+        for number, (prompt, tokens) in enumerate(
+            zip(prompts, max_tokens, strict=True)
+        )
+    ]
+    return b"".join(json.dumps(line).encode() + b"\n" for line in lines)
+
+
+def is_own_answer(line: Any, prompt: str, max_tokens: int = 4) -> bool:
+    """Returns whether a result line holds the whole answer to a prompt."""
+    text = line["response"]["body"]["choices"][0]["text"]
+    return bool(text == expected_text(prompt, max_tokens))
+
+
+def owner_of(fleet: Fleet, job_id: str) -> str:
+    """Returns the name of the entry that owns a job's partition."""
+    key = f"owners/partition/{partition_of_job(job_id):04}"
+    status, value = fleet.call("GET", f"{fleet['store'].url}/keys/{key}")
+    return str(json.loads(value)["name"]) if status == 200 else ""
+
+
+def engine_record(fleet: Fleet, name: str = "engine-0") -> Any:
+    """Returns what an engine did."""
+    return json.loads(fleet.call("GET", f"{fleet[name].url}/record")[1])
+
+
+def wait_completed(caller: Caller, entry: Process, job_id: str) -> Any:
+    """Waits for the end of a job; returns its state."""
+
+    def completed() -> Any:
+        job = caller.job(entry, job_id)
+        return job if job.get("state") == "completed" else None
+
+    return wait_for(completed, f"{job_id} completed", JOB_TIMEOUT_S)
+
+
+def chunk_copies(fleet: Fleet, bulks: Sequence[str]) -> dict[str, int]:
+    """Returns how many whole copies of each chunk some instances hold."""
+    copies_by_digest: dict[str, int] = {}
+    for bulk in bulks:
+        for path in pathlib.Path(fleet.folder, f"{bulk}-data").glob("??/*"):
+            digest = hashlib.sha256(path.read_bytes()).hexdigest()
+            whole = int(digest == path.name)
+            copies = copies_by_digest.get(path.name, 0)
+            copies_by_digest[path.name] = copies + whole
+    return copies_by_digest
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -143,6 +143,13 @@
         )
         return json.loads(answer)
 
+    def cancel_job(self, entry: Process, job_id: str) -> tuple[int, Any]:
+        """Cancels a job; returns the status and the JSON."""
+        status, answer = self._fleet.call(
+            "POST", f"{entry.url}/v1/batches/{job_id}/cancel", None, TEAM
+        )
+        return status, json.loads(answer)
+
     def job_results(self, entry: Process, job_id: str) -> list[Any]:
         """Returns a job's result lines."""
         _, answer = self._fleet.call(
