--- a/plumvane/instances/directory.py
+++ b/plumvane/instances/directory.py
@@ -8,9 +8,9 @@
 import random
 
 import anyio
-import httpcore
 
 from plumvane import clock
+from plumvane.httppool import NETWORK_ERRORS, HttpPool
 from plumvane.peers.messages import Load, Report
 
 __all__ = ["Directory", "Instance", "State"]
@@ -70,7 +70,7 @@
             url: URL of the platform's list.
         """
         self._url = url
-        self._pool = httpcore.AsyncConnectionPool(max_connections=2)
+        self._pool = HttpPool()
         self._instances_by_name: dict[str, Instance] = {}
         self.loaded = anyio.Event()
 
@@ -110,7 +110,7 @@
             )
             self._instances_by_name[report.name] = instance
         instance.reported = clock.monotonic()
-        instance.revision = max(instance.revision, report.revision)
+        instance.revision = _revision_after(instance.revision, report.revision)
         instance.load = report.load
         if report.leaving:
             instance.state = State.LEAVING
@@ -138,13 +138,7 @@
         while True:
             try:
                 await self.poll()
-            except (TimeoutError, OSError, ValueError, KeyError):
-                pass
-            except (
-                httpcore.NetworkError,
-                httpcore.ProtocolError,
-                httpcore.TimeoutException,
-            ):
+            except (TimeoutError, ValueError, KeyError, *NETWORK_ERRORS):
                 pass
             await anyio.sleep(POLL_S * random.uniform(0.8, 1.2))
 
@@ -168,3 +162,12 @@
             self._instances_by_name[instance.name] = instance
         if item["state"] == State.LEAVING.value:
             instance.state = State.LEAVING
+
+
+def _revision_after(known: int, reported: int) -> int:
+    """Returns the revision in force after a report.
+
+    A late report does not lower it; 0 comes from an instance that has
+    started again and knows no document yet.
+    """
+    return max(known, reported) if reported else 0
