Hand batch work out by measured rates, across owners and between teams

Idle sidecars polled every owner every two seconds.

Ruled out: a scheduler on one partition (one owner more to wait for, and one more thing to move), and a mesh of owners that tell each other (the sidecars talk to all owners anyway).

Change: a sidecar asks all owners for an offer and pulls from the best one. With the pull it passes on what the other owners told of their jobs, so each owner foresees the ends of its jobs by the earliest deadline first over all jobs and the measured item rate. A job that would end late is set aside, is reported so, and runs after the others. While every job has ample time, teams are served by their shares. An idle sidecar asks once a minute; owners wake it within 0.25 s when items wait.

--- /dev/null
+++ b/bench/batch_order.py
@@ -0,0 +1,175 @@
+"""Which batch jobs each order lands, on real processes.
+
+The capacity is measured by a first job in each run. Then jobs of random
+sizes arrive at once in random order; their deadlines are such that the
+earliest deadline first lands all but one, which no order can land. The
+clairvoyant order knows the measured capacity and all jobs. Run with
+`python -m bench.batch_order`; figures are printed as JSON lines.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import pathlib
+import random
+import tempfile
+import time
+from typing import Any
+
+from absl import app, flags
+
+from standins.launcher import MODEL, Fleet
+from tests.batches import item_lines
+from tests.fleets import Caller, running_fleet
+
+__all__ = ["main"]
+
+_SEEDS = flags.DEFINE_multi_integer("seed", [1, 2, 3], "Seeds.")
+_ORDERS = flags.DEFINE_multi_string(
+    "order", ["fifo", "least_slack"], "Orders, in turn for each seed."
+)
+_JOBS = flags.DEFINE_integer("jobs", 5, "Jobs that can land.")
+_ITEMS = flags.DEFINE_integer("items", 300, "Mean items of a job.")
+_ENGINES = flags.DEFINE_integer("engines", 2, "Engines.")
+
+CAPACITY_ITEMS = 1000
+TOKENS = 8
+# Deadlines leave this much more than the work before them takes.
+SPARE = 1.3
+SPARE_S = 3.0
+POLL_S = 0.1
+TIMEOUT_S = 180.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Job:
+    """A job of the scenario.
+
+    Attributes:
+        items: How many items it has.
+        due_s: Deadline, in seconds from the start.
+        lands: Whether the clairvoyant order lands it.
+        job_id: Its id, once it is submitted.
+        finished_s: When it ended, in seconds from the start.
+        foreseen_late: Whether its first expected end was after its deadline.
+    """
+
+    items: int
+    due_s: float
+    lands: bool = True
+    job_id: str = ""
+    finished_s: float = 0.0
+    foreseen_late: bool | None = None
+
+
+def _scenario(rng: random.Random, capacity: float) -> list[_Job]:
+    """Returns jobs in the order of their arrival."""
+    sizes = [
+        int(_ITEMS.value * rng.uniform(0.5, 1.5)) for _ in range(_JOBS.value)
+    ]
+    jobs = []
+    busy_s = 0.0
+    for items in sizes:
+        busy_s += items / capacity
+        jobs.append(_Job(items, busy_s * SPARE + SPARE_S))
+    # This one needs twice the time that it has.
+    hopeless = int(jobs[0].due_s * 2 * capacity)
+    jobs.append(_Job(hopeless, jobs[0].due_s))
+    _clairvoyant(jobs, capacity)
+    rng.shuffle(jobs)
+    return jobs
+
+
+def _clairvoyant(jobs: list[_Job], capacity: float) -> None:
+    """Notes what the earliest deadline first lands."""
+    busy_s = 0.0
+    for job in sorted(jobs, key=lambda job: job.due_s):
+        finish_s = busy_s + job.items / capacity
+        job.lands = finish_s <= job.due_s
+        if job.lands:
+            busy_s = finish_s
+
+
+def _capacity(fleet: Fleet, caller: Caller) -> float:
+    """Returns the items a second that a long job gets through."""
+    lines = item_lines(["warm-up"] * CAPACITY_ITEMS, max_tokens=TOKENS)
+    _, job = caller.submit(fleet["entry-0"], lines, key="capacity")
+    # The limit of admission adapts over the first half.
+    marks: list[tuple[float, int]] = []
+    while not marks or marks[-1][1] < CAPACITY_ITEMS:
+        state = caller.job(fleet["entry-0"], job["id"])
+        marks.append((time.monotonic(), state["done"]))
+        time.sleep(POLL_S)
+    started = next(at for at, done in marks if done > 0)
+    first = next(done for _, done in marks if done > 0)
+    return (CAPACITY_ITEMS - first) / max(marks[-1][0] - started, 0.1)
+
+
+def _run(fleet: Fleet, caller: Caller, jobs: list[_Job]) -> None:
+    entry = fleet["entry-0"]
+    started = time.time()
+    for number, job in enumerate(jobs):
+        lines = item_lines(
+            [f"job {number} item {n}" for n in range(job.items)],
+            max_tokens=TOKENS,
+        )
+        _, state = caller.submit(
+            entry, lines, key=f"job-{number}", deadline=started + job.due_s
+        )
+        job.job_id = state["id"]
+    waiting = list(jobs)
+    while waiting and time.time() < started + TIMEOUT_S:
+        for job in list(waiting):
+            state = caller.job(entry, job.job_id)
+            expected = state["expected_finish"]
+            if job.foreseen_late is None and expected is not None:
+                job.foreseen_late = expected > state["deadline"]
+            if state["state"] == "completed":
+                job.finished_s = time.time() - started
+                waiting.remove(job)
+        time.sleep(POLL_S)
+    for job in waiting:
+        job.finished_s = TIMEOUT_S
+
+
+def _measure(order: str, seed: int) -> dict[str, Any]:
+    with tempfile.TemporaryDirectory() as folder:
+        document = Fleet(pathlib.Path(folder)).default_document()
+    document["policies"] = {"batch_order": order}
+    with running_fleet(
+        bulks=2, engines=_ENGINES.value, document=document
+    ) as fleet:
+        caller = Caller(fleet)
+        capacity = _capacity(fleet, caller)
+        jobs = _scenario(random.Random(seed), capacity)
+        _run(fleet, caller, jobs)
+    landed = [j for j in jobs if j.finished_s <= j.due_s]
+    return {
+        "order": order,
+        "seed": seed,
+        "model": MODEL,
+        "items_per_s": round(capacity, 1),
+        "clairvoyant": sum(j.lands for j in jobs),
+        "landed": len(landed),
+        "landed_of_clairvoyant": sum(j.lands for j in landed),
+        "foreseen_late": [bool(j.foreseen_late) for j in jobs if not j.lands],
+        "wrongly_foreseen_late": sum(
+            bool(j.foreseen_late) for j in jobs if j.lands
+        ),
+        "jobs": [
+            [j.items, round(j.due_s, 1), round(j.finished_s, 1)] for j in jobs
+        ],
+    }
+
+
+def main(argv: list[str]) -> None:
+    """Runs the orders in turn for each seed."""
+    del argv
+    for seed in _SEEDS.value:
+        for order in _ORDERS.value:
+            print(json.dumps(_measure(order, seed)), flush=True)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -8,12 +8,13 @@
 import anyio
 import anyio.abc
 
-from plumvane import events
+from plumvane import clock, events
 from plumvane.entry.control import LinkRunControl
 from plumvane.entry.inheritance import ClaimInheritance
 from plumvane.errors import (
     NotFoundError,
     NotOwnerError,
+    PlumvaneError,
     ProtocolError,
 )
 from plumvane.fleet.current import CurrentDocument
@@ -35,6 +36,7 @@
     JobStates,
     Lookup,
     Message,
+    OfferWork,
     PullWork,
     RangeDone,
     RangeGrant,
@@ -42,6 +44,7 @@
     RenewClaims,
     Renewed,
     SubmitJob,
+    WorkWaiting,
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.requests.ledger import OwnerState, RequestLedger
@@ -49,6 +52,8 @@
 __all__ = ["PartitionHost"]
 
 EXPIRE_S = 1.0
+WAKE_S = 0.25
+WAKE_TIMEOUT_S = 2.0
 
 M = TypeVar("M", bound=Message)
 OwnerHandler = Callable[[M], Awaitable[Message]]
@@ -68,6 +73,7 @@
         *,
         store_is_down: Callable[[], bool],
         inheritance: ClaimInheritance,
+        address: str,
     ) -> None:
         """Creates a host of no partition.
 
@@ -77,8 +83,10 @@
             may_promise: Whether the owner's lease covers an answer now.
             store_is_down: Whether the store does not answer now.
             inheritance: Fetches the claims of a former owner's time.
+            address: Peer address of this entry.
         """
         self._current = current
+        self._links = links
         self._may_promise = may_promise
         self._inheritance = inheritance
         self._state = OwnerState(
@@ -90,7 +98,7 @@
         self._group: anyio.abc.TaskGroup | None = None
         self._ledgers_by_partition: dict[int, RequestLedger] = {}
         self._jobs_by_partition: dict[int, JobTable] = {}
-        self._hand_out = HandOut()
+        self._hand_out = HandOut(address)
         self._handlers_by_type: dict[
             type[Message], Callable[..., Awaitable[Message]]
         ] = {
@@ -104,6 +112,7 @@
             JobCall: self._job,
             FetchResults: self._fetch_results,
             JobList: self._list_jobs,
+            OfferWork: self._offer,
             PullWork: self._pull,
             RangeDone: self._report,
         }
@@ -245,12 +254,38 @@
             for job in jobs.jobs()
         ]
 
-    async def _pull(self, message: PullWork) -> Message:
-        document = self._current.document
+    async def wake_sidecars(self) -> None:
+        """Tells idle sidecars of waiting items; runs always."""
+        while True:
+            await anyio.sleep(WAKE_S)
+            idle = self._hand_out.take_idle(self._all_jobs())
+            async with anyio.create_task_group() as group:
+                for address in idle:
+                    group.start_soon(self._wake, address)
+
+    async def _wake(self, address: str) -> None:
+        try:
+            await self._links.call(
+                address,
+                WorkWaiting(),
+                deadline=clock.monotonic() + WAKE_TIMEOUT_S,
+            )
+        except PlumvaneError:
+            return
+
+    async def _offer(self, message: OfferWork) -> Message:
         for jobs in list(self._jobs_by_partition.values()):
             await jobs.forget_worker(
                 message.sidecar_address, message.incarnation
             )
+        return self._hand_out.offer(
+            message,
+            self._all_jobs(),
+            self._current.document.policies.batch_order,
+        )
+
+    async def _pull(self, message: PullWork) -> Message:
+        document = self._current.document
         grant = self._hand_out.pull(
             message,
             self._all_jobs(),
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -75,6 +75,7 @@
             lambda: self._ownership.may_promise(),
             store_is_down=self._store.is_down,
             inheritance=self._inheritance,
+            address=self._address,
         )
         self._ownership = Ownership(
             self._store,
@@ -115,6 +116,7 @@
                 self._host.run,
                 self._ownership.run,
                 self._host.expire_claims,
+                self._host.wake_sidecars,
                 self._keeper.run,
                 self._watch_document,
                 self._peer_watch.run,
--- a/plumvane/jobs/handout.py
+++ b/plumvane/jobs/handout.py
@@ -2,24 +2,38 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from collections.abc import Mapping, Sequence
 
 from plumvane import clock
 from plumvane.jobs.job import Job
-from plumvane.jobs.order import ORDERS_BY_NAME, Forecast, forecast
-from plumvane.peers.messages import PullWork, RangeGrant
+from plumvane.jobs.order import ORDERS_BY_NAME, Forecast, Ranked, forecast
+from plumvane.peers.messages import (
+    JobDemand,
+    OfferWork,
+    OwnerView,
+    PullWork,
+    RangeGrant,
+    WorkOffer,
+)
 
 __all__ = ["HandOut"]
 
 # A sidecar that has not asked for this long no longer counts.
 WORKER_FRESH_S = 180.0
-# Each sidecar gets at most this part of its share in what is left of a job.
+# What another owner told is forgotten after this.
+VIEW_FRESH_S = 90.0
+# Jobs of which an owner tells the others.
+MAX_DEMANDS = 64
+# A range holds at most this part of the sidecar's share in what is left.
 GUIDED = 0.5
+# A range lasts at most this part of the time to the deadline.
+DEADLINE_PART = 0.25
 MIN_RANGE_ITEMS = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Worker:
     """A sidecar that asked for work.
 
@@ -27,21 +41,54 @@
         model: Model behind it.
         item_rate: Items a second that it does, or 0 if not known.
         asked: When it asked last, seconds since the Unix epoch.
+        is_idle: Whether it found no work.
     """
 
     model: str
     item_rate: float
     asked: float
+    is_idle: bool
 
 
 class HandOut:
-    """Chooses jobs and sizes of ranges for sidecars that ask."""
+    """Chooses jobs and sizes of ranges for sidecars that ask.
 
-    def __init__(self) -> None:
-        """Creates a hand-out that has served nobody."""
+    Owners learn each other's demand from the sidecars, which ask all of them
+    before they pull from one.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Creates a hand-out that has served nobody.
+
+        Args:
+            address: Peer address of this owner.
+        """
+        self._address = address
         self._workers_by_address: dict[str, _Worker] = {}
-        self._service_by_team: dict[str, float] = {}
-        self._active_teams: set[str] = set()
+        self._service_by_team: dict[str, float] = collections.defaultdict(float)
+        self._teams_by_model: dict[str, set[str]] = {}
+        self._views_by_owner: dict[
+            tuple[str, str], tuple[float, OwnerView]
+        ] = {}
+
+    def offer(
+        self, message: OfferWork, jobs: Sequence[Job], batch_order: str
+    ) -> WorkOffer:
+        """Returns what a sidecar would be handed.
+
+        Args:
+            message: The sidecar.
+            jobs: All jobs of the owner.
+            batch_order: Name of the order policy.
+        """
+        self._note_worker(message, is_idle=False)
+        running = _running(jobs, message.model)
+        ranked = self._ranked(running, message.model, batch_order)
+        view = self._view(running)
+        if not ranked:
+            self._note_worker(message, is_idle=True)
+            return WorkOffer(view)
+        return WorkOffer(view, True, ranked[0].urgency, ranked[0].key)
 
     def pull(
         self,
@@ -62,48 +109,109 @@
             The grant, or None if no item waits.
         """
         now = clock.wall()
-        self._workers_by_address[message.sidecar_address] = _Worker(
-            message.model, message.item_rate, now
-        )
+        self._note_worker(message, is_idle=False)
+        for view in message.others:
+            self._views_by_owner[message.model, view.address] = (now, view)
         running = _running(jobs, message.model)
-        if not any(job.has_waiting for job in running):
-            return None
-        self._admit_teams({job.accepted.team for job in running})
-        foreseen = self.foresee(running, message.model, now)
-        for job in ORDERS_BY_NAME[batch_order](foreseen):
-            grant = job.grant(
-                self._range_items(job, message),
+        for ranked in self._ranked(running, message.model, batch_order):
+            grant = ranked.job.grant(
+                self._range_items(ranked.job, message),
                 message.sidecar_address,
                 message.incarnation,
             )
             if grant is not None:
-                team = job.accepted.team
+                team = ranked.job.accepted.team
                 weight = share_by_team.get(team, 1)
                 self._service_by_team[team] += grant.items / weight
                 return grant
+        self._note_worker(message, is_idle=True)
         return None
 
-    def foresee(
-        self, running: Sequence[Job], model: str, now: float
-    ) -> Forecast:
+    def foresee(self, running: Sequence[Job], model: str) -> Forecast:
         """Foresees the ends of a model's running jobs and notes them.
 
         Args:
             running: The running jobs of the model.
             model: Name of the model.
-            now: Seconds since the Unix epoch.
         """
-        rate = sum(w.item_rate for w in self._workers(model, now))
-        foreseen = forecast(running, now, rate, self._service_by_team)
+        now = clock.wall()
+        views = self._views(model, now)
+        service_by_team = collections.Counter(self._service_by_team)
+        for view in views:
+            service_by_team.update(view.service_by_team)
+        foreseen = forecast(
+            running,
+            [demand for view in views for demand in view.demands],
+            now,
+            sum(w.item_rate for w in self._workers(model, now)),
+            service_by_team,
+        )
         for job in running:
             job.expected_finish = foreseen.finish_by_id.get(job.accepted.job_id)
         return foreseen
 
     def foresee_all(self, jobs: Sequence[Job]) -> None:
         """Notes the expected end of all running jobs."""
-        now = clock.wall()
         for model in {job.accepted.model for job in jobs}:
-            self.foresee(_running(jobs, model), model, now)
+            self.foresee(_running(jobs, model), model)
+
+    def take_idle(self, jobs: Sequence[Job]) -> list[str]:
+        """Returns idle sidecars that work waits for; each once.
+
+        Args:
+            jobs: All jobs of the owner.
+        """
+        models = {job.accepted.model for job in jobs if job.has_waiting}
+        found = [
+            address
+            for address, worker in self._workers_by_address.items()
+            if worker.is_idle and worker.model in models
+        ]
+        for address in found:
+            self._workers_by_address[address].is_idle = False
+        return found
+
+    def _ranked(
+        self, running: Sequence[Job], model: str, batch_order: str
+    ) -> list[Ranked]:
+        """Returns the jobs with waiting items, the first to run first."""
+        self._admit_teams(model, {job.accepted.team for job in running})
+        foreseen = self.foresee(running, model)
+        ranked = [
+            ranked
+            for ranked in ORDERS_BY_NAME[batch_order](foreseen)
+            if ranked.job.has_waiting
+        ]
+        return sorted(ranked, key=lambda r: (r.urgency, r.key))
+
+    def _view(self, running: Sequence[Job]) -> OwnerView:
+        demands = sorted(
+            (
+                JobDemand(job.accepted.deadline, job.remaining)
+                for job in running
+            ),
+            key=lambda demand: demand.deadline,
+        )
+        teams = {job.accepted.team for job in running}
+        return OwnerView(
+            self._address,
+            tuple(demands[:MAX_DEMANDS]),
+            {team: self._service_by_team[team] for team in teams},
+        )
+
+    def _views(self, model: str, now: float) -> list[OwnerView]:
+        return [
+            view
+            for (of_model, _), (told, view) in self._views_by_owner.items()
+            if of_model == model and told >= now - VIEW_FRESH_S
+        ]
+
+    def _note_worker(
+        self, message: OfferWork | PullWork, *, is_idle: bool
+    ) -> None:
+        self._workers_by_address[message.sidecar_address] = _Worker(
+            message.model, message.item_rate, clock.wall(), is_idle
+        )
 
     def _workers(self, model: str, now: float) -> list[_Worker]:
         for address, worker in list(self._workers_by_address.items()):
@@ -116,20 +224,25 @@
         ]
 
     def _range_items(self, job: Job, message: PullWork) -> int:
-        """Returns how many items to hand out; fewer as the job ends."""
-        workers = len(self._workers(message.model, clock.wall()))
-        guided = int(job.remaining * GUIDED / max(1, workers))
-        return max(1, min(message.items, max(MIN_RANGE_ITEMS, guided)))
-
-    def _admit_teams(self, teams: set[str]) -> None:
+        """Returns how many items to hand out; fewer as the end is near."""
+        now = clock.wall()
+        workers = len(self._workers(message.model, now))
+        most = int(job.remaining * GUIDED / max(1, workers))
+        left_s = job.accepted.deadline - now
+        if message.item_rate > 0 and left_s > 0:
+            most = min(most, int(message.item_rate * left_s * DEADLINE_PART))
+        return min(message.items, max(MIN_RANGE_ITEMS, most))
+
+    def _admit_teams(self, model: str, teams: set[str]) -> None:
         """Starts teams that had no job at the service of the others."""
-        active = teams & self._active_teams
-        start = min((self._service_by_team[team] for team in active), default=0)
-        for team in teams - self._active_teams:
+        before = self._teams_by_model.get(model, set())
+        staying = teams & before
+        start = min((self._service_by_team[t] for t in staying), default=0.0)
+        for team in teams - before:
             self._service_by_team[team] = max(
-                start, self._service_by_team.get(team, 0.0)
+                start, self._service_by_team[team]
             )
-        self._active_teams = teams
+        self._teams_by_model[model] = teams
 
 
 def _running(jobs: Sequence[Job], model: str) -> list[Job]:
--- a/plumvane/jobs/order.py
+++ b/plumvane/jobs/order.py
@@ -6,12 +6,29 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from plumvane.jobs.job import Job
+from plumvane.peers.messages import JobDemand
 
-__all__ = ["ORDERS_BY_NAME", "Forecast", "forecast", "order"]
+__all__ = ["ORDERS_BY_NAME", "Forecast", "Ranked", "forecast", "order"]
 
 # Deadlines leave room for fairness while every job is expected to end within
 # this part of the time to its deadline.
 AMPLE = 0.7
+URGENT, FAIR, LATE = range(3)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ranked:
+    """A job and its place, which owners can compare.
+
+    Attributes:
+        urgency: Class of the job; a lower one goes first.
+        key: Place in the class; a lower one goes first.
+        job: The job.
+    """
+
+    urgency: int
+    key: float
+    job: Job
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,8 +36,8 @@
     """When the running jobs of a model are expected to end.
 
     Attributes:
-        landing: Jobs that can end in time, the earliest deadline first.
-        late: Jobs that cannot, the shortest first.
+        landing: Jobs that can end in time.
+        late: Jobs that cannot.
         finish_by_id: Expected end by job id, seconds since the Unix epoch;
             empty while no rate is known.
         ample: Whether all landing jobs end well before their deadlines.
@@ -31,17 +48,15 @@
     late: tuple[Job, ...]
     finish_by_id: Mapping[str, float]
     ample: bool
-    service_by_team: Mapping[str, float] = dataclasses.field(
-        default_factory=dict
-    )
+    service_by_team: Mapping[str, float]
 
 
-Order = Callable[[Forecast], Sequence[Job]]
+Order = Callable[[Forecast], Sequence[Ranked]]
 ORDERS_BY_NAME: dict[str, Order] = {}
 
 
 def order(name: str) -> Callable[[Order], Order]:
-    """Registers an order; it returns the jobs, the first to run first."""
+    """Registers an order; it ranks the jobs that a forecast holds."""
 
     def register(policy: Order) -> Order:
         ORDERS_BY_NAME[name] = policy
@@ -52,65 +67,78 @@
 
 def forecast(
     jobs: Sequence[Job],
+    others: Sequence[JobDemand],
     now: float,
     item_rate: float,
     service_by_team: Mapping[str, float],
 ) -> Forecast:
     """Foresees the ends of jobs that run by the earliest deadline first.
 
-    A job that would end late is set aside, so that it delays no other.
+    A job that would end late is set aside, so that it delays no other; those
+    jobs follow the others, the shortest first.
 
     Args:
-        jobs: Running jobs of one model.
+        jobs: Running jobs of one model at this owner.
+        others: Those at the other owners.
         now: Seconds since the Unix epoch.
         item_rate: Items a second that the fleet does; 0 if not known.
         service_by_team: Items handed out for each team, over its share.
     """
-    by_deadline = sorted(jobs, key=lambda job: job.accepted.deadline)
     if item_rate <= 0:
-        return Forecast(tuple(by_deadline), (), {}, False, service_by_team)
+        return Forecast(tuple(jobs), (), {}, False, service_by_team)
+    all_demands: list[tuple[float, int, Job | None]] = [
+        (job.accepted.deadline, job.remaining, job) for job in jobs
+    ]
+    all_demands.extend((d.deadline, d.items, None) for d in others)
+    all_demands.sort(key=lambda demand: demand[0])
     landing: list[Job] = []
-    late: list[Job] = []
+    set_aside: list[tuple[int, Job | None]] = []
     finish_by_id: dict[str, float] = {}
     ample = True
     busy_until = now
-    for job in by_deadline:
-        finish = busy_until + job.remaining / item_rate
-        if finish > job.accepted.deadline:
-            late.append(job)
+    for deadline, items, job in all_demands:
+        finish = busy_until + items / item_rate
+        if finish > deadline:
+            set_aside.append((items, job))
             continue
-        landing.append(job)
         busy_until = finish
-        finish_by_id[job.accepted.job_id] = finish
-        ample = ample and finish - now <= AMPLE * (job.accepted.deadline - now)
-    late.sort(key=lambda job: job.remaining)
-    for job in late:
-        busy_until += job.remaining / item_rate
-        finish_by_id[job.accepted.job_id] = busy_until
-    return Forecast(
-        tuple(landing), tuple(late), finish_by_id, ample, service_by_team
-    )
+        ample = ample and finish - now <= AMPLE * (deadline - now)
+        if job is not None:
+            landing.append(job)
+            finish_by_id[job.accepted.job_id] = finish
+    set_aside.sort(key=lambda demand: demand[0])
+    for items, job in set_aside:
+        busy_until += items / item_rate
+        if job is not None:
+            finish_by_id[job.accepted.job_id] = busy_until
+    late = tuple(job for _, job in set_aside if job is not None)
+    return Forecast(tuple(landing), late, finish_by_id, ample, service_by_team)
 
 
 @order("fifo")
-def fifo(foreseen: Forecast) -> Sequence[Job]:
-    """Orders jobs by the time of their acceptance."""
+def fifo(foreseen: Forecast) -> Sequence[Ranked]:
+    """Ranks jobs by the time of their acceptance."""
     jobs = [*foreseen.landing, *foreseen.late]
-    return sorted(jobs, key=lambda job: job.accepted.time)
+    return [Ranked(URGENT, job.accepted.time, job) for job in jobs]
 
 
 @order("least_slack")
-def least_slack(foreseen: Forecast) -> Sequence[Job]:
-    """Orders jobs by urgency, or by fairness while no job is urgent.
+def least_slack(foreseen: Forecast) -> Sequence[Ranked]:
+    """Ranks jobs by urgency, or by fairness while no job is urgent.
 
     All jobs share the fleet's rate, so the job with the earliest deadline has
     the least slack. Jobs that will be late come after those that will not.
     """
-    landing = list(foreseen.landing)
-    if foreseen.ample:
-        landing.sort(key=lambda job: _service(foreseen, job))
-    late = sorted(foreseen.late, key=lambda job: _service(foreseen, job))
-    return [*landing, *late]
+    ranked = [
+        Ranked(FAIR, _service(foreseen, job), job)
+        if foreseen.ample
+        else Ranked(URGENT, job.accepted.deadline, job)
+        for job in foreseen.landing
+    ]
+    ranked.extend(
+        Ranked(LATE, _service(foreseen, job), job) for job in foreseen.late
+    )
+    return ranked
 
 
 def _service(foreseen: Forecast, job: Job) -> float:
--- a/plumvane/peers/messages.py
+++ b/plumvane/peers/messages.py
@@ -44,12 +44,15 @@
     "FetchViews",
     "InstanceView",
     "JobCall",
+    "JobDemand",
     "JobList",
     "JobState",
     "JobStates",
     "Lookup",
     "Message",
+    "OfferWork",
     "Outcome",
+    "OwnerView",
     "PullWork",
     "RangeDone",
     "RangeGrant",
@@ -66,6 +69,8 @@
     "SubmitJob",
     "TextPart",
     "Views",
+    "WorkOffer",
+    "WorkWaiting",
     "decode",
     "encode",
 ]
@@ -665,6 +670,69 @@
     jobs: tuple[JobState, ...]
 
 
+class JobDemand(msgspec.Struct, frozen=True, array_like=True):
+    """What is left of a job, without its name.
+
+    Attributes:
+        deadline: When the job must have ended.
+        items: Items that are not done.
+    """
+
+    deadline: float
+    items: int
+
+
+class OwnerView(msgspec.Struct, frozen=True):
+    """What one owner tells the others of its jobs of a model.
+
+    Attributes:
+        address: Peer address of the owner.
+        demands: Its running jobs, the earliest deadlines first.
+        service_by_team: Items that it handed out for each team with a
+            running job, over the team's share.
+    """
+
+    address: str
+    demands: tuple[JobDemand, ...] = ()
+    service_by_team: dict[str, float] = {}
+
+
+class OfferWork(Message, frozen=True, tag="offerwork"):
+    """A sidecar asks an owner what it would hand out.
+
+    Attributes:
+        model: Model behind the sidecar.
+        sidecar_address: Peer address of the sidecar.
+        incarnation: The sidecar's process.
+        item_rate: Batch items a second that it does, or 0 if not known.
+    """
+
+    model: str
+    sidecar_address: str
+    incarnation: str = ""
+    item_rate: float = 0.0
+
+
+class WorkOffer(Message, frozen=True, tag="workoffer"):
+    """What an owner would hand out next.
+
+    Attributes:
+        view: The owner's jobs.
+        waiting: Whether items wait there.
+        urgency: Class of its first job; a lower one goes first.
+        key: Place of its first job in the class; a lower one goes first.
+    """
+
+    view: OwnerView
+    waiting: bool = False
+    urgency: int = 0
+    key: float = 0.0
+
+
+class WorkWaiting(Message, frozen=True, tag="workwaiting"):
+    """Tells an idle sidecar that items wait at an owner."""
+
+
 class PullWork(Message, frozen=True, tag="pull"):
     """A sidecar asks an owner for batch items.
 
@@ -674,6 +742,7 @@
         items: How many items it can take.
         incarnation: The sidecar's process.
         item_rate: Batch items a second that it does, or 0 if not known.
+        others: What the other owners told the sidecar.
     """
 
     model: str
@@ -681,6 +750,7 @@
     items: int
     incarnation: str = ""
     item_rate: float = 0.0
+    others: tuple[OwnerView, ...] = ()
 
 
 class RangeGrant(Message, frozen=True, tag="range"):
--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -28,12 +28,18 @@
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     ChunkRef,
+    Done,
     FailedItem,
     FailureKind,
+    Message,
+    OfferWork,
     PullWork,
     RangeDone,
     RangeGrant,
+    WorkOffer,
+    WorkWaiting,
 )
+from plumvane.peers.server import Call
 from plumvane.sidecar.dispatcher import completion_outcome
 from plumvane.sidecar.ranges import RangeRun
 from plumvane.upstreams.engine import EngineClient, Token
@@ -58,7 +64,11 @@
 CALL_TIMEOUT_S = 5.0
 RETRY_S = 0.5
 IDLE_MIN_S = 0.1
-IDLE_MAX_S = 2.0
+# An idle sidecar is woken by the owners; this is for a lost message.
+IDLE_MAX_S = 60.0
+ASK_TIMEOUT_S = 1.0
+# An owner that did not answer is not asked for work for this.
+SILENT_OWNER_S = 5.0
 # A range whose results nobody takes is dropped after this.
 GIVE_UP_S = 600.0
 LEAVE_S = 10.0
@@ -107,6 +117,8 @@
         self._runs: set[RangeRun] = set()
         self._completed: deque[float] = deque(maxlen=RATE_ITEMS)
         self._saved = anyio.Event()
+        self._woken = anyio.Event()
+        self._silent_until_by_owner: dict[str, float] = {}
         self._leaving = False
 
     @property
@@ -129,39 +141,90 @@
         for run in self._runs:
             run.scope.cancel()
 
+    async def wake(self, call: Call, message: WorkWaiting) -> Message:
+        """Takes in that work waits at an owner."""
+        self._woken.set()
+        self._woken = anyio.Event()
+        return Done()
+
     async def _pull_loop(self) -> None:
         idle_s = IDLE_MIN_S
         while not self._leaving:
+            woken = self._woken
             pulled = await self._pull() if self._has_room() else None
             if pulled is not None and await self._run_range(*pulled):
                 idle_s = IDLE_MIN_S
                 continue
             if not self._runs:
                 self._completed.clear()
-            await anyio.sleep(idle_s * random.uniform(0.5, 1.0))
+            with anyio.move_on_after(idle_s * random.uniform(0.5, 1.0)):
+                await woken.wait()
+                idle_s = IDLE_MIN_S
+                continue
             idle_s = min(IDLE_MAX_S, idle_s * 2)
 
     async def _pull(self) -> tuple[str, RangeGrant] | None:
-        owners = list(self._reporter.owners)
-        random.shuffle(owners)
-        for owner in owners:
-            message = PullWork(
-                self._model,
-                self._address,
-                self._range_items(),
-                self._incarnation,
-                self.item_rate,
+        """Pulls from the owner whose work goes first."""
+        offers_by_owner = await self._offers()
+        ranked = sorted(
+            (owner for owner, o in offers_by_owner.items() if o.waiting),
+            key=lambda owner: (
+                offers_by_owner[owner].urgency,
+                offers_by_owner[owner].key,
+                random.random(),
+            ),
+        )
+        for owner in ranked:
+            others = tuple(
+                offer.view
+                for other, offer in offers_by_owner.items()
+                if other != owner
+            )
+            reply = await self._ask(
+                owner,
+                PullWork(
+                    self._model,
+                    self._address,
+                    self._range_items(),
+                    self._incarnation,
+                    self.item_rate,
+                    others,
+                ),
             )
-            try:
-                reply = await self._links.call(
-                    owner, message, deadline=clock.monotonic() + CALL_TIMEOUT_S
-                )
-            except PlumvaneError:
-                continue
             if isinstance(reply, RangeGrant) and reply.items:
                 return owner, reply
         return None
 
+    async def _offers(self) -> dict[str, WorkOffer]:
+        """Asks all owners what they would hand out."""
+        message = OfferWork(
+            self._model, self._address, self._incarnation, self.item_rate
+        )
+        offers_by_owner: dict[str, WorkOffer] = {}
+
+        async def ask(owner: str) -> None:
+            reply = await self._ask(owner, message)
+            if isinstance(reply, WorkOffer):
+                offers_by_owner[owner] = reply
+
+        async with anyio.create_task_group() as group:
+            for owner in self._reporter.owners:
+                group.start_soon(ask, owner)
+        return offers_by_owner
+
+    async def _ask(self, owner: str, message: Message) -> Message | None:
+        """Asks an owner; one that does not answer is left out for a while."""
+        if self._silent_until_by_owner.get(owner, 0.0) > clock.monotonic():
+            return None
+        try:
+            return await self._links.call(
+                owner, message, deadline=clock.monotonic() + ASK_TIMEOUT_S
+            )
+        except PlumvaneError:
+            until = clock.monotonic() + SILENT_OWNER_S
+            self._silent_until_by_owner[owner] = until
+            return None
+
     def _range_items(self) -> int:
         items = int(self.item_rate * RANGES_S / RANGES) or FIRST_RANGE_ITEMS
         return min(items, MAX_RANGE_ITEMS)
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -13,6 +13,7 @@
     FetchDocument,
     Message,
     Report,
+    WorkWaiting,
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.process import run_program, supervise
@@ -69,6 +70,7 @@
                 ChunkClient(self._directory, self._links),
                 self._reporter,
             )
+            self._server.handle(WorkWaiting, self._batch.wake)
         else:
             self._upstream = ServiceClient(settings.upstream.url)
         self._leaving = False
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -154,11 +154,19 @@
         return status, json.loads(answer)
 
     def submit(
-        self, entry: Process, lines: bytes, *, key: str
+        self,
+        entry: Process,
+        lines: bytes,
+        *,
+        key: str,
+        deadline: float | None = None,
     ) -> tuple[int, Any]:
         """Submits a batch job of JSONL."""
+        headers = self._headers(key)
+        if deadline is not None:
+            headers["plumvane-deadline"] = str(deadline)
         status, answer = self._fleet.call_raw(
-            "POST", f"{entry.url}/v1/batches", lines, self._headers(key)
+            "POST", f"{entry.url}/v1/batches", lines, headers
         )
         return status, json.loads(answer)
 
--- /dev/null
+++ b/tests/test_jobs_handout.py
@@ -0,0 +1,142 @@
+"""Which job and how many items a sidecar is handed."""
+
+from __future__ import annotations
+
+import collections
+
+from plumvane import clock
+from plumvane.jobs.handout import HandOut
+from plumvane.jobs.job import Job
+from plumvane.peers.messages import (
+    JobDemand,
+    OfferWork,
+    OwnerView,
+    PullWork,
+    RangeGrant,
+)
+from tests.jobs import accepted
+
+RATE = 10.0
+SHARES = {"intake": 3, "depot": 1}
+
+
+def _job(job_id: str, items: int, due_s: float, **fields: object) -> Job:
+    record = accepted(
+        job_id,
+        items,
+        deadline=clock.wall() + due_s,
+        **fields,  # type: ignore[arg-type]
+    )
+    return Job(record, 0, 1)
+
+
+def _pull(
+    hand_out: HandOut,
+    jobs: list[Job],
+    *,
+    batch_order: str = "least_slack",
+    items: int = 1000,
+    others: tuple[OwnerView, ...] = (),
+) -> RangeGrant | None:
+    message = PullWork("model", "sidecar", items, "first", RATE, others)
+    return hand_out.pull(message, jobs, batch_order, SHARES)
+
+
+def test_urgent_job_goes_before_an_older_one() -> None:
+    jobs = [
+        _job("old", 500, 80.0, time=1.0),
+        _job("urgent", 100, 12.0, time=2.0),
+    ]
+    for batch_order, first in (("fifo", "old"), ("least_slack", "urgent")):
+        grant = _pull(HandOut("owner"), jobs, batch_order=batch_order)
+        assert grant is not None and grant.job_id == first
+
+
+def test_job_that_cannot_land_is_reported_and_delays_no_other() -> None:
+    jobs = [_job("hopeless", 1000, 50.0), _job("landing", 500, 60.0)]
+    hand_out = HandOut("owner")
+    grant = _pull(hand_out, jobs)
+    assert grant is not None and grant.job_id == "landing"
+    hand_out.foresee_all(jobs)
+    hopeless, landing = (job.describe() for job in jobs)
+    assert hopeless.expected_finish is not None
+    assert landing.expected_finish is not None
+    assert hopeless.expected_finish > hopeless.deadline
+    assert landing.expected_finish < landing.deadline
+
+
+def test_other_owners_demand_counts() -> None:
+    others = (OwnerView("other", (JobDemand(clock.wall() + 30.0, 250),)),)
+    for views, lands in (((), True), (others, False)):
+        job = _job("job", 300, 40.0)
+        _pull(HandOut("owner"), [job], others=views)
+        finish = job.describe().expected_finish
+        assert finish is not None
+        assert (finish < job.accepted.deadline) == lands
+
+
+def test_offer_of_an_urgent_job_goes_first() -> None:
+    message = OfferWork("model", "sidecar", "first", RATE)
+    keys = []
+    for job in (
+        _job("urgent", 100, 12.0),
+        _job("ample", 100, 3600.0),
+        _job("hopeless", 100, 1.0),
+    ):
+        offer = HandOut("owner").offer(message, [job], "least_slack")
+        assert offer.waiting
+        keys.append((offer.urgency, offer.key))
+    assert keys == sorted(keys)
+
+
+def test_teams_share_by_weight_while_no_job_is_urgent() -> None:
+    jobs = [
+        _job("one", 10_000, 86_400.0, team="intake"),
+        _job("two", 10_000, 86_400.0, team="depot"),
+    ]
+    hand_out = HandOut("owner")
+    items_by_job: collections.Counter[str] = collections.Counter()
+    for _ in range(80):
+        grant = _pull(hand_out, jobs, items=10)
+        assert grant is not None
+        items_by_job[grant.job_id] += grant.items
+    assert items_by_job == {"one": 600, "two": 200}
+
+
+def test_team_that_comes_later_does_not_catch_up() -> None:
+    first = _job("one", 10_000, 86_400.0, team="depot")
+    hand_out = HandOut("owner")
+    for _ in range(50):
+        _pull(hand_out, [first], items=10)
+    jobs = [first, _job("two", 10_000, 86_400.0, team="other")]
+    granted = []
+    for _ in range(10):
+        grant = _pull(hand_out, jobs, items=10)
+        assert grant is not None
+        granted.append(grant.job_id)
+    assert granted.count("one") == granted.count("two") == 5
+
+
+def test_ranges_shrink_towards_the_end_and_the_deadline() -> None:
+    sizes = {}
+    for name, items, due_s in (
+        ("long", 100_000, 86_400.0),
+        ("ending", 100, 86_400.0),
+        ("due", 100_000, 12.0),
+    ):
+        grant = _pull(HandOut("owner"), [_job(name, items, due_s)])
+        assert grant is not None
+        sizes[name] = grant.items
+    assert sizes["long"] == 1000
+    assert sizes["ending"] == 50
+    assert sizes["due"] < 12.0 * RATE / 2
+
+
+def test_idle_sidecar_is_woken_once() -> None:
+    hand_out = HandOut("owner")
+    message = OfferWork("model", "sidecar")
+    assert not hand_out.offer(message, [], "least_slack").waiting
+    assert hand_out.take_idle([]) == []
+    jobs = [_job("job", 10, 60.0)]
+    assert hand_out.take_idle(jobs) == ["sidecar"]
+    assert hand_out.take_idle(jobs) == []
