Fuzz the batch job against an oracle; prove engine loss and leaving

Change: tests/test_jobs_machine.py, a stateful hypothesis machine over the Memory store with lost answers, lost writes, lapsed claims, former owners, restarted sidecars and repeated or overlapping reports; teardown runs the job to its end, so that no item may be left behind.

Proofs of the machine, with a guard off in a scratch edit: first result wins, off: "AssertionError: listed twice" loss counted in a wider range: "assert self.losses[item.index] >= MAX_LOSSES" cancel not committed: 'assert not self.cancelled or job.state == "cancelled"' results not committed: "AssertionError: an acknowledged item is open" open items not queued again: 'assert job.state in ("completed", "cancelled")' Not found by the machine: the memory of ended claims, off (its own test in tests/test_jobs_job.py fails then).

--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 import threading
 from typing import Any
@@ -16,7 +17,7 @@
     owner_of,
     wait_completed,
 )
-from tests.fleets import Caller, running_fleet, wait_for
+from tests.fleets import TEAM, Caller, running_fleet, wait_for
 
 SLOW_STEPS = ("--step_s=0.05",)
 COPIES_TIMEOUT_S = 120.0
@@ -267,3 +268,83 @@
             return min(copies.values()) == 2
 
         wait_for(repaired, "each chunk whole twice", COPIES_TIMEOUT_S)
+
+
+def test_streams_that_the_engine_ends_early_run_again() -> None:
+    with running_fleet(bulks=2, engine_flags=SLOW_STEPS) as fleet:
+        caller = Caller(fleet)
+        entry = fleet["entry-0"]
+        prompts = [f"plan {n}" for n in range(60)]
+        lines = item_lines(prompts, max_tokens=10)
+        _, job = caller.submit(entry, lines, key="k")
+        running = wait_for(
+            lambda: engine_record(fleet)["running"], "streams run"
+        )
+        for name in running:
+            fleet.call("POST", f"{fleet['engine-0'].url}/v1/cancel/{name}")
+        state = wait_completed(caller, entry, job["id"])
+        results = caller.job_results(entry, job["id"])
+        started = _started(fleet, job["id"])
+    assert state["failed_count"] == 0
+    assert len(started) > len(prompts)
+    for prompt, line in zip(prompts, results, strict=True):
+        assert is_own_answer(line, prompt, 10)
+
+
+def test_job_survives_its_engine() -> None:
+    with running_fleet(bulks=2, engine_flags=SLOW_STEPS) as fleet:
+        caller = Caller(fleet)
+        entry = fleet["entry-0"]
+        prompts = [f"plan {n}" for n in range(60)]
+        lines = item_lines(prompts, max_tokens=10)
+        _, job = caller.submit(entry, lines, key="k")
+        wait_for(lambda: engine_record(fleet)["running"], "streams run")
+        fleet["engine-0"].kill()
+        fleet["engine-0"].start()
+        state = wait_completed(caller, entry, job["id"])
+        results = caller.job_results(entry, job["id"])
+    assert (state["done"], state["failed_count"]) == (60, 0)
+    for prompt, line in zip(prompts, results, strict=True):
+        assert is_own_answer(line, prompt, 10)
+
+
+def test_leaving_sidecar_hands_its_items_back() -> None:
+    with running_fleet(bulks=2, engines=2, engine_flags=SLOW_STEPS) as fleet:
+        caller = Caller(fleet)
+        entry = fleet["entry-0"]
+        prompts = [f"plan {n}" for n in range(200)]
+        lines = item_lines(prompts, max_tokens=20)
+        _, job = caller.submit(entry, lines, key="k")
+        for engine in ("engine-0", "engine-1"):
+            wait_for(
+                lambda name=engine: engine_record(fleet, name)["running"],
+                f"streams run at {engine}",
+            )
+        assert fleet["engine-0-sidecar"].terminate() == 0
+        assert not engine_record(fleet)["running"]
+        state = wait_completed(caller, entry, job["id"])
+        results = caller.job_results(entry, job["id"])
+        logs = [fleet[name].log.read_text() for name in ("entry-0", "entry-1")]
+    assert (state["done"], state["failed_count"]) == (200, 0)
+    assert not any("range_lost" in log for log in logs)
+    for prompt, line in zip(prompts, results, strict=True):
+        assert is_own_answer(line, prompt, 20)
+
+
+def test_results_without_their_chunks_are_an_error() -> None:
+    with running_fleet(bulks=2) as fleet:
+        caller, job_id, prompts = _finished_job(fleet)
+        for bulk in ("bulk-0", "bulk-1"):
+            fleet[bulk].kill()
+        url = f"{fleet['entry-0'].url}/v1/batches/{job_id}/results"
+        status, body = fleet.call("GET", url, None, TEAM)
+        assert status == 503
+        assert json.loads(body)["code"] == "bulk_unavailable"
+        fleet["bulk-1"].start()
+        wait_for(
+            lambda: fleet.call("GET", url, None, TEAM)[0] == 200,
+            "the results again",
+        )
+        results = caller.job_results(fleet["entry-0"], job_id)
+    for prompt, line in zip(prompts, results, strict=True):
+        assert is_own_answer(line, prompt)
--- /dev/null
+++ b/tests/test_jobs_machine.py
@@ -0,0 +1,340 @@
+"""Stateful fuzzing of a batch job over takeovers and lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import os
+from typing import Any
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from plumvane.errors import NotOwnerError, StoreUnavailableError
+from plumvane.jobs import job as jobs_job
+from plumvane.jobs.job import Job
+from plumvane.jobs.table import JobTable
+from plumvane.partitions import log as partition_log
+from plumvane.partitions import segments
+from plumvane.partitions.log import PartitionLog
+from plumvane.peers.messages import (
+    ChunkRef,
+    FailedItem,
+    FailureKind,
+    RangeDone,
+    RangeGrant,
+    SubmitJob,
+)
+from plumvane.store.memory import MemoryStore
+from tests.jobs import accepted, done, renewal
+
+ITEMS = 24
+MAX_ATTEMPTS = 2
+MAX_LOSSES = 2
+FAR = 1e12
+LONG = os.environ.get("HYPOTHESIS_PROFILE") == "long"
+
+
+class _LossyStore(MemoryStore):
+    """A store that loses answers after the write, or whole writes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.faults: list[str] = []
+
+    async def put(self, *args: Any, **fields: Any) -> int:
+        fault = self.faults.pop() if self.faults else ""
+        if fault == "write":
+            raise StoreUnavailableError("The write was lost.")
+        revision = await super().put(*args, **fields)
+        if fault == "answer":
+            raise StoreUnavailableError("The answer was lost.")
+        return revision
+
+
+class _Oracle:
+    """What the job has promised so far.
+
+    Attributes:
+        closed: Items whose result or failure was acknowledged.
+        digest_by_item: The result that each item was seen to have.
+        errors: Errors reported for each item under a claim.
+        losses: Lapses of claims on each item alone, or such reports.
+        cancelled: Whether a cancel was acknowledged.
+    """
+
+    def __init__(self) -> None:
+        self.closed: set[int] = set()
+        self.digest_by_item: dict[int, str] = {}
+        self.errors: collections.Counter[int] = collections.Counter()
+        self.losses: collections.Counter[int] = collections.Counter()
+        self.cancelled = False
+
+    def check(self, job: Job) -> None:
+        """Compares the job with all that was promised."""
+        page = job.page(0)
+        assert page.last
+        seen = collections.Counter(i for r in page.results for i in r.covered())
+        seen.update(item.index for item in page.failed)
+        assert all(count == 1 for count in seen.values()), "listed twice"
+        assert self.closed <= seen.keys(), "an acknowledged item is open"
+        assert job.remaining == ITEMS - len(seen)
+        for results in page.results:
+            for index in results.covered():
+                first = self.digest_by_item.setdefault(index, results.digest)
+                assert first == results.digest, "a result has changed"
+        for item in page.failed:
+            if item.kind is FailureKind.ERROR:
+                assert self.errors[item.index] >= MAX_ATTEMPTS
+            elif item.kind is FailureKind.LOST:
+                assert self.losses[item.index] >= MAX_LOSSES
+        assert not self.cancelled or job.state == "cancelled"
+        assert not (self.cancelled and job.has_waiting)
+
+
+class JobMachine(stateful.RuleBasedStateMachine):
+    """Owners and workers of one job in any order of events."""
+
+    claims: stateful.Bundle[RangeGrant] = stateful.Bundle("claims")
+    reports: stateful.Bundle[RangeDone] = stateful.Bundle("reports")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.store = _LossyStore()
+        self.oracle = _Oracle()
+        self.tables: list[JobTable] = []
+        self.numbers = 0
+        self.patches = [
+            mock.patch.object(partition_log, "COMMITS_PER_S", 1e9),
+            mock.patch.object(segments, "RETRY_S", 0.0),
+            # Low bounds, so that short runs reach them.
+            mock.patch.object(jobs_job, "MAX_ATTEMPTS", MAX_ATTEMPTS),
+            mock.patch.object(jobs_job, "MAX_LOSSES", MAX_LOSSES),
+        ]
+        for patch in self.patches:
+            patch.start()
+        self.take_over()
+        record = accepted(items=ITEMS)
+        message = SubmitJob(
+            0, "batch-1", "intake", b"d", "model", record.chunks, 0.0
+        )
+        self.runner.run(self.tables[-1].submit(message))
+
+    @property
+    def job(self) -> Job:
+        """The job at the newest owner."""
+        return self.tables[-1].jobs()[0]
+
+    @stateful.rule()
+    def take_over(self) -> None:
+        """Lets a new owner take the partition; the old one lives on."""
+        epoch = len(self.tables) + 1
+        log = PartitionLog(self.store, 0, epoch)
+        table = JobTable(log, 0, epoch, may_promise=lambda: True)
+        for record in self.runner.run(log.recover()):
+            table.apply(record)
+        table.start()
+        self.runner.get_loop().create_task(log.run())
+        self.tables.append(table)
+
+    @stateful.rule(fault=st.sampled_from(["answer", "write"]))
+    def fault(self, fault: str) -> None:
+        """Spoils one of the next writes to the store."""
+        self.store.faults.append(fault)
+
+    @stateful.rule(target=claims, items=st.integers(1, 12), old=st.booleans())
+    def grant(self, items: int, old: bool) -> Any:
+        """Hands out a range, perhaps by a former owner."""
+        job = self._table(old).jobs()[0]
+        grant = job.grant(items, "sidecar", f"process-{len(self.tables)}")
+        if grant is None:
+            return stateful.multiple()
+        assert not (self.oracle.cancelled and not old)
+        return grant
+
+    @stateful.rule(
+        target=reports,
+        grant=claims,
+        outcomes=st.lists(
+            st.sampled_from(["result", "untried", *FailureKind]),
+            min_size=12,
+            max_size=12,
+        ),
+        finished=st.booleans(),
+        old=st.booleans(),
+    )
+    def report(
+        self, grant: RangeGrant, outcomes: list[Any], finished: bool, old: bool
+    ) -> RangeDone:
+        """Reports a range with any mix of outcomes."""
+        indexes = range(grant.first_item, grant.first_item + grant.items)
+        by_index = dict(zip(indexes, outcomes, strict=False))
+        results = tuple(i for i in indexes if by_index.get(i) == "result")
+        failed = tuple(
+            FailedItem(i, "cause", kind)
+            for i, kind in by_index.items()
+            if isinstance(kind, FailureKind)
+        )
+        self.numbers += 1
+        ref = ChunkRef(
+            f"results-{self.numbers}",
+            grant.first_item,
+            grant.items,
+            ("bulk",),
+            results,
+        )
+        report = done(
+            grant,
+            ref if results else None,
+            failed if finished else (),
+            finished=finished,
+        )
+        self._send(report, old)
+        return report
+
+    @stateful.rule(report=reports, old=st.booleans())
+    def repeat(self, report: RangeDone, old: bool) -> None:
+        """Sends a report again, as after a lost answer."""
+        self._send(report, old)
+
+    @stateful.rule(grant=claims)
+    def report_twice_at_once(self, grant: RangeGrant) -> None:
+        """Sends results of two runs of a range, so that commits overlap."""
+        table = self.tables[-1]
+        indexes = range(grant.first_item, grant.first_item + grant.items)
+        calls = []
+        for _ in range(2):
+            self.numbers += 1
+            ref = ChunkRef(
+                f"results-{self.numbers}", grant.first_item, grant.items, ()
+            )
+            calls.append(table.report(done(grant, ref)))
+
+        async def both() -> None:
+            await asyncio.gather(*calls)
+
+        if self._run(table, both()):
+            self.oracle.closed.update(indexes)
+
+    @stateful.rule(grant=claims, old=st.booleans())
+    def renew(self, grant: RangeGrant, old: bool) -> None:
+        """Renews a claim, which may have lapsed or ended."""
+        self._send(renewal(grant), old)
+
+    @stateful.rule()
+    def lapse(self) -> None:
+        """Lets all claims lapse."""
+        self._count_losses(lambda claim: True)
+        self._run(self.tables[-1], self._expire())
+
+    @stateful.rule()
+    def restart_worker(self) -> None:
+        """Lets a new process of the sidecar ask for work."""
+        name = f"process-{len(self.tables)}-{self.numbers}"
+        self._count_losses(lambda claim: claim.incarnation != name)
+        table = self.tables[-1]
+        self._run(table, table.forget_worker("sidecar", name))
+
+    @stateful.precondition(lambda self: self.numbers > 4)
+    @stateful.rule(old=st.booleans())
+    def cancel(self, old: bool) -> None:
+        """Cancels the job."""
+        table = self._table(old)
+        was_running = table.jobs()[0].state == "running"
+        if self._run(table, table.cancel("batch-1", "intake")) and was_running:
+            self.oracle.cancelled = self.oracle.cancelled or bool(
+                table.jobs()[0].cancelled
+            )
+
+    @stateful.invariant()
+    def keeps_its_promises(self) -> None:
+        """The newest owner's job agrees with the oracle."""
+        if self.tables and self.tables[-1].jobs():
+            self.oracle.check(self.job)
+
+    def teardown(self) -> None:
+        """Runs the job to its end: no item may be left behind."""
+        try:
+            self._drain()
+        finally:
+            for patch in self.patches:
+                patch.stop()
+            self.runner.close()
+
+    def _drain(self) -> None:
+        self.store.faults.clear()
+        self.runner.run(self._expire())
+        while (grant := self.job.grant(ITEMS, "sidecar")) is not None:
+            indexes = tuple(
+                i
+                for i in range(grant.first_item, grant.first_item + grant.items)
+                if i not in grant.skip
+            )
+            ref = ChunkRef("last", grant.first_item, grant.items, (), indexes)
+            self.runner.run(self.tables[-1].report(done(grant, ref)))
+        assert self.job.state in ("completed", "cancelled")
+
+    def _table(self, old: bool) -> JobTable:
+        return (
+            self.tables[-2] if old and len(self.tables) > 1 else self.job_table
+        )
+
+    @property
+    def job_table(self) -> JobTable:
+        """The table of the newest owner."""
+        return self.tables[-1]
+
+    async def _expire(self) -> None:
+        with mock.patch("plumvane.clock.wall", lambda: FAR):
+            await self.tables[-1].expire()
+
+    def _count_losses(self, is_lost: Any) -> None:
+        for claim in self.job.claims:
+            if claim.items == 1 and is_lost(claim):
+                self.oracle.losses[claim.first_item] += 1
+
+    def _send(self, report: RangeDone, old: bool) -> None:
+        table = self._table(old)
+        known = report.claim_id in [
+            claim.claim_id for claim in table.jobs()[0].claims
+        ]
+        for item in report.failed if known else ():
+            if item.kind is FailureKind.ERROR:
+                self.oracle.errors[item.index] += 1
+            elif item.kind is FailureKind.LOST and report.items == 1:
+                self.oracle.losses[item.index] += 1
+        if not self._run(table, table.report(report)):
+            return
+        if report.results is not None:
+            self.oracle.closed.update(report.results.covered())
+        self.oracle.closed.update(
+            item.index
+            for item in report.failed
+            if item.kind is FailureKind.REFUSED
+        )
+
+    def _run(self, table: JobTable, call: Any) -> bool:
+        """Runs a call; returns whether the owner acknowledged it."""
+        try:
+            self.runner.run(call)
+        except NotOwnerError:
+            assert table is not self.tables[-1]
+            return False
+        return True
+
+
+JobMachine.TestCase.settings = hypothesis.settings(
+    derandomize=not LONG,
+    max_examples=3000 if LONG else 150,
+    stateful_step_count=60,
+    deadline=None,
+)
+
+
+def test_job_keeps_its_promises() -> None:
+    stateful.run_state_machine_as_test(
+        JobMachine, settings=JobMachine.TestCase.settings
+    )
