--- a/plumvane/entry/runner.py
+++ b/plumvane/entry/runner.py
@@ -50,10 +50,10 @@
 RENEW_S = 1.0
 RELEASE_S = 3.0
 RETRY_AFTER_S = 1.0
-# Full upstreams that one request is offered to.
+# How many full upstreams one request is offered to.
 MAX_REFUSALS = 2
 # How often a non-idempotent request that was not run is tried once more.
-REFUSALS = 2
+ONCE_ATTEMPTS = 2
 
 
 class RequestRunner:
@@ -175,7 +175,7 @@
     async def _answer(self, running: Running) -> Answer:
         if running.request.idempotent:
             return await self._answer_once(running)
-        for _ in range(REFUSALS):
+        for _ in range(ONCE_ATTEMPTS):
             try:
                 return await self._answer_once(running)
             except (LeavingError, UpstreamUnavailableError) as error:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -175,6 +175,7 @@
             self._counts["requests"] += 1
             return JSONResponse({"error": "failing"}, status_code=500)
         if POISON in prompt:
+            self._counts["poisoned"] += 1
             return JSONResponse({"error": "poison"}, status_code=500)
         limit = int(body.get("max_tokens", DEFAULT_TOKENS))
         if not 1 <= limit <= MAX_TOKENS:
