Give each kind of bad input its own error

Settings: an entry without the store's URL and a key without its certificate were valid, a binary file and an address in use ended in a traceback, and only the first fault was named.

Ruled out: codes by the text of the detail (callers must not parse it).

Change: invalid_json, invalid_line, unknown_model and method_not_allowed are kinds of their own; bodies of completions are checked by a model; every call ends in a problem document; settings name every fault with section, key and remedy, exit status 78.

--- a/plumvane/entry/api.py
+++ b/plumvane/entry/api.py
@@ -4,18 +4,22 @@
 
 import hashlib
 import json
+import math
 import secrets
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import msgspec
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import ClientDisconnect
 from starlette.requests import Request as HttpRequest
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from plumvane import clock, hashing
+from plumvane import clock, events, hashing
 from plumvane.entry.batches import BatchService
+from plumvane.entry.bodies import check_completion
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.problems import problem_body, problem_response
 from plumvane.entry.runner import Answer, Request, RequestRunner, Running
@@ -26,11 +30,14 @@
     ConflictError,
     DeadlineExceededError,
     ForbiddenError,
+    InvalidJsonError,
     LeavingError,
+    MethodNotAllowedError,
     NotFoundError,
     PlumvaneError,
     StoreUnavailableError,
     UnauthorizedError,
+    UnknownModelError,
     error_from_code,
 )
 from plumvane.fleet.current import CurrentDocument
@@ -112,7 +119,8 @@
             routes=[
                 Route(path, _with_problems(handler), methods=[method])
                 for method, path, handler in routes
-            ]
+            ],
+            exception_handlers={404: _http_problem, 405: _http_problem},
         )
 
     async def complete(self, http: HttpRequest) -> Response:
@@ -124,14 +132,11 @@
         document = self._current.document
         model = fields.get("model")
         if not isinstance(model, str) or model not in document.models:
-            raise NotFoundError(
-                f"Model {model!r} is unknown.",
-                remedy="Name a model of the fleet document.",
-                not_run=True,
+            raise UnknownModelError(
+                f"Model {model!r} is unknown.", not_run=True
             )
-        prompt = fields.get("prompt")
-        if not isinstance(prompt, str):
-            raise BadRequestError("'prompt' must be a string.", not_run=True)
+        check_completion(fields, document.models[model])
+        prompt = str(fields["prompt"])
         workload = _workload(document, fields.pop("workload", None), model)
         timeout_s = workload.timeout_s if workload else SERVICE_TIMEOUT_S
         stream = bool(fields.pop("stream", False))
@@ -365,10 +370,30 @@
             return await handler(http)
         except PlumvaneError as error:
             return problem_response(error)
+        except ClientDisconnect:
+            raise
+        except Exception as error:
+            events.log(
+                events.Event.CALL_FAILED,
+                path=http.url.path,
+                error=repr(error),
+            )
+            return problem_response(PlumvaneError("The entry failed."))
 
     return serve
 
 
+async def _http_problem(http: HttpRequest, error: Exception) -> Response:
+    """Answers a path or method that is not served."""
+    if isinstance(error, HTTPException) and error.status_code == 405:
+        return problem_response(
+            MethodNotAllowedError(f"{http.method} is not served here.")
+        )
+    return problem_response(
+        NotFoundError(f"{http.url.path} is not served.", not_run=True)
+    )
+
+
 def _token(http: HttpRequest) -> str:
     scheme, _, token = http.headers.get("authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not token:
@@ -393,11 +418,14 @@
     if text is None:
         return None
     try:
-        return float(text)
+        deadline = float(text)
     except ValueError:
+        deadline = math.nan
+    if not math.isfinite(deadline):
         raise BadRequestError(
             "Plumvane-Deadline must be seconds since the epoch.", not_run=True
-        ) from None
+        )
+    return deadline
 
 
 def _deadline(http: HttpRequest, timeout_s: float) -> float:
@@ -432,16 +460,24 @@
 
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
-        fields = json.loads(body)
+        fields = json.loads(body, parse_constant=_refuse_constant)
     except ValueError as error:
-        raise BadRequestError(
+        raise InvalidJsonError(
             f"The body is not JSON: {error}.", not_run=True
         ) from None
+    except RecursionError:
+        raise InvalidJsonError(
+            "The body is nested too deeply.", not_run=True
+        ) from None
     if not isinstance(fields, dict):
-        raise BadRequestError("The body is not a JSON object.", not_run=True)
+        raise InvalidJsonError("The body is not a JSON object.", not_run=True)
     return fields
 
 
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is no JSON number")
+
+
 def _digest(path: str, body: bytes) -> bytes:
     return hashlib.sha256(path.encode() + b"\0" + body).digest()
 
--- a/plumvane/entry/batches.py
+++ b/plumvane/entry/batches.py
@@ -15,7 +15,9 @@
     BadRequestError,
     BodyTooLargeError,
     DeadlineExceededError,
+    InvalidLineError,
     PlumvaneError,
+    UnknownModelError,
 )
 from plumvane.fleet.current import CurrentDocument
 from plumvane.peers.messages import (
@@ -114,7 +116,7 @@
         try:
             item = self._decoder.decode(line)
         except msgspec.DecodeError as error:
-            raise BadRequestError(
+            raise InvalidLineError(
                 f"Line {self.items} is invalid: {error}.", not_run=True
             ) from None
         digest = hashlib.blake2b(item.custom_id.encode(), digest_size=16)
@@ -192,7 +194,7 @@
         job_input = JobInput(self._chunks)
         await job_input.read(stream)
         if job_input.model not in self._current.document.models:
-            raise BadRequestError(
+            raise UnknownModelError(
                 f"Model {job_input.model!r} is unknown.", not_run=True
             )
         job_id = job_id_of(team, key)
--- a/plumvane/entry/problems.py
+++ b/plumvane/entry/problems.py
@@ -16,7 +16,7 @@
     """Returns an error as a problem document."""
     return {
         "type": f"urn:plumvane:error:{error.code}",
-        "title": type(error).__doc__ or error.code,
+        "title": (type(error).__doc__ or error.code).splitlines()[0],
         "status": error.status,
         "detail": error.detail,
         "code": error.code,
--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -13,9 +13,12 @@
     "ConflictError",
     "DeadlineExceededError",
     "ForbiddenError",
+    "InvalidJsonError",
+    "InvalidLineError",
     "KeyReusedError",
     "LeavingError",
     "LinkLostError",
+    "MethodNotAllowedError",
     "NotFoundError",
     "NotOwnerError",
     "OutcomeUnknownError",
@@ -26,6 +29,7 @@
     "SettingsError",
     "StoreUnavailableError",
     "UnauthorizedError",
+    "UnknownModelError",
     "UpstreamFailedError",
     "UpstreamUnavailableError",
     "error_from_code",
@@ -88,6 +92,20 @@
     default_remedy = "Correct the request as the detail says."
 
 
+class InvalidJsonError(BadRequestError):
+    """The body is not the JSON object that the call takes."""
+
+    code = "invalid_json"
+    default_remedy = "Send one whole JSON object in UTF-8."
+
+
+class InvalidLineError(BadRequestError):
+    """A line of a job's JSONL is invalid."""
+
+    code = "invalid_line"
+    default_remedy = "Correct the line that the detail names and send it again."
+
+
 class UnauthorizedError(PlumvaneError):
     """The bearer token is missing or unknown."""
 
@@ -112,6 +130,21 @@
     default_remedy = "Check the name and the token's team."
 
 
+class UnknownModelError(NotFoundError):
+    """No model of this name is in the fleet document."""
+
+    code = "unknown_model"
+    default_remedy = "Name a model of the fleet document."
+
+
+class MethodNotAllowedError(PlumvaneError):
+    """The path exists but does not take this method."""
+
+    code = "method_not_allowed"
+    status = 405
+    default_remedy = "Use a method that docs/API.md lists for the path."
+
+
 class KeyReusedError(PlumvaneError):
     """An idempotency key was sent again with another body."""
 
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -21,6 +21,7 @@
     PROCESS_LEAVING = (1002, "The process refuses new work and drains.")
     PROCESS_STOPPED = (1003, "The process has drained and ends.")
     TASK_FAILED = (1004, "A background task failed and is started again.")
+    CALL_FAILED = (1005, "An HTTP call failed by a fault of this process.")
     STORE_UNAVAILABLE = (2001, "The store does not answer.")
     STORE_AVAILABLE = (2002, "The store answers again.")
     LEASE_LOST = (2003, "The instance's lease lapsed or was refused.")
--- a/plumvane/peers/server.py
+++ b/plumvane/peers/server.py
@@ -12,7 +12,7 @@
 import zmq
 
 from plumvane import clock
-from plumvane.errors import PlumvaneError, ProtocolError
+from plumvane.errors import PlumvaneError, ProtocolError, SettingsError
 from plumvane.peers import wire
 from plumvane.peers.channel import Channel
 from plumvane.peers.messages import Failure, Message, decode, encode
@@ -123,7 +123,15 @@
         socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
         socket.setsockopt(zmq.SNDHWM, 100_000)
-        socket.bind(f"tcp://{self._address}")
+        try:
+            socket.bind(f"tcp://{self._address}")
+        except zmq.ZMQError as error:
+            socket.close()
+            raise SettingsError(
+                f"Cannot listen on {self._address} for peers: {error}.",
+                remedy="Correct peer_address or listen_address in section "
+                "[process], or stop what listens there.",
+            ) from error
         channel = Channel(socket)
         try:
             async with anyio.create_task_group() as group:
--- a/plumvane/process.py
+++ b/plumvane/process.py
@@ -46,16 +46,31 @@
             print(f"{_SETTINGS.value}: the settings are valid")
             return
         events.configure()
-        anyio.run(
-            _serve_until_signal,
-            checked,
-            serve,
-            backend_options={"use_uvloop": True},
-        )
+        try:
+            anyio.run(
+                _serve_until_signal,
+                checked,
+                serve,
+                backend_options={"use_uvloop": True},
+            )
+        except* SettingsError as errors:
+            for error in _leaves(errors):
+                print(error, file=sys.stderr)
+            sys.exit(EXIT_SETTINGS)
 
     app.run(main)
 
 
+def _leaves(group: BaseExceptionGroup[SettingsError]) -> list[SettingsError]:
+    found = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found.extend(_leaves(error))
+        else:
+            found.append(error)
+    return found
+
+
 async def supervise(run: Callable[[], Awaitable[None]]) -> None:
     """Runs a background task again when it fails.
 
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -4,7 +4,9 @@
 
 import configparser
 import ipaddress
+import os
 import pathlib
+import urllib.parse
 from typing import Annotated, Any, TypeVar
 
 import pydantic
@@ -57,12 +59,29 @@
 def _existing_folder(path: pathlib.Path) -> pathlib.Path:
     if not path.is_dir():
         raise ValueError(f"the folder {path} does not exist; create it")
+    if not os.access(path, os.W_OK | os.X_OK):
+        raise ValueError(f"the folder {path} is not writable")
     return path
 
 
 Folder = Annotated[pathlib.Path, pydantic.AfterValidator(_existing_folder)]
 
 
+def _http_url(url: str) -> str:
+    parts = urllib.parse.urlsplit(url)
+    try:
+        port_is_valid = parts.port is None or parts.port > 0
+    except ValueError:
+        port_is_valid = False
+    known = parts.scheme in ("http", "https")
+    if not (known and parts.hostname and port_is_valid):
+        raise ValueError("write it as http://IP:PORT or https://IP:PORT")
+    return url
+
+
+Url = Annotated[str, pydantic.AfterValidator(_http_url)]
+
+
 class _Section(pydantic.BaseModel):
     """A section whose unknown keys are errors."""
 
@@ -98,8 +117,8 @@
         store_url: URL of the key-value store; entries only.
     """
 
-    instances_url: str = pydantic.Field(pattern=r"^https?://")
-    store_url: str | None = pydantic.Field(default=None, pattern=r"^https?://")
+    instances_url: Url
+    store_url: Url | None = None
 
 
 class HttpSection(_Section):
@@ -115,6 +134,12 @@
     certificate_file: pydantic.FilePath | None = None
     key_file: pydantic.FilePath | None = None
 
+    @pydantic.model_validator(mode="after")
+    def _check_pair(self) -> HttpSection:
+        if (self.certificate_file is None) != (self.key_file is None):
+            raise ValueError("certificate_file and key_file go together")
+        return self
+
 
 class UpstreamSection(_Section):
     """Section [upstream]: the back end beside a sidecar.
@@ -125,7 +150,7 @@
         serves: Name of the model or service in the fleet document.
     """
 
-    url: str = pydantic.Field(pattern=r"^https?://")
+    url: Url
     kind: str = pydantic.Field(pattern=r"^(engine|service)$")
     serves: str = pydantic.Field(min_length=1)
 
@@ -161,6 +186,13 @@
 
     http: HttpSection
 
+    @pydantic.field_validator("platform")
+    @classmethod
+    def _check_store(cls, platform: PlatformSection) -> PlatformSection:
+        if platform.store_url is None:
+            raise ValueError("store_url: an entry needs the store's URL")
+        return platform
+
 
 class SidecarSettings(CommonSettings):
     """Settings of plumvane-sidecar.
@@ -208,6 +240,11 @@
             f"Settings file {path}: {error.strerror}.",
             remedy="Name a readable INI file with --settings.",
         ) from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(
+            f"Settings file {path} is not UTF-8 text.",
+            remedy="Name an INI file with --settings.",
+        ) from error
     except configparser.Error as error:
         raise SettingsError(
             f"Settings file {path} is not INI: {error.message}.",
@@ -221,14 +258,25 @@
 
 
 def _settings_error(path: str, error: pydantic.ValidationError) -> Exception:
-    first = error.errors()[0]
-    location = [str(part) for part in first["loc"]]
+    faults = error.errors(include_input=False, include_url=False)
+    details = []
+    remedies = []
+    for fault in faults:
+        where = _place([str(part) for part in fault["loc"]])
+        text = fault["msg"].removeprefix("Value error, ")
+        details.append(f"{where}: {text}")
+        if fault["type"] == "extra_forbidden":
+            remedies.append(f"Remove {where}, or correct its name.")
+        elif fault["type"] == "missing":
+            remedies.append(f"Add {where}.")
+        else:
+            remedies.append(f"Correct {where}: {text}.")
+    return SettingsError(
+        f"{path}: " + "; ".join(details) + ".", remedy=" ".join(remedies)
+    )
+
+
+def _place(location: list[str]) -> str:
     section = location[0] if location else "?"
     key = location[1] if len(location) > 1 else None
-    where = f"section [{section}]" + (f", key {key}" if key else "")
-    remedy = f"Correct {where} in {path}: {first['msg']}."
-    if first["type"] == "extra_forbidden":
-        remedy = f"Remove {where} from {path}, or correct its name."
-    if first["type"] == "missing":
-        remedy = f"Add {where} to {path}."
-    return SettingsError(f"{path}: {where}: {first['msg']}.", remedy=remedy)
+    return f"section [{section}]" + (f", key {key}" if key else "")
--- a/plumvane/web.py
+++ b/plumvane/web.py
@@ -11,6 +11,8 @@
 import anyio
 import uvicorn
 
+from plumvane.errors import SettingsError
+
 __all__ = ["HttpServer", "Tls", "bind"]
 
 DRAIN_POLL_S = 0.02
@@ -49,7 +51,15 @@
     # asyncio sets TCP_NODELAY only on sockets that name their protocol.
     bound = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind((host, port))
+    try:
+        bound.bind((host, port))
+    except OSError as error:
+        bound.close()
+        raise SettingsError(
+            f"Cannot listen on {host}:{port} for HTTP: {error.strerror}.",
+            remedy="Correct the address in the settings, or stop what "
+            "listens there.",
+        ) from error
     return bound
 
 
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,101 @@
+"""Settings files: what is wrong is named, with its section and key."""
+
+from __future__ import annotations
+
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+
+from standins.launcher import free_port, loopback_host
+
+ROOT = pathlib.Path(__file__).parent.parent
+SAMPLES = ROOT / "examples" / "settings"
+BIN = pathlib.Path(sys.executable).parent
+EXIT_SETTINGS = 78
+
+
+def test_samples_are_valid() -> None:
+    for role in ("entry", "sidecar", "bulk"):
+        code, out, _ = check(role, SAMPLES / f"{role}.ini")
+        assert code == 0
+        assert "valid" in out
+
+
+def test_each_fault_names_its_section_key_and_remedy() -> None:
+    cases = [
+        ("entry", "data_centre", "data_center", "[process], key data_center"),
+        ("entry", "127.0.0.1:7101", "localhost:7101", "key peer_address"),
+        ("entry", "127.0.0.1:7101", "127.0.0.1:99999", "key peer_address"),
+        ("entry", "name = entry-1", "name = Entry 1", "key name"),
+        ("entry", "store_url", "#store_url", "section [platform]"),
+        ("entry", "http://127.0.0.1:7001", "ftp://x", "key store_url"),
+        ("entry", "[http]", "[https]", "section [https]"),
+        ("entry", "8080", "8080\nkey_file = README.md", "go together"),
+        ("sidecar", "kind = engine", "kind = model", "key kind"),
+        ("bulk", "folder = examples", "folder = absent", "key folder"),
+        ("bulk", "[data]", "[data", "not INI"),
+    ]
+    for role, old, new, place in cases:
+        text = (SAMPLES / f"{role}.ini").read_text(encoding="utf-8")
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "wrong.ini"
+            path.write_text(text.replace(old, new, 1), encoding="utf-8")
+            code, out, err = check(role, path)
+        assert code == EXIT_SETTINGS, (new, out, err)
+        assert err.startswith("settings: "), (new, err)
+        assert place in err, (new, err)
+        assert "Remedy: " in err, (new, err)
+        assert "Traceback" not in err, (new, err)
+
+
+def test_file_that_is_missing_or_no_text_is_refused() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.ini"
+        missing = check("entry", path)
+        path.write_bytes(b"\xff\xfe\x00[process]")
+        binary = check("entry", path)
+    for code, _, err in (missing, binary):
+        assert code == EXIT_SETTINGS
+        assert "settings: " in err
+        assert "Traceback" not in err
+
+
+def test_address_that_is_in_use_ends_the_start_with_a_remedy() -> None:
+    host = loopback_host()
+    with socket.socket() as taken:
+        taken.bind((host, 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        for key in (
+            "peer_address = 127.0.0.1:7101",
+            "address = 127.0.0.1:8080",
+        ):
+            text = (SAMPLES / "entry.ini").read_text(encoding="utf-8")
+            name = key.split(" = ")[0]
+            text = text.replace(f"\n{key}", f"\n{name} = {host}:{port}")
+            for old in ("127.0.0.1:7101", "127.0.0.1:8080"):
+                text = text.replace(old, f"{host}:{free_port(host)}")
+            with tempfile.TemporaryDirectory() as folder:
+                path = pathlib.Path(folder) / "entry.ini"
+                path.write_text(text, encoding="utf-8")
+                code, _, err = start("entry", path)
+            assert code == EXIT_SETTINGS, err[-500:]
+            assert f"Cannot listen on {host}:{port}" in err
+
+
+def check(role: str, path: pathlib.Path) -> tuple[int, str, str]:
+    return start(role, path, "--check")
+
+
+def start(role: str, path: pathlib.Path, *flags: str) -> tuple[int, str, str]:
+    done = subprocess.run(
+        [str(BIN / f"plumvane-{role}"), f"--settings={path}", *flags],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    return done.returncode, done.stdout, done.stderr
