--- a/plumvane/entry/api.py
+++ b/plumvane/entry/api.py
@@ -35,6 +35,7 @@
     MethodNotAllowedError,
     NotFoundError,
     PlumvaneError,
+    RequestCancelledError,
     StoreUnavailableError,
     UnauthorizedError,
     UnknownModelError,
@@ -44,7 +45,13 @@
 from plumvane.fleet.document import FleetDocument, Workload, token_digest
 from plumvane.fleet.revisions import DocumentStore
 from plumvane.instances.directory import Directory
-from plumvane.peers.messages import ClaimResult, JobState, Lookup, Outcome
+from plumvane.peers.messages import (
+    CancelRequest,
+    ClaimResult,
+    JobState,
+    Lookup,
+    Outcome,
+)
 
 __all__ = ["Api"]
 
@@ -153,6 +160,7 @@
             stream=stream,
             rank=workload.rank if workload else 0,
             prefix=prompt[:PREFIX_CHARACTERS],
+            new_key="idempotency-key" not in http.headers,
         )
         running = self._runner.start(request)
         if stream:
@@ -180,6 +188,7 @@
             online=True,
             idempotent=service.idempotent,
             deadline=_deadline(http, SERVICE_TIMEOUT_S),
+            new_key="idempotency-key" not in http.headers,
         )
         return _answer_response(await self._runner.start(request).answer())
 
@@ -203,9 +212,15 @@
         """Serves POST /v1/requests/{key}/cancel."""
         team = self._team(http)
         key = http.path_params["key"]
-        if not await self._runner.cancel(team, key):
-            raise NotFoundError(f"Request {key!r} does not run here.")
-        return JSONResponse({"key": key, "state": "cancelled"})
+        partition = hashing.partition_of(team, key)
+        reply = await self._owners.call(
+            partition,
+            CancelRequest(partition, team, key),
+            deadline=clock.monotonic() + LOOKUP_TIMEOUT_S,
+        )
+        if not isinstance(reply, ClaimResult):
+            raise PlumvaneError("The owner's reply is not understood.")
+        return JSONResponse(_cancel_body(key, reply))
 
     async def submit_batch(self, http: HttpRequest) -> Response:
         """Serves POST /v1/batches."""
@@ -237,12 +252,10 @@
 
     async def batch_results(self, http: HttpRequest) -> Response:
         """Serves GET /v1/batches/{job_id}/results."""
-        state = await self._batches.show(
+        blocks = await self._batches.results(
             self._team(http), http.path_params["job_id"]
         )
-        return StreamingResponse(
-            self._batches.results(state), media_type="application/jsonl"
-        )
+        return StreamingResponse(blocks, media_type="application/jsonl")
 
     async def show_document(self, http: HttpRequest) -> Response:
         """Serves GET /v1/fleet/document."""
@@ -570,6 +583,16 @@
     return b"data: " + json.dumps(piece).encode() + b"\n\n"
 
 
+def _cancel_body(key: str, result: ClaimResult) -> dict[str, object]:
+    error = result.outcome.error
+    cancelled = error is not None and error.code == RequestCancelledError.code
+    return {
+        "key": key,
+        "state": "cancelled" if cancelled else "completed",
+        "durable": result.durable,
+    }
+
+
 def _document_response(
     revision: int, document: bytes, *, from_store: bool
 ) -> Response:
@@ -587,9 +610,16 @@
         "items": state.items,
         "done": state.done,
         "failed": [
-            {"index": item.index, "cause": item.cause} for item in state.failed
+            {
+                "index": item.index,
+                "cause": item.cause,
+                "kind": item.kind.value,
+            }
+            for item in state.failed
         ],
+        "failed_count": state.failed_count,
         "deadline": state.deadline,
+        "late": state.late,
         "expected_finish": state.expected_finish,
         "created": state.created,
     }
--- a/plumvane/fleet/current.py
+++ b/plumvane/fleet/current.py
@@ -10,6 +10,7 @@
 from plumvane import clock, events
 from plumvane.errors import (
     ConfigurationError,
+    HistoryLostError,
     PlumvaneError,
     StoreUnavailableError,
 )
@@ -106,6 +107,9 @@
                     after,
                     deadline=clock.monotonic() + WATCH_S,
                 )
+        except HistoryLostError:
+            after = 0
+            continue
         except StoreUnavailableError:
             await anyio.sleep(retry_s * random.uniform(0.5, 1.0))
             retry_s = min(2 * retry_s, RETRY_MAX_S)
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -27,7 +27,7 @@
 
 __all__ = ["Sidecar", "run"]
 
-SWEEP_S = 30.0
+SWEEP_S = 5.0
 DRAIN_POLL_S = 0.05
 
 
@@ -107,7 +107,7 @@
     async def _drain(self, batch_done: anyio.Event) -> None:
         self._leaving = True
         if self._batch is not None:
-            self._batch.leaving = True
+            self._batch.leave()
         await self._reporter.report()
         await batch_done.wait()
         while self._runs.active() or len(self._runs):
--- a/plumvane/store/http.py
+++ b/plumvane/store/http.py
@@ -8,19 +8,23 @@
 from urllib.parse import quote
 
 import anyio
-import httpcore
 
 from plumvane import clock
 from plumvane.errors import (
+    BodyTooLargeError,
     ConflictError,
+    HistoryLostError,
     NotFoundError,
     StoreUnavailableError,
 )
+from plumvane.httppool import NETWORK_ERRORS, HttpPool
 from plumvane.store.base import Lease, Record, Store, WatchResult
 
 __all__ = ["HttpStore"]
 
 CALL_TIMEOUT_S = 2.0
+# The store is down once calls have failed for this with none answered.
+DOWN_AFTER_S = 0.5
 # A watch answers at its deadline; the margin covers the way back.
 WATCH_MARGIN_S = 2.0
 RETRY_AFTER_S = 2.0
@@ -36,9 +40,13 @@
             url: Base URL of the store, without a trailing slash.
         """
         self._url = url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=64, keepalive_expiry=30.0
-        )
+        self._pool = HttpPool()
+        self._failing_since: float | None = None
+
+    def is_down(self) -> bool:
+        """Returns whether calls have only failed for a while."""
+        since = self._failing_since
+        return since is not None and clock.monotonic() - since >= DOWN_AFTER_S
 
     async def aclose(self) -> None:
         """Closes the connections."""
@@ -49,11 +57,18 @@
         status, headers, body = await self._call("GET", f"/keys/{quote(key)}")
         if status == 404:
             return None
+        _raise_for_status(status, key)
         return Record(key, body, int(headers["revision"]))
 
-    async def list(self, prefix: str) -> WatchResult:
+    async def list(
+        self, prefix: str, *, after_key: str = "", limit: int | None = None
+    ) -> WatchResult:
         """See base class."""
-        _, _, body = await self._call("GET", f"/list?prefix={quote(prefix)}")
+        path = f"/list?prefix={quote(prefix)}&after_key={quote(after_key)}"
+        if limit is not None:
+            path += f"&limit={limit}"
+        status, _, body = await self._call("GET", path)
+        _raise_for_status(status, prefix)
         return _watch_result(body)
 
     async def put(
@@ -95,15 +110,21 @@
             f"/watch?prefix={quote(prefix)}"
             f"&after={after_revision}&wait_s={wait_s:.3f}"
         )
-        _, _, body = await self._call(
+        status, _, body = await self._call(
             "GET", path, timeout_s=wait_s + WATCH_MARGIN_S
         )
+        if status == 410:
+            raise HistoryLostError(
+                f"Changes since revision {after_revision} are forgotten."
+            )
+        _raise_for_status(status, prefix)
         return _watch_result(body)
 
     async def grant_lease(self, ttl_s: float) -> Lease:
         """See base class."""
         sent = clock.monotonic()
-        _, _, body = await self._call("POST", f"/leases?ttl_s={ttl_s}")
+        status, _, body = await self._call("POST", f"/leases?ttl_s={ttl_s}")
+        _raise_for_status(status, "A lease")
         return Lease(json.loads(body)["lease_id"], sent + ttl_s)
 
     async def renew_lease(self, lease_id: str) -> Lease:
@@ -112,6 +133,7 @@
         status, _, body = await self._call("POST", f"/leases/{lease_id}/renew")
         if status == 404:
             raise NotFoundError(f"Lease {lease_id} has lapsed.")
+        _raise_for_status(status, lease_id)
         return Lease(lease_id, sent + float(json.loads(body)["ttl_s"]))
 
     async def revoke_lease(self, lease_id: str) -> None:
@@ -126,7 +148,7 @@
         content: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, dict[str, str], bytes]:
-        """Sends one call.
+        """Sends one call and takes in whether the store answers.
 
         Returns:
             The status, the headers by lower-case name and the body.
@@ -134,6 +156,23 @@
         Raises:
             StoreUnavailableError: No answer, or an answer of the 500s.
         """
+        try:
+            answer = await self._send(method, path, headers, content, timeout_s)
+        except StoreUnavailableError:
+            if self._failing_since is None:
+                self._failing_since = clock.monotonic()
+            raise
+        self._failing_since = None
+        return answer
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None,
+        content: bytes,
+        timeout_s: float,
+    ) -> tuple[int, dict[str, str], bytes]:
         try:
             with anyio.fail_after(timeout_s):
                 response = await self._pool.request(
@@ -142,12 +181,7 @@
                     headers=list((headers or {}).items()),
                     content=content,
                 )
-        except (
-            TimeoutError,
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except (TimeoutError, *NETWORK_ERRORS) as error:
             raise StoreUnavailableError(
                 f"The store did not answer {method}: {type(error).__name__}.",
                 retry_after_s=RETRY_AFTER_S,
@@ -165,10 +199,18 @@
 
 
 def _raise_for_status(status: int, key: str) -> None:
+    """Raises the error that an answer's status stands for, if any."""
+    if status < 300:
+        return
     if status == 409:
         raise ConflictError(f"{key} stands at another revision.")
     if status == 404:
         raise NotFoundError(f"The lease of {key} has lapsed.")
+    if status == 413:
+        raise BodyTooLargeError(f"The value of {key} is over the limit.")
+    raise StoreUnavailableError(
+        f"The store answered {status} for {key}.", retry_after_s=RETRY_AFTER_S
+    )
 
 
 def _watch_result(body: bytes) -> WatchResult:
--- a/plumvane/upstreams/engine.py
+++ b/plumvane/upstreams/engine.py
@@ -10,11 +10,15 @@
 import anyio
 import httpcore
 
-from plumvane.errors import BadRequestError, UpstreamFailedError
+from plumvane.errors import (
+    BadRequestError,
+    UpstreamFailedError,
+    UpstreamLostError,
+)
+from plumvane.httppool import NETWORK_ERRORS, HttpPool
 
 __all__ = ["EngineClient", "Token"]
 
-CONNECTIONS = 1024
 CANCEL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 2.0
 
@@ -44,9 +48,7 @@
             url: Base URL of the engine.
         """
         self._url = url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=CONNECTIONS, max_keepalive_connections=CONNECTIONS
-        )
+        self._pool = HttpPool()
 
     async def stream(
         self,
@@ -76,7 +78,7 @@
             async with self._pool.stream(
                 "POST",
                 f"{self._url}/v1/completions",
-                headers={"content-type": "application/json"},
+                headers=[("content-type", "application/json")],
                 content=json.dumps(sent).encode(),
                 extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
             ) as response:
@@ -85,13 +87,12 @@
                     token = _parse(line)
                     if token is not None:
                         yield token
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
-            raise UpstreamFailedError(
-                f"The engine was lost: {type(error).__name__}."
+        except NETWORK_ERRORS as error:
+            raise UpstreamLostError(
+                f"The engine was lost: {type(error).__name__}.",
+                not_run=isinstance(
+                    error, (httpcore.ConnectError, httpcore.ConnectTimeout)
+                ),
             ) from error
 
     async def cancel(self, request_id: str) -> None:
@@ -101,11 +102,7 @@
                 await self._pool.request(
                     "POST", f"{self._url}/v1/cancel/{request_id}"
                 )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ):
+        except NETWORK_ERRORS:
             return
 
 
@@ -131,10 +128,15 @@
 def _parse(line: bytes) -> Token | None:
     if line == b"[DONE]":
         return None
-    piece = json.loads(line)
-    if "error" in piece:
-        raise UpstreamFailedError(str(piece["error"]))
-    choice = piece["choices"][0]
-    return Token(
-        choice["text"], piece.get("tokens", 1), choice.get("finish_reason")
-    )
+    try:
+        piece = json.loads(line)
+        if "error" in piece:
+            raise UpstreamFailedError(str(piece["error"]))
+        choice = piece["choices"][0]
+        return Token(
+            choice["text"], piece.get("tokens", 1), choice.get("finish_reason")
+        )
+    except (ValueError, KeyError, IndexError, TypeError) as error:
+        raise UpstreamFailedError(
+            f"The engine's answer is not understood: {error!r}."
+        ) from error
