Make the plumvane command whole: tables, progress, exit codes

Cause: the command printed JSON only, read a job's file whole into memory, ended with 1 for every refusal, and had no diff, history, watch or request.

Ruled out: `config apply` without a revision (it would overwrite a change that its author never saw); a new key on each submit without a word (a lost answer would then make a second job).

--- a/plumvane/cli/client.py
+++ b/plumvane/cli/client.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import ssl
 from collections.abc import Iterator
 from typing import Any
 
@@ -17,21 +19,28 @@
 __all__ = ["EntryClient"]
 
 TIMEOUT_S = 60.0
+CONNECT_TIMEOUT_S = 5.0
 
 
 class EntryClient:
     """Calls one entry, synchronously."""
 
-    def __init__(self, url: str, token: str) -> None:
+    def __init__(
+        self, url: str, token: str, *, ca_file: str | None = None
+    ) -> None:
         """Creates the client.
 
         Args:
             url: Base URL of the entry or of the balancer before it.
             token: Bearer token of a team or an operator.
+            ca_file: PEM certificates to trust; the system's if None.
         """
         self._url = url.rstrip("/")
         self._token = token
-        self._pool = httpcore.ConnectionPool()
+        context = None
+        if self._url.startswith("https:"):
+            context = ssl.create_default_context(cafile=ca_file)
+        self._pool = httpcore.ConnectionPool(ssl_context=context)
 
     def call(
         self,
@@ -46,8 +55,33 @@
         Raises:
             PlumvaneError: The entry's problem, or no entry answered.
         """
+        with self._open(method, path, content, headers) as response:
+            return bytes(response.read())
+
+    def json(self, method: str, path: str, **kwargs: Any) -> Any:
+        """Sends one call and returns the body as JSON."""
+        return json.loads(self.call(method, path, **kwargs))
+
+    @contextlib.contextmanager
+    def download(self, path: str) -> Iterator[Iterator[bytes]]:
+        """Reads a body in pieces.
+
+        Raises:
+            PlumvaneError: The entry's problem, or the answer was cut off.
+        """
+        with self._open("GET", path, b"", None) as response:
+            yield response.iter_stream()
+
+    @contextlib.contextmanager
+    def _open(
+        self,
+        method: str,
+        path: str,
+        content: bytes | Iterator[bytes],
+        headers: dict[str, str] | None,
+    ) -> Iterator[httpcore.Response]:
         try:
-            response = self._pool.request(
+            with self._pool.stream(
                 method,
                 self._url + path,
                 headers=[
@@ -55,8 +89,16 @@
                     *(headers or {}).items(),
                 ],
                 content=content,
-                extensions={"timeout": {"connect": 5.0, "read": TIMEOUT_S}},
-            )
+                extensions={
+                    "timeout": {
+                        "connect": CONNECT_TIMEOUT_S,
+                        "read": TIMEOUT_S,
+                    }
+                },
+            ) as response:
+                if response.status >= 400:
+                    raise _problem(response.status, response.read())
+                yield response
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -66,13 +108,6 @@
                 f"{self._url} did not answer: {type(error).__name__}.",
                 remedy="Check --entry and that the entry runs.",
             ) from error
-        if response.status >= 400:
-            raise _problem(response.status, response.content)
-        return response.content
-
-    def json(self, method: str, path: str, **kwargs: Any) -> Any:
-        """Sends one call and returns the body as JSON."""
-        return json.loads(self.call(method, path, **kwargs))
 
 
 def _problem(status: int, body: bytes) -> PlumvaneError:
--- /dev/null
+++ b/plumvane/cli/fleet.py
@@ -0,0 +1,68 @@
+"""Commands on instances and requests."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+from plumvane.cli.output import table
+from plumvane.cli.registry import EXIT_DONE, Context, command
+
+__all__: list[str] = []
+
+
+@command("status")
+def status(context: Context) -> int:
+    """Shows each instance, its load and its revision in force."""
+    answer = context.client.json("GET", "/v1/fleet/instances")
+    instances = answer["instances"]
+    newest = answer["revision"]
+    behind = [i["name"] for i in instances if i["revision"] != newest]
+    text = table(
+        (
+            "NAME",
+            "ROLE",
+            "DATA CENTRE",
+            "SERVES",
+            "STATE",
+            "REVISION",
+            "ONLINE",
+            "BATCH",
+            "LIMIT",
+        ),
+        [_row(instance) for instance in instances],
+    )
+    text += f"\n\nRevision {newest} is in force"
+    text += f", but not at {', '.join(behind)}." if behind else " everywhere."
+    context.output.result({**answer, "behind": behind}, text)
+    return EXIT_DONE
+
+
+@command("requests show", "KEY")
+def show_request(context: Context) -> int:
+    """Shows the stored answer of a request."""
+    key = quote(context.argument(0, "KEY"), safe="")
+    body = context.client.call("GET", f"/v1/requests/{key}")
+    try:
+        answer = json.loads(body)
+    except ValueError:
+        context.output.raw(body)
+        return EXIT_DONE
+    context.output.result(answer, json.dumps(answer, indent=2))
+    return EXIT_DONE
+
+
+def _row(instance: dict[str, Any]) -> tuple[Any, ...]:
+    load = instance["load"] or {}
+    return (
+        instance["name"],
+        instance["role"],
+        instance["data_centre"],
+        instance["serves"] or None,
+        "leaving" if instance["leaving"] else "live",
+        instance["revision"],
+        load.get("online"),
+        load.get("batch"),
+        load.get("limit"),
+    )
--- a/plumvane/cli/main.py
+++ b/plumvane/cli/main.py
@@ -2,23 +2,50 @@
 
 from __future__ import annotations
 
-import json
 import os
 import sys
-from collections.abc import Callable
-from typing import Any
 
 from absl import app, flags
 
+from plumvane.cli import config, fleet, jobs
 from plumvane.cli.client import EntryClient
-from plumvane.entry import checks as _checks  # noqa: F401
+from plumvane.cli.output import Output
+from plumvane.cli.registry import COMMANDS_BY_NAME, Command, Context
 from plumvane.errors import BadRequestError, PlumvaneError
-from plumvane.fleet import document as fleet_document
 
-__all__ = ["COMMANDS_BY_NAME", "command", "run"]
+__all__ = ["EXIT_CODES", "MODULES", "exit_code", "run"]
+
+MODULES = (config, jobs, fleet)
 
-EXIT_USAGE = 64
 EXIT_REFUSED = 1
+EXIT_CONFLICT = 3
+EXIT_RETRY = 4
+EXIT_UNKNOWN = 5
+EXIT_USAGE = 64
+EXIT_NO_PERMISSION = 77
+EXIT_INTERRUPTED = 130
+
+#: Exit codes and what they mean.
+EXIT_CODES = {
+    0: "Done.",
+    EXIT_REFUSED: "Refused, or failed for good; the message has the remedy.",
+    2: "`config diff`: the file differs.",
+    EXIT_CONFLICT: "Another change came first; nothing was changed.",
+    EXIT_RETRY: "Not available now; the same command may be given again.",
+    EXIT_UNKNOWN: "It is not known whether it took effect.",
+    6: "`jobs watch`: the job ended without a result for each item.",
+    EXIT_USAGE: "The command line is wrong.",
+    EXIT_NO_PERMISSION: "The token is unknown or lacks the role.",
+    EXIT_INTERRUPTED: "Interrupted from the terminal.",
+}
+_EXIT_BY_STATUS = {
+    401: EXIT_NO_PERMISSION,
+    403: EXIT_NO_PERMISSION,
+    409: EXIT_CONFLICT,
+    429: EXIT_RETRY,
+    503: EXIT_RETRY,
+    504: EXIT_RETRY,
+}
 
 _ENTRY = flags.DEFINE_string(
     "entry", "http://127.0.0.1:8080", "URL of an entry or the balancer."
@@ -26,160 +53,64 @@
 _TOKEN_FILE = flags.DEFINE_string(
     "token_file", None, "File with the token; else PLUMVANE_TOKEN is read."
 )
+_CA_FILE = flags.DEFINE_string(
+    "ca_file", None, "PEM certificates to trust for https."
+)
 _OUTPUT = flags.DEFINE_enum(
     "output", "text", ["text", "json"], "Form of the output."
 )
-_KEY = flags.DEFINE_string("key", None, "Idempotency key of a new job.")
-_DEADLINE = flags.DEFINE_string(
-    "deadline", None, "Deadline of a new job, seconds since the epoch."
-)
-
-Command = Callable[[EntryClient, list[str]], Any]
-COMMANDS_BY_NAME: dict[str, Command] = {}
-
-
-def command(name: str) -> Callable[[Command], Command]:
-    """Registers a command under its words."""
-
-    def register(function: Command) -> Command:
-        COMMANDS_BY_NAME[name] = function
-        return function
-
-    return register
-
-
-@command("config check")
-def config_check(client: EntryClient, args: list[str]) -> Any:
-    """Config check FILE: checks a fleet document."""
-    fleet_document.check(_read(args, 0))
-    return {"valid": True}
-
-
-@command("config show")
-def config_show(client: EntryClient, args: list[str]) -> Any:
-    """Config show: shows the document in force."""
-    return client.json("GET", "/v1/fleet/document")
-
-
-@command("config apply")
-def config_apply(client: EntryClient, args: list[str]) -> Any:
-    """Config apply FILE REVISION: changes the document of a revision."""
-    body = _read(args, 0)
-    fleet_document.check(body)
-    return client.json(
-        "PUT",
-        "/v1/fleet/document",
-        content=body,
-        headers={"if-match": _argument(args, 1, "REVISION")},
-    )
-
-
-@command("status")
-def status(client: EntryClient, args: list[str]) -> Any:
-    """status: shows each instance and its revision in force."""
-    return client.json("GET", "/v1/fleet/instances")
-
-
-@command("audit")
-def audit(client: EntryClient, args: list[str]) -> Any:
-    """audit: shows all changes, oldest first."""
-    return client.json("GET", "/v1/fleet/audit")
-
-
-@command("jobs submit")
-def jobs_submit(client: EntryClient, args: list[str]) -> Any:
-    """Jobs submit FILE: submits a batch job of JSONL."""
-    headers = {}
-    if _KEY.value:
-        headers["idempotency-key"] = _KEY.value
-    if _DEADLINE.value:
-        headers["plumvane-deadline"] = _DEADLINE.value
-    return client.json(
-        "POST", "/v1/batches", content=_read(args, 0), headers=headers
-    )
-
-
-@command("jobs list")
-def jobs_list(client: EntryClient, args: list[str]) -> Any:
-    """Jobs list: shows the team's jobs."""
-    return client.json("GET", "/v1/batches")
-
-
-@command("jobs show")
-def jobs_show(client: EntryClient, args: list[str]) -> Any:
-    """Jobs show JOB: shows a job's progress."""
-    return client.json("GET", f"/v1/batches/{_argument(args, 0, 'JOB')}")
-
-
-@command("jobs cancel")
-def jobs_cancel(client: EntryClient, args: list[str]) -> Any:
-    """Jobs cancel JOB: cancels a job."""
-    return client.json(
-        "POST", f"/v1/batches/{_argument(args, 0, 'JOB')}/cancel"
-    )
-
-
-@command("jobs results")
-def jobs_results(client: EntryClient, args: list[str]) -> Any:
-    """Jobs results JOB: writes the result lines."""
-    job = _argument(args, 0, "JOB")
-    return client.call("GET", f"/v1/batches/{job}/results")
 
 
 def run() -> None:
     """Runs the command named on the command line."""
+    flags.FLAGS.set_gnu_getopt(True)
     app.run(_main)
 
 
+def exit_code(error: PlumvaneError) -> int:
+    """Returns the exit code for an error."""
+    if error.code == "outcome_unknown":
+        return EXIT_UNKNOWN
+    return _EXIT_BY_STATUS.get(error.status, EXIT_REFUSED)
+
+
 def _main(argv: list[str]) -> None:
     words = argv[1:]
     for count in (2, 1):
-        function = COMMANDS_BY_NAME.get(" ".join(words[:count]))
-        if function is not None:
-            _execute(function, words[count:])
-            return
+        found = COMMANDS_BY_NAME.get(" ".join(words[:count]))
+        if found is not None:
+            sys.exit(_execute(found, words[count:]))
     print("Commands:", file=sys.stderr)
-    for function in COMMANDS_BY_NAME.values():
-        print(f"  plumvane {function.__doc__}", file=sys.stderr)
+    for found in COMMANDS_BY_NAME.values():
+        print(f"  {found.usage:40} {found.help}", file=sys.stderr)
     sys.exit(EXIT_USAGE)
 
 
-def _execute(function: Command, args: list[str]) -> None:
+def _execute(found: Command, arguments: list[str]) -> int:
+    output = Output(as_json=_OUTPUT.value == "json")
     try:
-        _print(function(EntryClient(_ENTRY.value, _token()), args))
+        client = EntryClient(_ENTRY.value, _token(), ca_file=_CA_FILE.value)
+        return found.run(Context(client, output, arguments))
     except PlumvaneError as error:
-        print(error, file=sys.stderr)
-        sys.exit(EXIT_REFUSED)
-
-
-def _print(result: Any) -> None:
-    if isinstance(result, bytes):
-        sys.stdout.buffer.write(result)
-    elif _OUTPUT.value == "json":
-        print(json.dumps(result))
-    else:
-        print(json.dumps(result, indent=2))
+        output.note(str(error))
+        return exit_code(error)
+    except KeyboardInterrupt:
+        output.end_progress()
+        return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # The reader of standard output has gone; nothing is left to write.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_REFUSED
 
 
 def _token() -> str:
-    if _TOKEN_FILE.value:
+    if not _TOKEN_FILE.value:
+        return os.environ.get("PLUMVANE_TOKEN", "")
+    try:
         with open(_TOKEN_FILE.value, encoding="utf-8") as file:
             return file.read().strip()
-    return os.environ.get("PLUMVANE_TOKEN", "")
-
-
-def _argument(args: list[str], index: int, name: str) -> str:
-    if len(args) <= index:
-        raise BadRequestError(f"{name} is missing.", remedy=f"Give {name}.")
-    return args[index]
-
-
-def _read(args: list[str], index: int) -> bytes:
-    path = _argument(args, index, "FILE")
-    try:
-        with open(path, "rb") as file:
-            return file.read()
     except OSError as error:
         raise BadRequestError(
-            f"{path}: {error.strerror}.", remedy="Name a readable file."
+            f"{_TOKEN_FILE.value}: {error.strerror}.",
+            remedy="Name a readable file with --token_file.",
         ) from error
