Add the operators' console of forms

Cause: operators could change the document by JSON and the command only.

Ruled out: a console above the entry in the layers (the entry serves it; it stands below now and takes instances and jobs as callables); sessions signed by the operator's token digest (anyone who may view the document could make one up); merging a lost race by field (an operator would send a version that nobody has seen).

Sessions are signed with a key that all entries read from the store; they end with the operator's token.

No page was looked at in a browser: none is installed.

--- a/plumvane/console/__init__.py
+++ b/plumvane/console/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' console of forms."""
+"""The operators' console: forms that make the fleet document."""
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -10,9 +10,11 @@
 from plumvane import hashing
 from plumvane.chunks.client import ChunkClient
 from plumvane.chunks.keeper import ChunkKeeper
-from plumvane.entry import checks as _checks  # noqa: F401
+from plumvane.console.app import Console
+from plumvane.console.sessions import Sessions
 from plumvane.entry.api import Api
 from plumvane.entry.batches import BatchService
+from plumvane.entry.checks import NAMES_BY_POLICY
 from plumvane.entry.host import PartitionHost
 from plumvane.entry.inheritance import ClaimInheritance
 from plumvane.entry.owners import OwnerClient
@@ -154,10 +156,11 @@
         )
 
     def _make_web(self, runner: RequestRunner) -> HttpServer:
+        batches = BatchService(self._owners, self._chunks, self._current)
         api = Api(
             self._current,
             runner,
-            BatchService(self._owners, self._chunks, self._current),
+            batches,
             self._owners,
             self._documents,
             self._directory,
@@ -169,7 +172,20 @@
         if http.certificate_file and http.key_file:
             tls = Tls(str(http.certificate_file), str(http.key_file))
         bound = bind(http.address.host, http.address.port)
-        return HttpServer(api.application(), bound, tls)
+        app = api.application()
+        app.mount("/console", self._make_console(batches, tls).application())
+        return HttpServer(app, bound, tls)
+
+    def _make_console(self, batches: BatchService, tls: Tls | None) -> Console:
+        return Console(
+            self._current,
+            self._documents,
+            Sessions(self._store),
+            names_by_policy=NAMES_BY_POLICY,
+            instances=self._status.instances,
+            jobs=batches.list,
+            is_secure=tls is not None,
+        )
 
     async def _watch_document(self) -> None:
         await watch_store(self._store, self._current)
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -134,7 +134,7 @@
         self.folder = folder
         self.host = loopback_host()
         self.processes_by_name: dict[str, Process] = {}
-        self._http = httpcore.ConnectionPool(max_connections=64)
+        self.http = httpcore.ConnectionPool(max_connections=64)
         self._bin = pathlib.Path(sys.executable).parent
         self._numbers = 0
 
@@ -152,7 +152,7 @@
         for process in self.processes_by_name.values():
             process.signal(signal.SIGCONT)
             process.kill()
-        self._http.close()
+        self.http.close()
 
     def start_platform(self, *, lag_s: float = 0.3) -> None:
         """Starts the store and the instance list.
@@ -309,7 +309,7 @@
         headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes]:
         """Sends one HTTP call; returns status and body."""
-        response = self._http.request(
+        response = self.http.request(
             method,
             url,
             headers=list((headers or {}).items()),
