Start batch items one place below the limit beside online requests

Cause: each online request that came preempted an item and each that went started one again, and the prefill of the resumed items lengthened the steps that online requests felt. Ruled out: a lower limit (it costs batch work in each step), a fixed number of batch items (it leaves the troughs of the online load empty). Change: batch items start only if a place stays free below the limit at which they are preempted.

--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -43,6 +43,8 @@
 ONLINE_QUANTILE = 0.99
 # Trust in a step during which the running requests changed.
 UNSETTLED_WEIGHT = 0.05
+# Places that stay free beside online requests when a batch item starts.
+START_MARGIN = 1
 # Batch items that may start in one step, beside online requests and alone.
 STARTS_BESIDE_ONLINE = 1
 STARTS_ALONE = 4
@@ -87,6 +89,14 @@
         """Returns how many batch items may run beside online requests."""
         return max(0, self.limit() - online_running)
 
+    def batch_start_limit(self, online_running: int) -> int:
+        """Returns how many batch items may run once another starts.
+
+        Where it is below `batch_limit`, an online request that comes and goes
+        preempts less often.
+        """
+        return self.batch_limit(online_running)
+
     def batch_interval_s(self, online_running: int) -> float:
         """Returns the least time between two starts of batch items."""
         return 0.0
@@ -173,6 +183,11 @@
         allowed_s = min(alone_s * slowdown, self._target_s * HEADROOM)
         return max(0, self._within(allowed_s) - online_running)
 
+    def batch_start_limit(self, online_running: int) -> int:
+        """See base class."""
+        margin = START_MARGIN if online_running else 0
+        return max(0, self.batch_limit(online_running) - margin)
+
     def batch_interval_s(self, online_running: int) -> float:
         """See base class."""
         if not self._model.known:
--- a/plumvane/upstreams/gate.py
+++ b/plumvane/upstreams/gate.py
@@ -217,7 +217,8 @@
         running = len(self._batch_running)
         if running and clock.monotonic() < self._batch_start_at:
             return False
-        return running < self.policy.batch_limit(len(self._online_running))
+        online = len(self._online_running)
+        return running < self.policy.batch_start_limit(online)
 
     def _preempt_excess(self) -> None:
         """Takes the places of the newest batch items over the limit."""
