--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -135,14 +135,21 @@
                         yield json.loads(line[6:])
 
     def quote(
-        self, entry: Process, body: Any, *, key: str | None = None
+        self,
+        entry: Process,
+        body: Any,
+        *,
+        key: str | None = None,
+        timeout_s: float = OUTER_DEADLINE_S,
     ) -> tuple[int, Any]:
         """Calls the plain service; returns the status and the JSON."""
+        headers = self._headers(key)
+        headers["plumvane-deadline"] = str(time.time() + timeout_s)
         status, answer = self._fleet.call(
             "POST",
             f"{entry.url}/v1/services/{SERVICE}",
             body,
-            self._headers(key),
+            headers,
         )
         return status, json.loads(answer)
 
@@ -154,11 +161,19 @@
         return status, json.loads(answer)
 
     def submit(
-        self, entry: Process, lines: bytes, *, key: str
+        self,
+        entry: Process,
+        lines: bytes,
+        *,
+        key: str,
+        deadline: float | None = None,
     ) -> tuple[int, Any]:
         """Submits a batch job of JSONL."""
+        headers = self._headers(key)
+        if deadline is not None:
+            headers["plumvane-deadline"] = str(deadline)
         status, answer = self._fleet.call_raw(
-            "POST", f"{entry.url}/v1/batches", lines, self._headers(key)
+            "POST", f"{entry.url}/v1/batches", lines, headers
         )
         return status, json.loads(answer)
 
@@ -169,6 +184,13 @@
         )
         return json.loads(answer)
 
+    def cancel_job(self, entry: Process, job_id: str) -> tuple[int, Any]:
+        """Cancels a job; returns the status and the JSON."""
+        status, answer = self._fleet.call(
+            "POST", f"{entry.url}/v1/batches/{job_id}/cancel", None, TEAM
+        )
+        return status, json.loads(answer)
+
     def job_results(self, entry: Process, job_id: str) -> list[Any]:
         """Returns a job's result lines."""
         _, answer = self._fleet.call(
