Prove that refusals under overload are true and timed

Ruled out: counting refusals only (a refusal that ran would pass). Change: more requests than the upstreams take; each is answered whole or refused as not run with a time, and the engines' own records show exactly the answered ones. A streamed refusal has its own status.

--- /dev/null
+++ b/tests/test_limits_shedding.py
@@ -0,0 +1,86 @@
+"""Shedding: a full upstream refuses at once, and what it refuses never ran."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import json
+from typing import Any
+
+from standins.engine import expected_text
+from standins.launcher import MODEL, Fleet
+from tests.fleets import TEAM, Caller, running_fleet
+
+REQUESTS = 40
+TOKENS = 30
+
+
+def _document() -> Any:
+    document = Fleet.default_document(Fleet.__new__(Fleet))
+    document["policies"] = {
+        "admission": "fixed",
+        "fixed_concurrency": 2,
+        "routing": "prefix_affinity",
+    }
+    document["workloads"]["notes"]["first_token_ms"] = 200
+    return document
+
+
+def test_overload_is_refused_as_not_run_with_a_time() -> None:
+    with running_fleet(entries=1, engines=2, document=_document()) as fleet:
+        caller = Caller(fleet)
+        entry = fleet["entry-0"]
+        for number in range(4):
+            # The sidecars learn the time of service.
+            caller.complete(entry, f"first {number}", max_tokens=TOKENS)
+        with concurrent.futures.ThreadPoolExecutor(REQUESTS) as pool:
+            answers = list(
+                pool.map(
+                    lambda n: caller.complete(
+                        entry, f"note {n}", max_tokens=TOKENS
+                    ),
+                    range(REQUESTS),
+                )
+            )
+        executions = 0
+        for name in ("engine-0", "engine-1"):
+            _, body = fleet.call("GET", f"{fleet[name].url}/record")
+            executions += len(json.loads(body)["executions"])
+    served = 0
+    for number, (status, answer) in enumerate(answers):
+        if status == 200:
+            served += 1
+            text = answer["choices"][0]["text"]
+            assert text == expected_text(f"note {number}", TOKENS)
+            continue
+        assert status == 429, answer
+        assert answer["code"] == "overloaded"
+        assert answer["not_run"] is True
+        assert answer["retry_after_s"] > 0
+    assert 0 < served < REQUESTS
+    assert executions == served + 4
+
+
+def test_streamed_refusal_has_its_own_status() -> None:
+    document = _document()
+    document["policies"]["fixed_concurrency"] = 1
+    with running_fleet(entries=1, engines=1, document=document) as fleet:
+        entry = fleet["entry-0"]
+
+        def stream(number: int) -> int:
+            body = {
+                "model": MODEL,
+                "prompt": f"note {number}",
+                "max_tokens": TOKENS,
+                "stream": True,
+            }
+            return fleet.call(
+                "POST",
+                f"{entry.url}/v1/completions",
+                body,
+                TEAM,
+            )[0]
+
+        assert stream(0) == 200
+        with concurrent.futures.ThreadPoolExecutor(20) as pool:
+            statuses = set(pool.map(stream, range(1, 21)))
+    assert statuses == {200, 429}
