Let affinity allow for the chance of small numbers

Ruled out: dropping the bound (a stalled upstream would collect requests). Change: two standard deviations of a random number of requests are allowed too.

--- a/plumvane/routing/policies.py
+++ b/plumvane/routing/policies.py
@@ -19,8 +19,10 @@
 # A prefix is spread over so many upstreams that each has at most this part of
 # the mean dispatches from it.
 SPREAD_PART = 0.5
-# Requests in flight over the mean that are no overload yet.
+# Requests in flight over the mean that are no overload yet, and standard
+# deviations of a random number of them.
 AFFINITY_SLACK = 2.0
+AFFINITY_DEVIATIONS = 2.0
 # Upstreams compared by load where the prefix says nothing.
 CHOICES = 2
 
@@ -166,9 +168,10 @@
         # grows in step with it.
         warmth = loads.warmth(instance) ** 2
         rate = AFFINITY_OVERLOAD * self.mean_rate + 1.0
+        chance = AFFINITY_DEVIATIONS * math.sqrt(self._mean_online)
         online = max(
             AFFINITY_OVERLOAD * self._mean_online,
-            self._mean_online + AFFINITY_SLACK,
+            self._mean_online + chance + AFFINITY_SLACK,
         )
         return (
             loads.rate(instance) + 1.0 <= max(1.0, rate * warmth)
