Probe slow upstreams more rarely, and not at once

Change: the first probe comes after 10 s, the next ones ever later. First failed with, ejection of slow ones off: 'assert slow not in loads.usable(candidates)'.

--- a/plumvane/routing/loads.py
+++ b/plumvane/routing/loads.py
@@ -23,7 +23,7 @@
 MIN_COMPARED = 3
 # An ejected upstream gets a probe after this, doubled at each failure.
 FAILED_PROBE_S = 1.0
-SLOW_PROBE_S = 5.0
+SLOW_PROBE_S = 10.0
 MAX_PROBE_S = 60.0
 
 
@@ -152,9 +152,12 @@
         median_s = self._median_step_s(candidates)
         for instance in candidates:
             upstream = self._get(instance)
+            was_slow = upstream.slow
             upstream.slow = _is_slow(upstream, median_s)
             if not upstream.slow:
                 upstream.slow_probes = 0
+            elif not was_slow:
+                _delay_probe(upstream, SLOW_PROBE_S, 1)
         found = [i for i in candidates if not self._get(i).ejected]
         return found or list(candidates)
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -165,7 +165,8 @@
             step_s = 0.05 if instance is slow else 0.01
             loads.answered(instance, _load(step_s=step_s))
         probes = 0
-        for _ in range(6000):
+        assert slow not in loads.usable(candidates)
+        for _ in range(12_000):
             stopped.now += 0.01
             request = RouteRequest("note")
             if slow in prefix_affinity(candidates, request, loads):
