Add metrics with a Prometheus read-out, and check both catalogues

Cause: neither the promises nor the two measures could be watched; the list of events existed in the code only. The command and the console counted the listed failures of a job instead of all.

Change: a typed catalogue of metrics over OpenTelemetry, imported only where it is configured: at entries, and at sidecars and bulk instances with a section [metrics]. Online calls are timed by a wrapper of the HTTP application, refusals counted by code, events by name. docs/METRICS.md names what to watch for each promise; `make catalogues` writes the tables of both documents, tests compare them. The store's return is logged.

Each proof first failed with its guard turned off: timing -> "KeyError: 'plumvane_request_duration_seconds_count{...}'"; counting of events -> "KeyError: 'plumvane_events_total{event="job_accepted"}'"; items and stale documents -> AssertionError.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test check fuzz
+.PHONY: demo test check catalogues fuzz
 
 .venv/installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv .venv
@@ -20,5 +20,8 @@
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
+catalogues: .venv/installed
+	$(BIN)/python -m tests.catalogues
+
 fuzz: .venv/installed
 	HYPOTHESIS_PROFILE=long $(BIN)/python -m tests.run fuzz
--- a/plumvane/bulk/main.py
+++ b/plumvane/bulk/main.py
@@ -9,6 +9,7 @@
 from plumvane.fleet.current import CurrentDocument
 from plumvane.instances.directory import Directory
 from plumvane.instances.reporter import Reporter
+from plumvane.metrics import Metric, observe
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     ChunkData,
@@ -64,6 +65,7 @@
             self._make_report,
         )
         self._leaving = False
+        observe(Metric.DOCUMENT_REVISION, lambda: self._current.revision)
 
     async def serve(self, stopping: anyio.Event) -> None:
         """Serves until the event is set, then drains."""
--- a/plumvane/cli/jobs.py
+++ b/plumvane/cli/jobs.py
@@ -84,7 +84,7 @@
         job = _poll(context, answered)
         if job is not None:
             answered = time.monotonic()
-            ended = job["done"] + len(job["failed"])
+            ended = job["done"] + job["failed_count"]
             label = f"{ended} of {job['items']} items, {job['state']}"
             context.output.progress(ended, job["items"], label)
             if not sys.stderr.isatty() and ended != shown:
@@ -95,7 +95,7 @@
         time.sleep(POLL_S)
     context.output.end_progress()
     context.output.result(job, _text(job))
-    whole = job["state"] == "completed" and not job["failed"]
+    whole = job["state"] == "completed" and not job["failed_count"]
     return EXIT_DONE if whole else EXIT_JOB_FAILED
 
 
@@ -166,7 +166,7 @@
             job["id"],
             job["state"],
             f"{job['done']}/{job['items']}",
-            len(job["failed"]),
+            job["failed_count"],
             time_text(job["created"]),
             time_text(job["deadline"]),
             time_text(job["expected_finish"]),
@@ -191,6 +191,6 @@
     if failed:
         rows = [(item["index"] + 1, item["cause"]) for item in failed]
         text += "\n\n" + table(("LINE", "CAUSE"), rows)
-        left = len(job["failed"]) - len(failed)
-        text += f"\n{left} more with --output=json" if left else ""
+        left = job["failed_count"] - len(failed)
+        text += f"\n{left} more" if left else ""
     return text
--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -216,14 +216,14 @@
     async def _submit(self, message: SubmitJob) -> Message:
         jobs = self._jobs(message.partition)
         await jobs.submit(message)
-        self._hand_out.foresee_all(self._all_jobs())
+        self._hand_out.foresee_all(self.all_jobs())
         return jobs.show(message.job_id, message.team)
 
     async def _job(self, message: JobCall) -> Message:
         jobs = self._jobs(message.partition)
         if message.cancel:
             return await jobs.cancel(message.job_id, message.team)
-        self._hand_out.foresee_all(self._all_jobs())
+        self._hand_out.foresee_all(self.all_jobs())
         return jobs.show(message.job_id, message.team)
 
     async def _fetch_results(self, message: FetchResults) -> Message:
@@ -232,13 +232,14 @@
         )
 
     async def _list_jobs(self, message: JobList) -> Message:
-        self._hand_out.foresee_all(self._all_jobs())
+        self._hand_out.foresee_all(self.all_jobs())
         found = []
         for jobs in self._jobs_by_partition.values():
             found.extend(jobs.jobs_of(message.team))
         return JobStates(tuple(found))
 
-    def _all_jobs(self) -> list[Job]:
+    def all_jobs(self) -> list[Job]:
+        """Returns the jobs of the partitions owned here."""
         return [
             job
             for jobs in self._jobs_by_partition.values()
@@ -253,7 +254,7 @@
             )
         grant = self._hand_out.pull(
             message,
-            self._all_jobs(),
+            self.all_jobs(),
             document.policies.batch_order,
             {name: team.share for name, team in document.teams.items()},
         )
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -6,8 +6,10 @@
 
 import anyio
 import anyio.abc
+from starlette.requests import Request as HttpRequest
+from starlette.responses import Response
 
-from plumvane import hashing
+from plumvane import hashing, metrics
 from plumvane.chunks.client import ChunkClient
 from plumvane.chunks.keeper import ChunkKeeper
 from plumvane.console.app import Console
@@ -17,6 +19,7 @@
 from plumvane.entry.checks import NAMES_BY_POLICY
 from plumvane.entry.host import PartitionHost
 from plumvane.entry.inheritance import ClaimInheritance
+from plumvane.entry.observations import observe_entry
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.runner import RequestRunner
 from plumvane.entry.status import FleetStatus
@@ -174,7 +177,16 @@
         bound = bind(http.address.host, http.address.port)
         app = api.application()
         app.mount("/console", self._make_console(batches, tls).application())
-        return HttpServer(app, bound, tls)
+        app.add_route("/metrics", _metrics)
+        metrics.configure()
+        observe_entry(
+            self._current,
+            self._directory,
+            self._host,
+            self._ownership.owned,
+            self._owners,
+        )
+        return HttpServer(metrics.TimedApp(app), bound, tls)
 
     def _make_console(self, batches: BatchService, tls: Tls | None) -> Console:
         return Console(
@@ -212,6 +224,12 @@
         return self._current.answer(message)
 
 
+async def _metrics(http: HttpRequest) -> Response:
+    return Response(
+        metrics.exposition(), headers={"content-type": metrics.CONTENT_TYPE}
+    )
+
+
 async def _serve(settings: EntrySettings, stopping: anyio.Event) -> None:
     await Entry(settings).serve(stopping)
 
--- /dev/null
+++ b/plumvane/entry/observations.py
@@ -0,0 +1,73 @@
+"""Gauges of an entry."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Collection
+
+from plumvane import clock
+from plumvane.entry.host import PartitionHost
+from plumvane.entry.owners import OwnerClient
+from plumvane.fleet.current import CurrentDocument
+from plumvane.instances.directory import Directory
+from plumvane.jobs.job import Job
+from plumvane.metrics import Metric, observe
+
+__all__ = ["observe_entry"]
+
+ROLES = ("entry", "sidecar", "bulk")
+RUNNING = "running"
+
+
+def observe_entry(
+    current: CurrentDocument,
+    directory: Directory,
+    host: PartitionHost,
+    owned: Collection[int],
+    owners: OwnerClient,
+) -> None:
+    """Registers what the gauges of an entry show.
+
+    Args:
+        current: Fleet document in force here.
+        directory: Instances of the fleet.
+        host: Partitions owned here.
+        owned: Numbers of these partitions.
+        owners: Knows the owners of all partitions.
+    """
+
+    def running() -> list[Job]:
+        return [job for job in host.all_jobs() if job.state == RUNNING]
+
+    def slacks() -> list[float]:
+        return [_slack_s(job) for job in running()]
+
+    observe(Metric.DOCUMENT_REVISION, lambda: current.revision)
+    observe(Metric.PARTITIONS_OWNED, lambda: len(owned))
+    observe(
+        Metric.PARTITIONS_WITHOUT_OWNER, lambda: len(owners.without_owner())
+    )
+    observe(Metric.INSTANCES, lambda: _count_instances(directory))
+    observe(Metric.JOBS_RUNNING, lambda: len(running()))
+    observe(Metric.JOBS_LATE, lambda: sum(s < 0 for s in slacks()))
+    observe(Metric.ITEMS_REMAINING, lambda: sum(j.remaining for j in running()))
+    observe(Metric.LEAST_SLACK, lambda: [(s, {}) for s in sorted(slacks())[:1]])
+
+
+def _slack_s(job: Job) -> float:
+    finish = max(job.expected_finish or 0.0, clock.wall())
+    return job.accepted.deadline - finish
+
+
+def _count_instances(
+    directory: Directory,
+) -> list[tuple[float, dict[str, str]]]:
+    counts = collections.Counter(
+        (role, instance.state.value)
+        for role in ROLES
+        for instance in directory.with_role(role)
+    )
+    return [
+        (count, {"role": role, "state": state})
+        for (role, state), count in counts.items()
+    ]
--- a/plumvane/entry/problems.py
+++ b/plumvane/entry/problems.py
@@ -7,6 +7,7 @@
 
 from starlette.responses import Response
 
+from plumvane import metrics
 from plumvane.errors import PlumvaneError
 
 __all__ = ["problem_body", "problem_response"]
@@ -27,6 +28,11 @@
 
 def problem_response(error: PlumvaneError) -> Response:
     """Returns an error as an HTTP response."""
+    metrics.add(
+        metrics.Metric.REFUSALS,
+        code=error.code,
+        not_run=str(error.not_run).lower(),
+    )
     headers = {}
     if error.retry_after_s is not None:
         headers["retry-after"] = str(max(1, math.ceil(error.retry_after_s)))
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -4,11 +4,14 @@
 
 import enum
 import sys
+from collections.abc import Callable
 from typing import Any, TextIO
 
 import eliot
 
-__all__ = ["Event", "configure", "log"]
+__all__ = ["Event", "configure", "count_by", "log"]
+
+_counters: list[Callable[[Event], None]] = []
 
 
 class Event(enum.Enum):
@@ -72,6 +75,15 @@
     eliot.to_file(stream or sys.stderr)
 
 
+def count_by(counter: Callable[[Event], None]) -> None:
+    """Has each event counted too.
+
+    Args:
+        counter: Called with each event that is logged.
+    """
+    _counters.append(counter)
+
+
 def log(event: Event, **fields: Any) -> None:
     """Writes one event.
 
@@ -82,3 +94,5 @@
     eliot.log_message(
         message_type=event.name.lower(), event=event.number, **fields
     )
+    for counter in _counters:
+        counter(event)
--- a/plumvane/jobs/table.py
+++ b/plumvane/jobs/table.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from plumvane import clock, events
+from plumvane import clock, events, metrics
 from plumvane.errors import (
     KeyReusedError,
     NotFoundError,
@@ -188,6 +188,11 @@
         self._commits_by_digest[digest] = anyio.Event()
         try:
             await self._commit(record)
+            metrics.add(
+                metrics.Metric.BATCH_ITEMS,
+                record.results.items,
+                outcome="done",
+            )
         finally:
             self._commits_by_digest.pop(digest).set()
 
@@ -205,6 +210,7 @@
         self, job_id: str, failed: tuple[FailedItem, ...]
     ) -> None:
         await self._commit(ItemsFailed(job_id, failed))
+        metrics.add(metrics.Metric.BATCH_ITEMS, len(failed), outcome="failed")
         for item in failed:
             events.log(
                 events.Event.ITEM_FAILED,
--- a/plumvane/process.py
+++ b/plumvane/process.py
@@ -11,7 +11,7 @@
 import anyio.abc
 from absl import app, flags
 
-from plumvane import events, settings
+from plumvane import events, metrics, settings, web
 from plumvane.errors import SettingsError
 
 __all__ = ["run_program", "supervise"]
@@ -108,11 +108,19 @@
     async with anyio.create_task_group() as group:
         group.start_soon(_wait_for_signal, stopping)
         events.log(events.Event.PROCESS_STARTED, name=name)
+        if checked.metrics is not None:
+            group.start_soon(_serve_metrics, checked.metrics.address)
         await serve(checked, stopping)
         group.cancel_scope.cancel()
     events.log(events.Event.PROCESS_STOPPED, name=name)
 
 
+async def _serve_metrics(address: settings.Address) -> None:
+    metrics.configure()
+    bound = web.bind(address.host, address.port)
+    await web.HttpServer(metrics.MetricsEndpoint(), bound).run()
+
+
 async def _wait_for_signal(stopping: anyio.Event) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -165,16 +165,28 @@
     folder: Folder
 
 
+class MetricsSection(_Section):
+    """Section [metrics]: the read-out of metrics.
+
+    Attributes:
+        address: Where Prometheus reads GET /metrics.
+    """
+
+    address: Address
+
+
 class CommonSettings(_Section):
     """Sections that every process has.
 
     Attributes:
         process: Section [process].
         platform: Section [platform].
+        metrics: Section [metrics]; without it only entries keep metrics.
     """
 
     process: ProcessSection
     platform: PlatformSection
+    metrics: MetricsSection | None = None
 
 
 class EntrySettings(CommonSettings):
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -8,6 +8,7 @@
 from plumvane.fleet.current import CurrentDocument
 from plumvane.instances.directory import Directory
 from plumvane.instances.reporter import Reporter
+from plumvane.metrics import Metric, observe
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     FetchDocument,
@@ -72,6 +73,10 @@
         else:
             self._upstream = ServiceClient(settings.upstream.url)
         self._leaving = False
+        observe(Metric.DOCUMENT_REVISION, lambda: self._current.revision)
+        observe(Metric.UPSTREAM_ONLINE, lambda: self._gate.online)
+        observe(Metric.UPSTREAM_BATCH, lambda: self._gate.batch)
+        observe(Metric.UPSTREAM_LIMIT, lambda: self._gate.policy.limit())
 
     async def serve(self, stopping: anyio.Event) -> None:
         """Serves until the event is set, then drains."""
--- a/plumvane/store/http.py
+++ b/plumvane/store/http.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from plumvane import clock
+from plumvane import clock, events
 from plumvane.errors import (
     BodyTooLargeError,
     ConflictError,
@@ -162,6 +162,9 @@
             if self._failing_since is None:
                 self._failing_since = clock.monotonic()
             raise
+        if self._failing_since is not None:
+            down_s = clock.monotonic() - self._failing_since
+            events.log(events.Event.STORE_AVAILABLE, down_s=round(down_s, 1))
         self._failing_since = None
         return answer
 
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 import httpcore
@@ -29,6 +30,9 @@
 DATA_CENTRES = ("windhoek-hall", "okahandja", "rehoboth", "brakwater")
 
 
+Sections = dict[str, dict[str, Any]]
+
+
 def loopback_host() -> str:
     """Returns a loopback address that no other fleet is likely to use."""
     parts = [secrets.randbelow(250) + 2 for _ in range(3)]
@@ -137,6 +141,8 @@
         self.http = httpcore.ConnectionPool(max_connections=64)
         self._bin = pathlib.Path(sys.executable).parent
         self._numbers = 0
+        #: Returns more sections of a program's settings.
+        self.more_settings: Callable[[Process], Sections] = lambda process: {}
 
     def __enter__(self) -> Fleet:
         return self
@@ -380,7 +386,8 @@
         self._numbers += 1
         if "proxy" in self.processes_by_name:
             self._open_route(process)
-        self._write_settings(path, process, sections)
+        more = self.more_settings(process)
+        self._write_settings(path, process, {**sections, **more})
         process.start()
         self.list_instance(process)
         return process
--- /dev/null
+++ b/tests/catalogues.py
@@ -0,0 +1,85 @@
+"""Tables of the documents that list what the code has.
+
+`python -m tests.catalogues` writes them anew from the code.
+"""
+
+from __future__ import annotations
+
+import pathlib
+
+from plumvane import events
+from plumvane.metrics import Metric
+
+__all__ = ["EVENTS", "METRICS", "event_rows", "metric_rows", "table_rows"]
+
+ROOT = pathlib.Path(__file__).parent.parent
+EVENTS = ROOT / "docs" / "EVENTS.md"
+METRICS = ROOT / "docs" / "METRICS.md"
+
+Row = tuple[str, ...]
+
+
+def event_rows() -> list[Row]:
+    """Returns the rows of the catalogue of events."""
+    code = "".join(
+        path.read_text(encoding="utf-8")
+        for path in (ROOT / "plumvane").rglob("*.py")
+    )
+    return [
+        (
+            str(event.number),
+            event.name.lower(),
+            event.meaning,
+            "yes" if f"Event.{event.name}" in code else "not yet",
+        )
+        for event in sorted(events.Event, key=lambda event: event.number)
+    ]
+
+
+def metric_rows() -> list[Row]:
+    """Returns the rows of the catalogue of metrics."""
+    return [
+        (m.full_name, m.kind.value, ", ".join(m.labels), m.meaning)
+        for m in Metric
+    ]
+
+
+def table_rows(path: pathlib.Path, columns: int) -> list[Row]:
+    """Returns the rows of a document's tables, without their heads.
+
+    Args:
+        path: The document.
+        columns: Only tables of so many columns are read.
+    """
+    rows: list[Row] = []
+    lines = path.read_text(encoding="utf-8").splitlines()
+    for number, line in enumerate(lines):
+        is_rule = line.startswith("|-")
+        is_head = number + 1 < len(lines) and lines[number + 1].startswith("|-")
+        if line.startswith("|") and not is_rule and not is_head:
+            cells = line.strip("|").split("|")
+            row = tuple(cell.strip().strip("`") for cell in cells)
+            if len(row) == columns:
+                rows.append(row)
+    return rows
+
+
+def _write(path: pathlib.Path, rows: list[Row], name_column: int) -> None:
+    """Replaces the first table of a document."""
+    lines = path.read_text(encoding="utf-8").splitlines()
+    first = next(n for n, line in enumerate(lines) if line.startswith("|-"))
+    end = first + 1
+    while end < len(lines) and lines[end].startswith("|"):
+        end += 1
+    made = []
+    for row in rows:
+        cells = list(row)
+        cells[name_column] = f"`{cells[name_column]}`"
+        made.append("| " + " | ".join(cells) + " |")
+    lines[first + 1 : end] = made
+    path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    _write(EVENTS, event_rows(), 1)
+    _write(METRICS, metric_rows(), 0)
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -40,6 +40,7 @@
     engine_flags: tuple[str, ...] = (),
     service_flags: tuple[str, ...] = (),
     document: dict[str, Any] | None = None,
+    prepare: Callable[[Fleet], None] = lambda fleet: None,
 ) -> Iterator[Fleet]:
     """Yields a fleet that is ready.
 
@@ -50,6 +51,7 @@
         tempfile.TemporaryDirectory() as folder,
         Fleet(pathlib.Path(folder)) as fleet,
     ):
+        prepare(fleet)
         fleet.start_platform()
         if proxied:
             fleet.start_proxy()
