--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -27,6 +27,7 @@
 from plumvane.fleet.current import CurrentDocument, PeerWatch, watch_store
 from plumvane.fleet.revisions import DocumentStore
 from plumvane.instances.directory import Directory
+from plumvane.limits.teams import TeamLimits
 from plumvane.partitions.ownership import Ownership
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
@@ -80,6 +81,7 @@
             lambda: self._ownership.may_promise(),
             store_is_down=self._store.is_down,
             inheritance=self._inheritance,
+            address=self._address,
         )
         self._ownership = Ownership(
             self._store,
@@ -120,6 +122,7 @@
                 self._host.run,
                 self._ownership.run,
                 self._host.expire_claims,
+                self._host.wake_sidecars,
                 self._keeper.run,
                 self._watch_document,
                 self._peer_watch.run,
@@ -168,6 +171,10 @@
             self._documents,
             self._directory,
             self._status,
+            TeamLimits(
+                lambda: self._current.document,
+                lambda: len(self._directory.live("entry")),
+            ),
             lambda: self._leaving,
         )
         http = self._settings.http
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -14,6 +14,7 @@
     FetchDocument,
     Message,
     Report,
+    WorkWaiting,
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.process import run_program, supervise
@@ -60,7 +61,9 @@
         self._upstream: EngineClient | ServiceClient
         self._batch: BatchWorker | None = None
         if settings.upstream.kind == "engine":
-            self._upstream = EngineClient(settings.upstream.url)
+            self._upstream = EngineClient(
+                settings.upstream.url, self._gate.observe_step
+            )
             self._batch = BatchWorker(
                 settings.upstream.serves,
                 str(process.peer_address),
@@ -70,6 +73,7 @@
                 ChunkClient(self._directory, self._links),
                 self._reporter,
             )
+            self._server.handle(WorkWaiting, self._batch.wake)
         else:
             self._upstream = ServiceClient(settings.upstream.url)
         self._leaving = False
@@ -126,12 +130,13 @@
             policy = make_admission(document.policies)
             if type(policy) is not type(self._gate.policy):
                 self._gate.policy = policy
-            self._gate.policy.set_targets(
+            self._gate.policy.configure(
+                document.policies,
                 [
                     w
                     for w in document.workloads.values()
                     if w.kind == "online" and w.model == model
-                ]
+                ],
             )
             self._gate.refresh()
             await self._current.changed()
