--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -259,7 +259,7 @@
         """Tells idle sidecars of waiting items; runs always."""
         while True:
             await anyio.sleep(WAKE_S)
-            idle = self._hand_out.take_idle(self._all_jobs())
+            idle = self._hand_out.take_idle(self.all_jobs())
             async with anyio.create_task_group() as group:
                 for address in idle:
                     group.start_soon(self._wake, address)
@@ -281,7 +281,7 @@
             )
         return self._hand_out.offer(
             message,
-            self._all_jobs(),
+            self.all_jobs(),
             self._current.document.policies.batch_order,
         )
 
