--- a/plumvane/instances/directory.py
+++ b/plumvane/instances/directory.py
@@ -72,6 +72,9 @@
         self._url = url
         self._pool = HttpPool()
         self._instances_by_name: dict[str, Instance] = {}
+        self._listed_names: set[str] = set()
+        # Tag of the last reading; an unchanged list is not sent again.
+        self._tag = ""
         self.loaded = anyio.Event()
 
     def by_name(self, name: str) -> Instance | None:
@@ -123,14 +126,10 @@
 
     def take_list(self, listed: list[dict[str, str]]) -> None:
         """Takes a reading of the platform's list in."""
-        names = set()
+        self._listed_names = {item["name"] for item in listed}
         for item in listed:
-            names.add(item["name"])
             self._take_listed(item)
-        fresh_after = clock.monotonic() - REPORT_FRESH_S
-        for name, instance in list(self._instances_by_name.items()):
-            if name not in names and instance.reported < fresh_after:
-                del self._instances_by_name[name]
+        self._forget_silent()
         self.loaded.set()
 
     async def run(self) -> None:
@@ -145,10 +144,23 @@
     async def poll(self) -> None:
         """Reads the platform's list once."""
         with anyio.fail_after(CALL_TIMEOUT_S):
-            response = await self._pool.request("GET", self._url)
+            response = await self._pool.request(
+                "GET", self._url, headers=[("if-none-match", self._tag)]
+            )
+        if response.status == 304:
+            self._forget_silent()
         if response.status == 200:
+            self._tag = _entity_tag(response.headers)
             self.take_list(json.loads(response.content)["instances"])
 
+    def _forget_silent(self) -> None:
+        """Forgets instances that are neither listed nor reporting."""
+        fresh_after = clock.monotonic() - REPORT_FRESH_S
+        for name, instance in list(self._instances_by_name.items()):
+            if name in self._listed_names or instance.reported >= fresh_after:
+                continue
+            del self._instances_by_name[name]
+
     def _take_listed(self, item: dict[str, str]) -> None:
         instance = self._instances_by_name.get(item["name"])
         if instance is None or instance.address != item["address"]:
@@ -171,3 +183,10 @@
     started again and knows no document yet.
     """
     return max(known, reported) if reported else 0
+
+
+def _entity_tag(headers: list[tuple[bytes, bytes]]) -> str:
+    for name, value in headers:
+        if name.lower() == b"etag":
+            return value.decode("latin-1")
+    return ""
--- a/standins/instances.py
+++ b/standins/instances.py
@@ -8,6 +8,7 @@
 
 import collections
 import copy
+import hashlib
 from typing import Any
 
 from absl import flags
@@ -36,6 +37,7 @@
         self._lag_s = lag_s
         self._truth: dict[str, dict[str, Any]] = {}
         self._shown: dict[str, dict[str, Any]] = {}
+        self._counts: collections.Counter[str] = collections.Counter()
         self._past: collections.deque[
             tuple[float, dict[str, dict[str, Any]]]
         ] = collections.deque()
@@ -48,6 +50,7 @@
         return Starlette(
             routes=[
                 Route("/instances", self.show, methods=["GET"]),
+                Route("/counts", self.counts, methods=["GET"]),
                 Route("/instances/{name}", self.put, methods=["PUT"]),
                 Route("/instances/{name}", self.delete, methods=["DELETE"]),
             ]
@@ -58,7 +61,18 @@
         now = clock.monotonic()
         while self._past and self._past[0][0] + self._lag_s <= now:
             self._shown = self._past.popleft()[1]
-        return JSONResponse({"instances": list(self._shown.values())})
+        answer = JSONResponse({"instances": list(self._shown.values())})
+        tag = f'"{hashlib.blake2b(answer.body, digest_size=8).hexdigest()}"'
+        if http.headers.get("if-none-match") == tag:
+            self._counts["unchanged"] += 1
+            return Response(status_code=304, headers={"etag": tag})
+        self._counts["sent"] += 1
+        answer.headers["etag"] = tag
+        return answer
+
+    async def counts(self, http: Request) -> Response:
+        """Serves how often the list was sent, and found unchanged."""
+        return JSONResponse(dict(self._counts))
 
     async def put(self, http: Request) -> Response:
         """Adds or changes an instance."""
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,63 @@
+"""The directory of instances, from the list and from reports."""
+
+from __future__ import annotations
+
+import anyio
+
+from plumvane import clock
+from plumvane.instances import directory as directories
+from plumvane.instances.directory import Directory
+from plumvane.peers.messages import Report
+from tests.fleets import running_fleet
+
+
+def _report(name: str) -> Report:
+    return Report(
+        name,
+        "sidecar",
+        "127.0.0.1:1",
+        "rehoboth",
+        "sorter-lm",
+        1,
+        leaving=False,
+    )
+
+
+def _item(name: str) -> dict[str, str]:
+    return {
+        "name": name,
+        "role": "sidecar",
+        "address": "127.0.0.1:1",
+        "data_centre": "rehoboth",
+        "serves": "sorter-lm",
+        "state": "live",
+    }
+
+
+def test_instance_that_only_reports_stays_while_its_report_is_fresh() -> None:
+    directory = Directory("http://127.0.0.1:1/instances")
+    directory.take_report(_report("new"))
+    directory.take_list([_item("listed")])
+    assert [i.name for i in directory.live("sidecar")] == ["listed", "new"]
+    reported = directory.by_name("new")
+    assert reported is not None
+    reported.reported = clock.monotonic() - directories.REPORT_FRESH_S - 1.0
+    directory.take_list([_item("listed")])
+    assert [i.name for i in directory.live("sidecar")] == ["listed"]
+
+
+def test_unchanged_list_is_not_sent_again() -> None:
+    with running_fleet(engines=1) as fleet:
+        url = f"{fleet['instances'].url}/instances"
+
+        async def poll_twice() -> tuple[list[str], list[str]]:
+            directory = Directory(url)
+            await directory.poll()
+            first = [i.name for i in directory.with_role("entry")]
+            await directory.poll()
+            return first, [i.name for i in directory.with_role("entry")]
+
+        first, second = anyio.run(poll_twice)
+        _, body = fleet.call("GET", f"{fleet['instances'].url}/counts")
+    assert first == second == ["entry-0", "entry-1"]
+    assert b'"unchanged"' in body
