--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -69,6 +69,8 @@
 ASK_TIMEOUT_S = 1.0
 # An owner that did not answer is not asked for work for this.
 SILENT_OWNER_S = 5.0
+# Marks batch work for the engine's own records.
+BATCH_METADATA = {"kind": "batch"}
 # A range whose results nobody takes is dropped after this.
 GIVE_UP_S = 600.0
 LEAVE_S = 10.0
@@ -452,23 +454,22 @@
             ended = False
             stream = self._engine.stream(
                 stream_id,
-                body,
+                {**body, "metadata": BATCH_METADATA},
                 resume_text="".join(text),
                 resume_tokens=tokens,
             )
             try:
-                async for token in _watched(stream):
-                    text.append(token.text)
-                    tokens += token.tokens
-                    finish_reason = token.finish_reason
-                    if work.preempted.is_set() and finish_reason is None:
-                        break
-                else:
+                with work.scope:
+                    async for token in _watched(stream):
+                        text.append(token.text)
+                        tokens += token.tokens
+                        finish_reason = token.finish_reason
                     ended = True
             finally:
                 self._gate.leave(work)
                 if not ended:
                     await self._engine.cancel(stream_id)
+            ended = ended or finish_reason is not None
             if ended and finish_reason is None:
                 raise UpstreamLostError("The engine ended the stream early.")
             if ended:
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,192 @@
+"""Gate: order, preemption and limits."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+
+from plumvane import clock
+from plumvane.errors import DeadlineExceededError, OverloadedError
+from plumvane.fleet.document import Policies, Workload
+from plumvane.upstreams.admission import Adaptive, make_admission
+from plumvane.upstreams.gate import Gate, Work
+from plumvane.upstreams.step_model import StepModel
+
+BASE_S = 0.012
+SLOPE_S = 0.0006
+
+
+def _work(*, online: bool, rank: int = 0) -> Work:
+    return Work(online=online, rank=rank, deadline=clock.wall() + 60)
+
+
+def _trained(slowdown: float) -> Adaptive:
+    """Returns a policy that has seen an engine with up to 60 requests."""
+    policy = Adaptive(Policies(batch_slowdown=slowdown))
+    workload = Workload(kind="online", model="m", between_tokens_ms=39)
+    policy.configure(policy._policies, [workload])
+    source = random.Random(1)
+    for _ in range(400):
+        running = source.randint(1, 60)
+        policy._step_at = 0.0
+        policy.observe_step(BASE_S + SLOPE_S * running, running, True)
+    return policy
+
+
+def test_step_model_finds_the_engines_line() -> None:
+    model = StepModel()
+    source = random.Random(2)
+    for _ in range(500):
+        running = source.randint(4, 40)
+        noise = source.uniform(0.97, 1.03)
+        model.add(running, (BASE_S + SLOPE_S * running) * noise)
+    for running in (5, 20, 40):
+        expected = BASE_S + SLOPE_S * running
+        assert abs(model.predict(running) - expected) < 0.05 * expected
+
+
+def test_step_model_follows_an_engine_that_turns_slow() -> None:
+    model = StepModel()
+    source = random.Random(3)
+    for factor in (1, 5):
+        for _ in range(2000):
+            running = source.randint(4, 40)
+            model.add(running, factor * (BASE_S + SLOPE_S * running))
+    expected = 5 * (BASE_S + SLOPE_S * 20)
+    assert abs(model.predict(20) - expected) < 0.1 * expected
+
+
+def test_limit_keeps_the_target_between_tokens() -> None:
+    limit = _trained(1.1).limit()
+    assert BASE_S + SLOPE_S * limit <= 0.039
+    assert BASE_S + SLOPE_S * (limit + 8) > 0.039 * 0.9
+
+
+def test_batch_lengthens_the_step_of_online_at_most_by_the_slowdown() -> None:
+    policy = _trained(1.1)
+    for online in (2, 10, 20):
+        alone_s = BASE_S + SLOPE_S * online
+        total = online + policy.batch_limit(online)
+        assert BASE_S + SLOPE_S * total <= 1.1 * alone_s + SLOPE_S
+
+
+def test_batch_alone_fills_the_target() -> None:
+    policy = _trained(1.1)
+    assert policy.batch_limit(0) == policy.limit()
+
+
+def test_online_takes_the_place_of_the_newest_batch_item() -> None:
+    async def run() -> None:
+        gate = Gate(_trained(1.1))
+        items = []
+        while len(items) < 20:
+            item = _work(online=False)
+            gate._batch_start_at = 0.0
+            await gate.enter(item)
+            items.append(item)
+        online = _work(online=True)
+        await gate.enter(online)
+        assert online.admitted.is_set()
+        preempted = [item.preempted for item in items]
+        assert preempted == sorted(preempted)
+        assert preempted[-1] and not preempted[0]
+        assert all(item.scope.cancel_called for item in items if item.preempted)
+
+    anyio.run(run)
+
+
+def test_online_goes_before_batch_and_by_rank() -> None:
+    async def run() -> None:
+        gate = Gate(make_admission(Policies(admission="fixed")))
+        gate.policy.configure(
+            Policies(admission="fixed", fixed_concurrency=1), []
+        )
+        first = _work(online=True)
+        await gate.enter(first)
+        order: list[str] = []
+
+        async def enter(name: str, work: Work) -> None:
+            await gate.enter(work)
+            order.append(name)
+            gate.leave(work)
+
+        async with anyio.create_task_group() as group:
+            for name, work in (
+                ("batch", _work(online=False)),
+                ("later", _work(online=True, rank=5)),
+                ("sooner", _work(online=True, rank=1)),
+            ):
+                group.start_soon(enter, name, work)
+                await anyio.wait_all_tasks_blocked()
+            gate.leave(first)
+        assert order == ["sooner", "later", "batch"]
+
+    anyio.run(run)
+
+
+def test_full_queue_refuses_at_once_with_a_time() -> None:
+    async def run() -> None:
+        gate = _gate_of_one(first_token_ms=200)
+        running = _work(online=True)
+        await gate.enter(running)
+        gate._service_s = 0.5
+        refused = await _refusal(gate, _work(online=True))
+        assert refused.not_run
+        assert refused.retry_after_s == 0.5
+        gate.leave(running)
+        await gate.enter(_work(online=True))
+
+    anyio.run(run)
+
+
+def test_request_that_would_expire_in_the_queue_is_refused_at_once() -> None:
+    async def run() -> None:
+        gate = _gate_of_one(first_token_ms=60_000)
+        await gate.enter(_work(online=True))
+        gate._service_s = 5.0
+        late = Work(online=True, deadline=clock.wall() + 2)
+        assert (await _refusal(gate, late)).not_run
+        assert not late.admitted.is_set()
+
+    anyio.run(run)
+
+
+def test_expired_work_is_not_admitted() -> None:
+    async def run() -> None:
+        gate = _gate_of_one(first_token_ms=60_000)
+        first = _work(online=True)
+        await gate.enter(first)
+        expired = Work(online=True, deadline=clock.wall() + 0.05)
+        async with anyio.create_task_group() as group:
+
+            async def wait() -> None:
+                try:
+                    await gate.enter(expired)
+                    raise AssertionError("admitted")
+                except DeadlineExceededError as error:
+                    assert error.not_run
+
+            group.start_soon(wait)
+            await anyio.wait_all_tasks_blocked()
+            expired.deadline = 0.0
+            gate.leave(first)
+            assert not expired.admitted.is_set()
+
+    anyio.run(run)
+
+
+def _gate_of_one(*, first_token_ms: int) -> Gate:
+    policies = Policies(admission="fixed", fixed_concurrency=1)
+    gate = Gate(make_admission(policies))
+    workload = Workload(kind="online", model="m", first_token_ms=first_token_ms)
+    gate.policy.configure(policies, [workload])
+    return gate
+
+
+async def _refusal(gate: Gate, work: Work) -> OverloadedError:
+    try:
+        await gate.enter(work)
+    except OverloadedError as error:
+        return error
+    raise AssertionError("not refused")
