Leave work to idle sidecars, and wake all of a sidecar's loops

Cause: test_leaving_sidecar_hands_its_items_back, after its items were made longer, failed with "not seen in 60.0 s: streams run at engine-0". The first sidecar that asked was given half of what remained of the job, twice, and claimed items counted as remaining; the other sidecar got nothing. Reading on: a loop that found no work slept up to a minute although the other loop of its sidecar had found some since; a sidecar whose bulk instances or engine were away slept as long; a range granted while the sidecar left was run.

Change: ranges are sized by what waits. A pull wakes the other loops, and only a sidecar that was told that nothing waits sleeps longer than 2 s. A leaving sidecar hands a late grant back. The test uses a fixed limit, so that a cancel at the engine can only come from the hand-back.

--- a/plumvane/jobs/handout.py
+++ b/plumvane/jobs/handout.py
@@ -26,7 +26,7 @@
 VIEW_FRESH_S = 90.0
 # Jobs of which an owner tells the others.
 MAX_DEMANDS = 64
-# A range holds at most this part of the sidecar's share in what is left.
+# A range holds at most this part of the sidecar's share in what waits.
 GUIDED = 0.5
 # A range lasts at most this part of the time to the deadline.
 DEADLINE_PART = 0.25
@@ -227,7 +227,7 @@
         """Returns how many items to hand out; fewer as the end is near."""
         now = clock.wall()
         workers = len(self._workers(message.model, now))
-        most = int(job.remaining * GUIDED / max(1, workers))
+        most = int(job.waiting * GUIDED / max(1, workers))
         left_s = job.accepted.deadline - now
         if message.item_rate > 0 and left_s > 0:
             most = min(most, int(message.item_rate * left_s * DEADLINE_PART))
--- a/plumvane/jobs/job.py
+++ b/plumvane/jobs/job.py
@@ -128,6 +128,12 @@
         self._drop_closed_suspects()
         return bool(self._waiting or self._suspects) and not self.cancelled
 
+    @property
+    def waiting(self) -> int:
+        """How many items wait to be handed out, lost ones included."""
+        pieces = [*self._waiting, *self._suspects]
+        return sum(items for _, items in pieces)
+
     @property
     def claims(self) -> tuple[RangeClaim, ...]:
         """The ranges that are handed out."""
--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -66,6 +66,8 @@
 IDLE_MIN_S = 0.1
 # An idle sidecar is woken by the owners; this is for a lost message.
 IDLE_MAX_S = 60.0
+# The same while the engine, the owners or the bulk instances are away.
+BLOCKED_MAX_S = 2.0
 ASK_TIMEOUT_S = 1.0
 # An owner that did not answer is not asked for work for this.
 SILENT_OWNER_S = 5.0
@@ -120,6 +122,8 @@
         self._completed: deque[float] = deque(maxlen=RATE_ITEMS)
         self._saved = anyio.Event()
         self._woken = anyio.Event()
+        # Whether any owner answered last.
+        self._asked = False
         self._silent_until_by_owner: dict[str, float] = {}
         self._leaving = False
 
@@ -145,29 +149,39 @@
 
     async def wake(self, call: Call, message: WorkWaiting) -> Message:
         """Takes in that work waits at an owner."""
+        self._wake()
+        return Done()
+
+    def _wake(self) -> None:
         self._woken.set()
         self._woken = anyio.Event()
-        return Done()
 
     async def _pull_loop(self) -> None:
         idle_s = IDLE_MIN_S
         while not self._leaving:
             woken = self._woken
-            pulled = await self._pull() if self._has_room() else None
-            if pulled is not None and await self._run_range(*pulled):
-                idle_s = IDLE_MIN_S
-                continue
+            has_room = self._has_room()
+            pulled = await self._pull() if has_room else None
+            if pulled is not None:
+                # The other loops find work too.
+                self._wake()
+                if await self._run_range(*pulled):
+                    idle_s = IDLE_MIN_S
+                    continue
             if not self._runs:
                 self._completed.clear()
+            is_idle = has_room and pulled is None and self._asked
+            idle_s = min(idle_s, IDLE_MAX_S if is_idle else BLOCKED_MAX_S)
             with anyio.move_on_after(idle_s * random.uniform(0.5, 1.0)):
                 await woken.wait()
                 idle_s = IDLE_MIN_S
                 continue
-            idle_s = min(IDLE_MAX_S, idle_s * 2)
+            idle_s *= 2
 
     async def _pull(self) -> tuple[str, RangeGrant] | None:
         """Pulls from the owner whose work goes first."""
         offers_by_owner = await self._offers()
+        self._asked = bool(offers_by_owner)
         ranked = sorted(
             (owner for owner, o in offers_by_owner.items() if o.waiting),
             key=lambda owner: (
@@ -240,6 +254,8 @@
         """Runs a range and reports it; returns whether an item was tried."""
         run = RangeRun(owner, grant)
         self._runs.add(run)
+        if self._leaving:
+            run.scope.cancel()
         tried = False
         try:
             async with anyio.create_task_group() as group:
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import tempfile
 import threading
 from typing import Any
 
@@ -20,6 +21,7 @@
 from tests.fleets import TEAM, Caller, running_fleet, wait_for
 
 SLOW_STEPS = ("--step_s=0.05",)
+STEADY_STEPS = ("--step_s=0.02",)
 COPIES_TIMEOUT_S = 120.0
 
 
@@ -309,26 +311,36 @@
 
 
 def test_leaving_sidecar_hands_its_items_back() -> None:
-    with running_fleet(bulks=2, engines=2, engine_flags=SLOW_STEPS) as fleet:
+    with tempfile.TemporaryDirectory() as folder:
+        document = Fleet(pathlib.Path(folder)).default_document()
+    # Nothing is preempted under a fixed limit.
+    document["policies"] = {"admission": "fixed", "fixed_concurrency": 8}
+    with running_fleet(
+        bulks=2, engines=2, engine_flags=STEADY_STEPS, document=document
+    ) as fleet:
         caller = Caller(fleet)
         entry = fleet["entry-0"]
-        prompts = [f"plan {n}" for n in range(200)]
-        lines = item_lines(prompts, max_tokens=20)
+        prompts = [f"plan {n}" for n in range(60)]
+        lines = item_lines(prompts, max_tokens=200)
         _, job = caller.submit(entry, lines, key="k")
         for engine in ("engine-0", "engine-1"):
             wait_for(
                 lambda name=engine: engine_record(fleet, name)["running"],
                 f"streams run at {engine}",
             )
+        assert "cancels" not in engine_record(fleet)["counts"]
         assert fleet["engine-0-sidecar"].terminate() == 0
-        assert not engine_record(fleet)["running"]
+        record = engine_record(fleet)
+        assert not record["running"]
+        # Streams were ended before they were done.
+        assert record["counts"]["cancels"] > 0
         state = wait_completed(caller, entry, job["id"])
         results = caller.job_results(entry, job["id"])
         logs = [fleet[name].log.read_text() for name in ("entry-0", "entry-1")]
-    assert (state["done"], state["failed_count"]) == (200, 0)
+    assert (state["done"], state["failed_count"]) == (60, 0)
     assert not any("range_lost" in log for log in logs)
     for prompt, line in zip(prompts, results, strict=True):
-        assert is_own_answer(line, prompt, 20)
+        assert is_own_answer(line, prompt, 200)
 
 
 def test_results_without_their_chunks_are_an_error() -> None:
--- a/tests/test_jobs_handout.py
+++ b/tests/test_jobs_handout.py
@@ -132,6 +132,13 @@
     assert sizes["due"] < 12.0 * RATE / 2
 
 
+def test_first_sidecar_leaves_work_to_the_others() -> None:
+    jobs = [_job("job", 64, 86_400.0)]
+    hand_out = HandOut("owner")
+    grants = [_pull(hand_out, jobs) for _ in range(2)]
+    assert [grant.items for grant in grants if grant] == [32, 16]
+
+
 def test_idle_sidecar_is_woken_once() -> None:
     hand_out = HandOut("owner")
     message = OfferWork("model", "sidecar")
