Measure an upstream's newness against the others

Change: a new upstream's part grows with its age beside the oldest's. First failed with, age alone: 'assert kept >= 0.7 * 200'.

--- a/plumvane/routing/policies.py
+++ b/plumvane/routing/policies.py
@@ -159,6 +159,7 @@
         number = len(candidates)
         self._loads = loads
         self._mean_online = sum(map(loads.online, candidates)) / number
+        self._most_warmth = max(map(loads.warmth, candidates))
         self.mean_rate = sum(map(loads.rate, candidates)) / number
 
     def allows(self, instance: Instance) -> bool:
@@ -166,7 +167,7 @@
         loads = self._loads
         # The count of dispatches grows as the square of time where their rate
         # grows in step with it.
-        warmth = loads.warmth(instance) ** 2
+        warmth = self._warmth(instance) ** 2
         rate = AFFINITY_OVERLOAD * self.mean_rate + 1.0
         chance = AFFINITY_DEVIATIONS * math.sqrt(self._mean_online)
         online = max(
@@ -178,3 +179,9 @@
             and loads.online(instance) + 1.0 <= online + 1.0
             and loads.busyness(instance) < 1.0
         )
+
+    def _warmth(self, instance: Instance) -> float:
+        """Returns the warmth beside the upstream that is known best."""
+        if not self._most_warmth:
+            return 1.0
+        return self._loads.warmth(instance) / self._most_warmth
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -128,6 +128,21 @@
     assert later["new"] >= 0.5 * 1000 / 5
 
 
+def test_fleet_of_new_upstreams_keeps_prefixes_in_place() -> None:
+    with _stopped_clock() as stopped:
+        candidates = _instances(4)
+        names = [i.name for i in candidates]
+        loads = UpstreamLoads()
+        kept = 0
+        for number in range(200):
+            prefix = f"p{number % 40}"
+            first = prefix_affinity(candidates, RouteRequest(prefix), loads)[0]
+            kept += first.name == hashing.rank(prefix, names)[0]
+            with loads.dispatched(first):
+                stopped.now += 0.01
+    assert kept >= 0.7 * 200
+
+
 def test_failing_upstream_is_left_out_and_probed() -> None:
     with _stopped_clock() as stopped:
         candidates = _instances(3)
