Find the team of a token in one step

Cause: each request compared its token's digest with every team's: 103 us at 1,700 teams. Ruled out: the digest itself (1.8 us).

--- a/plumvane/fleet/document.py
+++ b/plumvane/fleet/document.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from collections.abc import Callable
 from typing import Annotated, Literal
@@ -172,11 +173,15 @@
 
     def team_by_token(self, token: str) -> str | None:
         """Returns the name of the team that holds a token, or None."""
-        digest = token_digest(token)
-        for name, team in self.teams.items():
-            if digest in team.token_sha256:
-                return name
-        return None
+        return self._teams_by_digest.get(token_digest(token))
+
+    @functools.cached_property
+    def _teams_by_digest(self) -> dict[str, str]:
+        return {
+            digest: name
+            for name, team in self.teams.items()
+            for digest in team.token_sha256
+        }
 
 
 def parse(document: bytes) -> FleetDocument:
