Take keys between processes by settings, and prove TLS for callers

Cause: any process that reached a peer port was served; TLS for callers was wired and never tried.

Ruled out: one key pair a process for both sides (a caller would have to know each peer's public key before it can call it); an authenticator on the event loop (pyzmq's asyncio one wants a socket class of its own).

Change: section [keys] with the fleet's server key, the process's own client key and a folder of allowed callers, read again within seconds, behind pyzmq's ZAP authenticator. More than one server key may be named, so that the fleet's key is replaced one process after another. `plumvane keys make` writes the secret readable by its owner alone.

Each proof first failed with its guard turned off: server keys, list of allowed callers, secure cookie -> AssertionError; reading the folder again -> "not seen in 60.0 s: the added key is admitted"; trying the next server key -> "not seen in 60.0 s: a request in the middle of the change"; a token logged on purpose -> "AssertionError: ('intake', ['entry-0'])".

Conclusion: a peer without keys, with a stranger's key or with another server's key is refused in the handshake, as the socket's monitor says. A key taken out of the folder opens no new connection; open ones stay. The change of the fleet's key is proved to be answered again after each step, not to lose no request. An instance started again under its name and address stays "leaving" until the list has dropped it once; the test waits for that.

--- a/plumvane/bulk/main.py
+++ b/plumvane/bulk/main.py
@@ -10,6 +10,7 @@
 from plumvane.instances.directory import Directory
 from plumvane.instances.reporter import Reporter
 from plumvane.metrics import Metric, observe
+from plumvane.peers import keys
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     ChunkData,
@@ -45,13 +46,14 @@
             settings: Checked settings.
         """
         process = settings.process
+        peer_keys = keys.load(settings.keys)
         self._settings = settings
         self._current = CurrentDocument()
-        self._links = LinkPool(process.name)
+        self._links = LinkPool(process.name, peer_keys)
         self._directory = Directory(settings.platform.instances_url)
         self._folder = ChunkFolder(settings.data.folder)
         self._chunks = ChunkClient(self._directory, self._links)
-        self._server = PeerServer(str(process.bind_address))
+        self._server = PeerServer(str(process.bind_address), peer_keys)
         self._server.handle(StoreChunk, self._store)
         self._server.handle(FetchChunk, self._fetch)
         self._server.handle(FindChunks, self._find)
--- a/plumvane/cli/main.py
+++ b/plumvane/cli/main.py
@@ -7,7 +7,7 @@
 
 from absl import app, flags
 
-from plumvane.cli import config, fleet, jobs
+from plumvane.cli import config, fleet, jobs, keys
 from plumvane.cli.client import EntryClient
 from plumvane.cli.output import Output
 from plumvane.cli.registry import COMMANDS_BY_NAME, Command, Context
@@ -15,7 +15,7 @@
 
 __all__ = ["EXIT_CODES", "MODULES", "exit_code", "run"]
 
-MODULES = (config, jobs, fleet)
+MODULES = (config, jobs, fleet, keys)
 
 EXIT_REFUSED = 1
 EXIT_CONFLICT = 3
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -29,6 +29,7 @@
 from plumvane.instances.directory import Directory
 from plumvane.limits.teams import TeamLimits
 from plumvane.partitions.ownership import Ownership
+from plumvane.peers import keys
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     FetchDocument,
@@ -62,11 +63,12 @@
             settings: Checked settings.
         """
         process = settings.process
+        peer_keys = keys.load(settings.keys)
         self._settings = settings
         self._name = process.name
         self._address = str(process.peer_address)
         self._current = CurrentDocument()
-        self._links = LinkPool(process.name)
+        self._links = LinkPool(process.name, peer_keys)
         self._directory = Directory(settings.platform.instances_url)
         self._store = HttpStore(settings.platform.store_url or "")
         self._inheritance = ClaimInheritance(
@@ -98,7 +100,7 @@
         self._owners = OwnerClient(
             self._ownership, self._host, self._links, self._store.is_down
         )
-        self._server = PeerServer(str(process.bind_address))
+        self._server = PeerServer(str(process.bind_address), peer_keys)
         self._server.handle(Report, self._take_report)
         self._server.handle(FetchDocument, self._send_document)
         self._host.register(self._server)
--- a/plumvane/peers/link.py
+++ b/plumvane/peers/link.py
@@ -23,6 +23,7 @@
 )
 from plumvane.peers import wire
 from plumvane.peers.channel import Channel, ConnectionMonitor
+from plumvane.peers.keys import PeerKeys
 from plumvane.peers.messages import Failure, Message, decode, encode
 
 __all__ = ["Link", "LinkPool", "Pending"]
@@ -103,7 +104,11 @@
     """Calls one peer; replaces its connection when it goes silent."""
 
     def __init__(
-        self, name: str, address: str, context: zmq.Context[zmq.Socket[bytes]]
+        self,
+        name: str,
+        address: str,
+        context: zmq.Context[zmq.Socket[bytes]],
+        keys: PeerKeys | None = None,
     ) -> None:
         """Creates the link; `run` opens the connection when it is needed.
 
@@ -111,7 +116,10 @@
             name: Name of this instance, for the greeting.
             address: The peer's address as IP:PORT.
             context: ZeroMQ context.
+            keys: Keys to call with, or None.
         """
+        self._keys = keys
+        self._attempts = itertools.count()
         self.address = address
         self._name = name
         self._context = context
@@ -187,6 +195,8 @@
         socket.setsockopt(zmq.IDENTITY, secrets.token_bytes(12))
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_FRAMES)
+        if self._keys is not None:
+            self._keys.set_client(socket, next(self._attempts))
         monitor = ConnectionMonitor(socket)
         socket.connect(f"tcp://{self.address}")
         self._channel = Channel(socket)
@@ -312,12 +322,14 @@
 class LinkPool:
     """The links of one process, by address."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, keys: PeerKeys | None = None) -> None:
         """Creates an empty pool.
 
         Args:
             name: Name of this instance.
+            keys: Keys to call peers with, or None.
         """
+        self._keys = keys
         self._name = name
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._links_by_address: dict[str, Link] = {}
@@ -335,7 +347,7 @@
         """Returns the link to an address, made if it is new."""
         link = self._links_by_address.get(address)
         if link is None:
-            link = Link(self._name, address, self._context)
+            link = Link(self._name, address, self._context, self._keys)
             self._links_by_address[address] = link
             if self._group is not None:
                 self._group.start_soon(link.run)
--- a/plumvane/peers/server.py
+++ b/plumvane/peers/server.py
@@ -15,6 +15,7 @@
 from plumvane.errors import PlumvaneError, ProtocolError, SettingsError
 from plumvane.peers import wire
 from plumvane.peers.channel import Channel
+from plumvane.peers.keys import PeerKeys, guard
 from plumvane.peers.messages import Failure, Message, decode, encode
 
 __all__ = ["Call", "PeerServer", "failure_from_error"]
@@ -96,12 +97,14 @@
 class PeerServer:
     """Serves calls by handlers registered for each message type."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, keys: PeerKeys | None = None) -> None:
         """Creates the server.
 
         Args:
             address: IP:PORT to bind.
+            keys: Keys to serve with, or None to serve everybody.
         """
+        self._keys = keys
         self._address = address
         self._handlers_by_type: dict[type[Message], Handler] = {}
         self._sessions_by_identity: dict[bytes, _Session] = {}
@@ -121,7 +124,19 @@
     ) -> None:
         """Binds and serves until cancelled."""
         context: zmq.Context[zmq.Socket[bytes]] = zmq.Context.instance()
+        async with anyio.create_task_group() as group:
+            if self._keys is not None:
+                await group.start(guard, context, self._keys)
+            await self._serve_on(context, task_status)
+
+    async def _serve_on(
+        self,
+        context: zmq.Context[zmq.Socket[bytes]],
+        task_status: anyio.abc.TaskStatus[None],
+    ) -> None:
         socket = context.socket(zmq.ROUTER)
+        if self._keys is not None:
+            self._keys.set_server(socket)
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -18,6 +18,7 @@
     "BulkSettings",
     "CommonSettings",
     "EntrySettings",
+    "KeysSection",
     "ProcessSection",
     "SidecarSettings",
     "load",
@@ -175,6 +176,23 @@
     address: Address
 
 
+class KeysSection(_Section):
+    """Section [keys]: CURVE keys of the connections between processes.
+
+    Attributes:
+        server_secret_file: Secret key that the fleet's processes serve with.
+        server_public_files: Public keys that peers may serve with, separated
+            by commas.
+        client_secret_file: Secret key that this process calls peers with.
+        allowed_folder: Folder of the public keys of allowed callers.
+    """
+
+    server_secret_file: pydantic.FilePath
+    server_public_files: str = pydantic.Field(min_length=1)
+    client_secret_file: pydantic.FilePath
+    allowed_folder: pydantic.DirectoryPath
+
+
 class CommonSettings(_Section):
     """Sections that every process has.
 
@@ -182,11 +200,13 @@
         process: Section [process].
         platform: Section [platform].
         metrics: Section [metrics]; without it only entries keep metrics.
+        keys: Section [keys]; without it peers need no key.
     """
 
     process: ProcessSection
     platform: PlatformSection
     metrics: MetricsSection | None = None
+    keys: KeysSection | None = None
 
 
 class EntrySettings(CommonSettings):
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -9,6 +9,7 @@
 from plumvane.instances.directory import Directory
 from plumvane.instances.reporter import Reporter
 from plumvane.metrics import Metric, observe
+from plumvane.peers import keys
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     FetchDocument,
@@ -43,13 +44,14 @@
             settings: Checked settings.
         """
         process = settings.process
+        peer_keys = keys.load(settings.keys)
         self._settings = settings
         self._current = CurrentDocument()
-        self._links = LinkPool(process.name)
+        self._links = LinkPool(process.name, peer_keys)
         self._directory = Directory(settings.platform.instances_url)
         self._runs = RunTable()
         self._gate = Gate(make_admission(self._current.document.policies))
-        self._server = PeerServer(str(process.bind_address))
+        self._server = PeerServer(str(process.bind_address), peer_keys)
         self._server.handle(FetchDocument, self._send_document)
         self._reporter = Reporter(
             process.name,
