Move partitions by pre-copy and lease only where partitions are owned

Cause: faults in the ownership, each seen by reading and then by its test. A takeover broken off between its write and the recovery left a partition that named this instance and that nobody served. A release or a renewed lease was written over the newest owner record seen, so an owner that had lost its partition could set the epoch back. An owner whose lease had lapsed promised again before its new lease was registered. A lost answer when registering led to a second lease, whose key the late first write could end. A lapse between grant and registration, and a watch whose history was gone, ended the whole task. With a store at revision 0 the watch listed without pause. Every entry renewed a lease each second, owner or not.

Ruled out: leases for all entries with slower renewals; at 360 entries they would still be most of the store's writes, and slow every takeover.

Change: a record is written only over the one that this owner wrote. Leases are granted when a partition is taken and given back when none is left. Placement gives each live instance its share. The owner asks the instance that should have a partition to take it: that one reads the log while the owner serves, then one compare-and-swap moves the epoch. A leaving entry moves all partitions so, and releases what nobody takes, within a deadline. After an outage of the store, owners get time to register before others take over.

Conclusion: the renewals follow the owners, not the entries.

--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -19,11 +19,13 @@
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     DocumentData,
+    Done,
     FetchDocument,
     FetchViews,
     Message,
     Report,
     ReportReply,
+    TakePartition,
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.process import run_program, supervise
@@ -61,14 +63,17 @@
             self._store,
             process.name,
             self._address,
-            peers=self._entry_names,
+            peers=self._entry_addresses,
             on_taken=self._host.take,
             on_lost=self._host.drop,
+            links=self._links,
+            retention_s=lambda: self._current.document.retention_s,
         )
         self._owners = OwnerClient(self._ownership, self._host, self._links)
         self._server = PeerServer(str(process.bind_address))
         self._server.handle(Report, self._take_report)
         self._server.handle(FetchDocument, self._send_document)
+        self._server.handle(TakePartition, self._take_partition)
         self._host.register(self._server)
         self._status = FleetStatus(
             process.name, self._directory, self._links, self._current
@@ -102,7 +107,7 @@
         await anyio.sleep(UNREADY_S)
         while runner.active:
             await anyio.sleep(DRAIN_POLL_S)
-        await self._ownership.release_all()
+        await self._ownership.leave()
         web.stop()
 
     def _make_runner(self, group: anyio.abc.TaskGroup) -> RequestRunner:
@@ -138,8 +143,14 @@
     async def _watch_document(self) -> None:
         await watch_store(self._store, self._current)
 
-    def _entry_names(self) -> list[str]:
-        return [i.name for i in self._directory.live("entry")]
+    def _entry_addresses(self) -> dict[str, str]:
+        return {i.name: i.address for i in self._directory.live("entry")}
+
+    async def _take_partition(
+        self, call: Call, message: TakePartition
+    ) -> Message:
+        await self._ownership.take_from_owner(message.partition, message.epoch)
+        return Done()
 
     async def _take_report(self, call: Call, message: Report) -> Message:
         self._directory.take_report(message)
--- a/plumvane/partitions/ownership.py
+++ b/plumvane/partitions/ownership.py
@@ -12,47 +12,47 @@
 from plumvane import clock, events, hashing
 from plumvane.errors import (
     ConflictError,
-    NotFoundError,
+    LeavingError,
     NotOwnerError,
+    PlumvaneError,
     StoreUnavailableError,
 )
-from plumvane.partitions.log import PartitionLog
+from plumvane.partitions.compaction import Compaction
+from plumvane.partitions.lease import InstanceLease
+from plumvane.partitions.log import (
+    DEFAULT_RETENTION_S,
+    LogCopy,
+    PartitionLog,
+)
+from plumvane.partitions.placement import assign, successors
 from plumvane.partitions.records import LogRecord
-from plumvane.store.base import ABSENT, Lease, Store
+from plumvane.partitions.segments import SegmentStore
+from plumvane.partitions.view import Owner, OwnerView, owner_key
+from plumvane.peers.link import LinkPool
+from plumvane.peers.messages import TakePartition
+from plumvane.store.base import Store
 
-__all__ = ["Owner", "OwnedPartition", "Ownership"]
+__all__ = ["OwnedPartition", "Owner", "Ownership"]
 
-LEASE_TTL_S = 3.0
 RENEW_S = 1.0
-# An owner stops promising this long before its lease lapses.
-LEASE_MARGIN_S = 0.3
-WATCH_S = 20.0
+# An instance that owns nothing gives its lease back after this.
+IDLE_LEASE_S = 5.0
 # A less preferred instance waits this long per rank before it takes over.
 TAKEOVER_STAGGER_S = 1.0
+# After an outage of the store, owners get this long to register again.
+OUTAGE_GRACE_S = 3.0
 CHECK_S = 0.25
-PREFIX = "owners/"
-PARTITION_PREFIX = "owners/partition/"
-INSTANCE_PREFIX = "owners/instance/"
+COMPACT_S = 2.0
+REBALANCE_S = 2.0
+# An instance must be listed for this long before partitions move to it.
+STABLE_S = 5.0
+MOVE_TIMEOUT_S = 10.0
+MOVE_ATTEMPTS = 3
+DRAIN_TIMEOUT_S = 5.0
 
 RecordApplier = Callable[[int, list[LogRecord], PartitionLog], None]
 
 
-class Owner(msgspec.Struct, frozen=True):
-    """Who owns a partition.
-
-    Attributes:
-        epoch: Rises by one with each takeover.
-        name: Instance that owns it; empty if it was released.
-        address: Peer address of the owner.
-        lease_id: Lease of the owner.
-    """
-
-    epoch: int
-    name: str
-    address: str
-    lease_id: str
-
-
 class OwnedPartition:
     """A partition that this instance owns.
 
@@ -60,23 +60,22 @@
         number: Number of the partition.
         epoch: Epoch of this ownership.
         log: Its log.
+        revision: Revision of this instance's owner record.
+        scope: Cancels the partition's tasks.
     """
 
     def __init__(
-        self,
-        number: int,
-        epoch: int,
-        log: PartitionLog,
-        scope: anyio.CancelScope,
+        self, number: int, epoch: int, log: PartitionLog, revision: int
     ) -> None:
         self.number = number
         self.epoch = epoch
         self.log = log
-        self.scope = scope
+        self.revision = revision
+        self.scope = anyio.CancelScope()
 
 
 class Ownership:
-    """Takes, keeps and releases partitions for one instance.
+    """Takes, keeps, moves and releases partitions for one instance.
 
     Embedders give it a `Store` and a callback that rebuilds their state from
     a partition's records.
@@ -88,9 +87,11 @@
         name: str,
         address: str,
         *,
-        peers: Callable[[], list[str]],
+        peers: Callable[[], dict[str, str]],
         on_taken: RecordApplier,
         on_lost: Callable[[int], None],
+        links: LinkPool | None = None,
+        retention_s: Callable[[], float] = lambda: DEFAULT_RETENTION_S,
         partitions: int = hashing.PARTITIONS,
     ) -> None:
         """Creates the ownership of no partition.
@@ -99,9 +100,13 @@
             store: The platform's store.
             name: Name of this instance.
             address: Peer address of this instance.
-            peers: Returns the names of all instances that may own.
+            peers: Returns the peer addresses, by name, of all instances that
+                may own.
             on_taken: Called with the records of a partition just taken.
             on_lost: Called when a partition is no longer owned.
+            links: Connections for planned moves; without them partitions are
+                released and taken over.
+            retention_s: Returns how long results are kept, in seconds.
             partitions: Number of partitions.
         """
         self._store = store
@@ -110,14 +115,17 @@
         self._peers = peers
         self._on_taken = on_taken
         self._on_lost = on_lost
+        self._links = links
+        self._retention_s = retention_s
         self._partitions = partitions
-        self._lease: Lease | None = None
-        self._owners_by_partition: dict[int, Owner] = {}
-        self._revisions_by_partition: dict[int, int] = {}
-        self._leases_by_instance: dict[str, str] = {}
+        self._lease = InstanceLease(store, name)
+        self._view = OwnerView(store, self._note_owner)
         self._owned_by_partition: dict[int, OwnedPartition] = {}
+        self._taking: set[int] = set()
         self._vacant_since: dict[int, float] = {}
-        self._watch_revision = 0
+        self._listed_since: dict[str, float] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+        self._needed = 0.0
         self._leaving = False
 
     @property
@@ -132,213 +140,359 @@
 
     def owner(self, partition: int) -> Owner | None:
         """Returns the last known owner of a partition, or None."""
-        owner = self._owners_by_partition.get(partition)
+        owner = self._view.owner(partition)
         return owner if owner is not None and owner.name else None
 
     def owner_addresses(self) -> list[str]:
         """Returns the addresses of all known owners, sorted."""
-        found = {o.address for o in self._owners_by_partition.values()}
-        return sorted(found - {""})
+        return self._view.addresses()
 
     def may_promise(self) -> bool:
         """Returns whether the lease covers an answer given now."""
-        if self._lease is None:
-            return False
-        return clock.monotonic() < self._lease.deadline - LEASE_MARGIN_S
+        return self._lease.covers_now()
 
     async def run(self) -> None:
         """Keeps the lease, watches the owners and takes over; runs always."""
         async with anyio.create_task_group() as group:
+            self._group = group
             group.start_soon(self._keep_lease)
-            group.start_soon(self._watch)
-            await self._take_over(group)
+            group.start_soon(self._view.run)
+            group.start_soon(self._rebalance)
+            await self._take_over()
+
+    async def take_from_owner(self, partition: int, epoch: int) -> None:
+        """Takes a partition whose owner asks for it.
 
-    async def release_all(self) -> None:
-        """Gives all partitions up after their pending commits."""
+        The log is read while the owner still serves; then one
+        compare-and-swap moves the epoch, and only the rest is read.
+
+        Args:
+            partition: Number of the partition.
+            epoch: Epoch of the owner that asks.
+
+        Raises:
+            LeavingError: This instance leaves, too.
+            NotOwnerError: The partition is not at that epoch any more.
+            StoreUnavailableError: The store does not answer.
+        """
+        if self._leaving or self._group is None:
+            raise LeavingError("The instance takes no partition.")
+        if partition in self._owned_by_partition:
+            return
+        if partition in self._taking:
+            raise NotOwnerError("The partition is being taken.")
+        copy = LogCopy()
+        await copy.load(SegmentStore(self._store, partition))
+        await self._refresh(partition)
+        owner = self._view.owner(partition)
+        if owner is None or owner.epoch != epoch:
+            raise NotOwnerError("The partition has moved meanwhile.")
+        await self._take(partition, copy)
+        if partition not in self._owned_by_partition:
+            raise NotOwnerError("The partition was not taken.")
+
+    async def leave(self) -> None:
+        """Moves all partitions to other instances, or gives them up."""
         self._leaving = True
-        for partition in list(self._owned_by_partition.values()):
-            await self._release(partition)
-        if self._lease is not None:
-            try:
-                await self._store.revoke_lease(self._lease.lease_id)
-            except StoreUnavailableError:
-                return
+        async with anyio.create_task_group() as group:
+            for partition in list(self._owned_by_partition.values()):
+                group.start_soon(self._move_or_release, partition)
+        await self._lease.revoke()
 
     async def _keep_lease(self) -> None:
         while True:
+            await anyio.sleep(RENEW_S * random.uniform(0.8, 1.1))
+            now = clock.monotonic()
+            if self._owned_by_partition or self._taking:
+                self._needed = now
             try:
-                await self._renew()
+                if now - self._needed < IDLE_LEASE_S:
+                    if self._lease.lease_id is not None or self._owns():
+                        await self._obtain_lease()
+                elif self._lease.lease_id is not None:
+                    await self._lease.revoke()
             except StoreUnavailableError as error:
                 events.log(events.Event.STORE_UNAVAILABLE, detail=error.detail)
-            await anyio.sleep(RENEW_S * random.uniform(0.8, 1.1))
 
-    async def _renew(self) -> None:
-        if self._leaving:
-            return
-        if self._lease is not None:
-            try:
-                self._lease = await self._store.renew_lease(
-                    self._lease.lease_id
-                )
-                return
-            except NotFoundError:
-                events.log(events.Event.LEASE_LOST, instance=self._name)
-                self._lease = None
-        lease = await self._store.grant_lease(LEASE_TTL_S)
-        await self._store.put(
-            INSTANCE_PREFIX + self._name,
-            lease.lease_id.encode(),
-            expected_revision=None,
-            lease_id=lease.lease_id,
-        )
-        self._lease = lease
-        await self._reclaim(lease)
-
-    async def _reclaim(self, lease: Lease) -> None:
-        """Puts the new lease into the records of partitions still owned."""
-        for partition in list(self._owned_by_partition.values()):
-            owner = Owner(
-                partition.epoch, self._name, self._address, lease.lease_id
+    def _owns(self) -> bool:
+        return bool(self._owned_by_partition)
+
+    async def _obtain_lease(self) -> str:
+        """Renews the lease; a new one goes into all owner records."""
+        lease_id, is_new = await self._lease.obtain()
+        if is_new:
+            for partition in list(self._owned_by_partition.values()):
+                await self._reclaim(partition, lease_id)
+        return lease_id
+
+    async def _reclaim(self, partition: OwnedPartition, lease_id: str) -> None:
+        owner = Owner(partition.epoch, self._name, self._address, lease_id)
+        try:
+            partition.revision = await self._write_owner(
+                partition.number, owner, partition.revision
             )
-            try:
-                await self._write_owner(partition.number, owner)
-            except ConflictError:
-                self._drop(partition.number)
+        except ConflictError:
+            self._drop(partition)
 
-    async def _watch(self) -> None:
-        while True:
-            try:
-                if self._watch_revision == 0:
-                    result = await self._store.list(PREFIX)
-                else:
-                    result = await self._store.watch(
-                        PREFIX,
-                        self._watch_revision,
-                        deadline=clock.monotonic() + WATCH_S,
-                    )
-            except StoreUnavailableError:
-                await anyio.sleep(random.uniform(0.2, 1.0))
-                continue
-            for record in result.records:
-                self._take_record(
-                    record.key, record.value, record.revision, record.deleted
-                )
-            self._watch_revision = result.revision
-
-    def _take_record(
-        self, key: str, value: bytes, revision: int, deleted: bool
-    ) -> None:
-        if key.startswith(INSTANCE_PREFIX):
-            name = key.removeprefix(INSTANCE_PREFIX)
-            if deleted:
-                self._leases_by_instance.pop(name, None)
-            else:
-                self._leases_by_instance[name] = value.decode()
-            return
-        number = int(key.removeprefix(PARTITION_PREFIX))
-        if revision <= self._revisions_by_partition.get(number, 0):
-            return
-        owner = msgspec.json.decode(value, type=Owner)
-        self._owners_by_partition[number] = owner
-        self._revisions_by_partition[number] = revision
+    def _note_owner(self, number: int, owner: Owner) -> None:
         owned = self._owned_by_partition.get(number)
         if owned is not None and owner.epoch > owned.epoch:
-            self._drop(number)
+            self._drop(owned)
 
-    async def _take_over(self, group: anyio.abc.TaskGroup) -> None:
+    async def _take_over(self) -> None:
         while True:
             await anyio.sleep(CHECK_S)
-            if self._watch_revision == 0 or self._leaving:
+            for owned in list(self._owned_by_partition.values()):
+                if owned.log.lost:
+                    self._drop(owned)
+            if not self._view.is_loaded or self._leaving:
                 continue
             for number in range(self._partitions):
-                owned = self._owned_by_partition.get(number)
-                if owned is not None and owned.log.lost:
-                    self._drop(number)
-                elif owned is None and self._should_take(number):
-                    await self._try_take(number, group)
+                if self._should_take(number) and self._group is not None:
+                    self._group.start_soon(self._try_take, number)
 
     def _should_take(self, number: int) -> bool:
-        if not self._is_vacant(number) or not self.may_promise():
+        if number in self._owned_by_partition or number in self._taking:
+            return False
+        if not self._is_vacant(number):
             self._vacant_since.pop(number, None)
             return False
         now = clock.monotonic()
         since = self._vacant_since.setdefault(number, now)
-        names = set(self._peers()) | {self._name}
-        order = hashing.rank(f"partition-{number}", names)
-        return now - since >= order.index(self._name) * TAKEOVER_STAGGER_S
+        peers = set(self._peers()) | {self._name}
+        order = successors(number, self._partitions, peers)
+        wait_s = order.index(self._name) * TAKEOVER_STAGGER_S
+        owner = self._view.owner(number)
+        is_listed = owner is not None and owner.name in peers - {self._name}
+        if is_listed and self._view.failed_within(2 * OUTAGE_GRACE_S):
+            wait_s += OUTAGE_GRACE_S
+        return now - since >= wait_s
 
     def _is_vacant(self, number: int) -> bool:
-        owner = self._owners_by_partition.get(number)
-        if owner is None or not owner.name:
+        """Returns whether nobody serves a partition.
+
+        A record that names this instance, which does not serve it, comes
+        from a takeover that was broken off.
+        """
+        owner = self._view.owner(number)
+        if owner is None or not owner.name or owner.name == self._name:
             return True
-        return self._leases_by_instance.get(owner.name) != owner.lease_id
+        return not self._view.has_live_lease(owner)
 
-    async def _try_take(self, number: int, group: anyio.abc.TaskGroup) -> None:
+    async def _try_take(self, number: int) -> None:
+        if number in self._taking or number in self._owned_by_partition:
+            return
         try:
-            await self._take(number, group)
+            await self._take(number, None)
         except (ConflictError, NotOwnerError):
             self._vacant_since.pop(number, None)
         except StoreUnavailableError as error:
             events.log(events.Event.STORE_UNAVAILABLE, detail=error.detail)
 
-    async def _take(self, number: int, group: anyio.abc.TaskGroup) -> None:
-        if self._lease is None:
-            return
-        current = self._owners_by_partition.get(number)
-        epoch = (current.epoch if current else 0) + 1
-        owner = Owner(epoch, self._name, self._address, self._lease.lease_id)
-        await self._write_owner(number, owner)
-        log = PartitionLog(self._store, number, epoch)
-        records = await log.recover()
-        self._on_taken(number, records, log)
-        scope = anyio.CancelScope()
-        self._owned_by_partition[number] = OwnedPartition(
-            number, epoch, log, scope
-        )
-        group.start_soon(self._run_log, log, scope)
-        events.log(events.Event.PARTITION_TAKEN, partition=number, epoch=epoch)
+    async def _take(self, number: int, copy: LogCopy | None) -> None:
+        """Takes a partition as its record now stands.
+
+        Raises:
+            ConflictError: Another instance wrote the record first.
+            NotOwnerError: Another owner of a higher epoch has written.
+            StoreUnavailableError: The store does not answer.
+        """
+        self._taking.add(number)
+        try:
+            lease_id = await self._obtain_lease()
+            current = self._view.owner(number)
+            epoch = (current.epoch if current else 0) + 1
+            revision = await self._write_owner(
+                number,
+                Owner(epoch, self._name, self._address, lease_id),
+                self._view.revision(number),
+            )
+            log = PartitionLog(
+                self._store, number, epoch, retention_s=self._retention_s
+            )
+            records = await log.recover(copy)
+            self._begin(OwnedPartition(number, epoch, log, revision), records)
+            if self._lease.lease_id != lease_id:
+                await self._obtain_lease()
+                await self._reclaim_under_new_lease(number)
+        finally:
+            self._taking.discard(number)
+
+    async def _reclaim_under_new_lease(self, number: int) -> None:
+        """Registers a partition whose lease changed while it was taken."""
+        owned = self._owned_by_partition.get(number)
+        lease_id = self._lease.lease_id
+        if owned is not None and lease_id is not None:
+            await self._reclaim(owned, lease_id)
 
-    async def _run_log(
-        self, log: PartitionLog, scope: anyio.CancelScope
+    def _begin(
+        self, partition: OwnedPartition, records: list[LogRecord]
     ) -> None:
-        with scope:
-            await log.run()
+        """Starts to serve a partition that was taken."""
+        owner = self._view.owner(partition.number)
+        if owner is not None and owner.epoch > partition.epoch:
+            raise NotOwnerError("The partition was taken meanwhile.")
+        if self._group is None:
+            raise NotOwnerError("The instance does not run.")
+        try:
+            self._on_taken(partition.number, records, partition.log)
+        except Exception as error:
+            events.log(
+                events.Event.TASK_FAILED, task="partition", error=repr(error)
+            )
+            raise NotOwnerError("The state cannot be rebuilt.") from error
+        self._owned_by_partition[partition.number] = partition
+        self._group.start_soon(self._run_partition, partition)
+        events.log(
+            events.Event.PARTITION_TAKEN,
+            partition=partition.number,
+            epoch=partition.epoch,
+        )
+
+    async def _run_partition(self, partition: OwnedPartition) -> None:
+        try:
+            with partition.scope:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._compact, partition)
+                    await partition.log.run()
+                    group.cancel_scope.cancel()
+        except PlumvaneError as error:
+            events.log(
+                events.Event.TASK_FAILED, task="partition", error=repr(error)
+            )
+
+    async def _compact(self, partition: OwnedPartition) -> None:
+        compaction = Compaction(partition.log)
+        while True:
+            await anyio.sleep(COMPACT_S * random.uniform(0.5, 1.5))
+            if compaction.is_due():
+                await compaction.run()
+
+    async def _rebalance(self) -> None:
+        """Moves partitions to the instances that should have them."""
+        while True:
+            await anyio.sleep(REBALANCE_S * random.uniform(0.8, 1.2))
+            stable = self._stable_peers()
+            if self._leaving or self._links is None or not stable:
+                continue
+            wanted = assign(self._partitions, {*stable, self._name})
+            for partition in list(self._owned_by_partition.values()):
+                target = wanted[partition.number]
+                if target == self._name or target not in stable:
+                    continue
+                if not await self._move(partition, stable[target]):
+                    break
+
+    def _stable_peers(self) -> dict[str, str]:
+        """Returns the addresses of peers that were listed long enough."""
+        now = clock.monotonic()
+        peers = self._peers()
+        self._listed_since = {
+            name: self._listed_since.get(name, now) for name in peers
+        }
+        return {
+            name: address
+            for name, address in peers.items()
+            if now - self._listed_since[name] >= STABLE_S and name != self._name
+        }
+
+    async def _move(self, partition: OwnedPartition, address: str) -> bool:
+        """Asks another instance to take a partition over.
+
+        Returns:
+            Whether it has; if its answer was lost, this owner goes on until
+            a commit is refused or the watch names the new owner.
+        """
+        if self._links is None:
+            return False
+        try:
+            await self._links.call(
+                address,
+                TakePartition(partition.number, partition.epoch),
+                deadline=clock.monotonic() + MOVE_TIMEOUT_S,
+            )
+        except PlumvaneError as error:
+            events.log(
+                events.Event.MOVE_FAILED,
+                partition=partition.number,
+                error=error.detail,
+            )
+            return partition.number not in self._owned_by_partition
+        self._drop(partition)
+        events.log(
+            events.Event.PARTITION_MOVED,
+            partition=partition.number,
+            to=address,
+        )
+        return True
+
+    async def _move_or_release(self, partition: OwnedPartition) -> None:
+        peers = {n: a for n, a in self._peers().items() if n != self._name}
+        order = successors(partition.number, self._partitions, peers)
+        for name in order[:MOVE_ATTEMPTS]:
+            if self._links is None:
+                break
+            if await self._move(partition, peers[name]):
+                return
+        await self._release(partition)
 
     async def _release(self, partition: OwnedPartition) -> None:
-        await partition.log.drained()
-        self._drop(partition.number)
+        with anyio.move_on_after(DRAIN_TIMEOUT_S):
+            await partition.log.drained()
+        if self._owned_by_partition.get(partition.number) is not partition:
+            return
+        self._drop(partition)
         try:
             await self._write_owner(
-                partition.number, Owner(partition.epoch, "", "", "")
+                partition.number,
+                Owner(partition.epoch, "", "", ""),
+                partition.revision,
             )
         except (ConflictError, StoreUnavailableError):
             return
         events.log(events.Event.PARTITION_RELEASED, partition=partition.number)
 
-    def _drop(self, number: int) -> None:
-        partition = self._owned_by_partition.pop(number, None)
-        if partition is not None:
-            partition.log.lost = True
-            partition.scope.cancel()
-            self._on_lost(number)
-
-    async def _write_owner(self, number: int, owner: Owner) -> None:
-        """Writes a partition's owner over the last known record.
+    def _drop(self, partition: OwnedPartition) -> None:
+        if self._owned_by_partition.get(partition.number) is not partition:
+            return
+        del self._owned_by_partition[partition.number]
+        partition.log.lost = True
+        partition.scope.cancel()
+        self._on_lost(partition.number)
+
+    async def _refresh(self, number: int) -> None:
+        """Reads a partition's record."""
+        record = await self._store.get(owner_key(number))
+        if record is not None:
+            owner = msgspec.json.decode(record.value, type=Owner)
+            self._view.take_owner(number, owner, record.revision)
+
+    async def _write_owner(
+        self, number: int, owner: Owner, expected_revision: int
+    ) -> int:
+        """Writes a partition's owner; settles a lost answer by reading.
+
+        Returns:
+            The record's revision.
 
         Raises:
             ConflictError: Another instance wrote first.
             StoreUnavailableError: The store does not answer.
         """
-        key = f"{PARTITION_PREFIX}{number:04}"
+        key = owner_key(number)
         value = msgspec.json.encode(owner)
-        expected = self._revisions_by_partition.get(number, ABSENT)
         try:
             revision = await self._store.put(
-                key, value, expected_revision=expected
+                key, value, expected_revision=expected_revision
             )
         except (ConflictError, StoreUnavailableError):
             record = await self._store.get(key)
-            if record is None or record.value != value:
+            if record is None:
+                raise
+            found = msgspec.json.decode(record.value, type=Owner)
+            self._view.take_owner(number, found, record.revision)
+            if found != owner:
                 raise
             revision = record.revision
-        self._take_record(key, value, revision, False)
+        self._view.take_owner(number, owner, revision)
+        return revision
--- /dev/null
+++ b/plumvane/partitions/view.py
@@ -0,0 +1,144 @@
+"""What an instance knows of the owners of all partitions."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import anyio
+import msgspec
+
+from plumvane import clock
+from plumvane.errors import HistoryLostError, StoreUnavailableError
+from plumvane.partitions.lease import INSTANCE_PREFIX
+from plumvane.store.base import ABSENT, Record, Store, WatchResult
+
+__all__ = ["Owner", "OwnerView", "owner_key"]
+
+PREFIX = "owners/"
+PARTITION_PREFIX = "owners/partition/"
+WATCH_S = 20.0
+
+
+class Owner(msgspec.Struct, frozen=True):
+    """Who owns a partition.
+
+    Attributes:
+        epoch: Rises by one with each takeover.
+        name: Instance that owns it; empty if it was released.
+        address: Peer address of the owner.
+        lease_id: Lease of the owner.
+    """
+
+    epoch: int
+    name: str
+    address: str
+    lease_id: str
+
+
+class OwnerView:
+    """Owners and leases as the store's watch tells them."""
+
+    def __init__(
+        self, store: Store, on_owner: Callable[[int, Owner], None]
+    ) -> None:
+        """Creates an empty view.
+
+        Args:
+            store: The platform's store.
+            on_owner: Called with each partition whose record has changed.
+        """
+        self._store = store
+        self._on_owner = on_owner
+        self._owners_by_partition: dict[int, Owner] = {}
+        self._revisions_by_partition: dict[int, int] = {}
+        self._leases_by_instance: dict[str, str] = {}
+        self._watch_revision: int | None = None
+        self._failed = float("-inf")
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the store was read at least once."""
+        return self._watch_revision is not None
+
+    def failed_within(self, seconds: float) -> bool:
+        """Returns whether the watch failed a short while ago.
+
+        Args:
+            seconds: How long ago at most.
+        """
+        return clock.monotonic() - self._failed < seconds
+
+    def owner(self, partition: int) -> Owner | None:
+        """Returns the last record of a partition, or None."""
+        return self._owners_by_partition.get(partition)
+
+    def revision(self, partition: int) -> int:
+        """Returns the revision of a partition's record."""
+        return self._revisions_by_partition.get(partition, ABSENT)
+
+    def addresses(self) -> list[str]:
+        """Returns the addresses of all known owners, sorted."""
+        found = {o.address for o in self._owners_by_partition.values()}
+        return sorted(found - {""})
+
+    def has_live_lease(self, owner: Owner) -> bool:
+        """Returns whether an owner's lease still stands."""
+        return self._leases_by_instance.get(owner.name) == owner.lease_id
+
+    async def run(self) -> None:
+        """Follows the store; runs always."""
+        while True:
+            try:
+                if self._watch_revision is None:
+                    self._replace(await self._store.list(PREFIX))
+                    continue
+                result = await self._store.watch(
+                    PREFIX,
+                    self._watch_revision,
+                    deadline=clock.monotonic() + WATCH_S,
+                )
+            except HistoryLostError:
+                self._watch_revision = None
+                continue
+            except StoreUnavailableError:
+                self._failed = clock.monotonic()
+                await anyio.sleep(random.uniform(0.2, 1.0))
+                continue
+            for record in result.records:
+                self._take(record)
+            self._watch_revision = result.revision
+
+    def take_owner(self, partition: int, owner: Owner, revision: int) -> None:
+        """Takes in a record that was read or written."""
+        if revision <= self.revision(partition):
+            return
+        self._owners_by_partition[partition] = owner
+        self._revisions_by_partition[partition] = revision
+        self._on_owner(partition, owner)
+
+    def _replace(self, result: WatchResult) -> None:
+        """Takes a whole list in; leases that are not in it have ended."""
+        self._leases_by_instance.clear()
+        for record in result.records:
+            self._take(record)
+        self._watch_revision = result.revision
+
+    def _take(self, record: Record) -> None:
+        if record.key.startswith(INSTANCE_PREFIX):
+            name = record.key.removeprefix(INSTANCE_PREFIX)
+            if record.deleted:
+                self._leases_by_instance.pop(name, None)
+            else:
+                self._leases_by_instance[name] = record.value.decode()
+        elif not record.deleted:
+            self.take_owner(
+                int(record.key.removeprefix(PARTITION_PREFIX)),
+                msgspec.json.decode(record.value, type=Owner),
+                record.revision,
+            )
+
+
+def owner_key(partition: int) -> str:
+    """Returns the key of a partition's owner record."""
+    return f"{PARTITION_PREFIX}{partition:04}"
--- a/plumvane/peers/messages.py
+++ b/plumvane/peers/messages.py
@@ -50,6 +50,7 @@
     "Settled",
     "StoreChunk",
     "SubmitJob",
+    "TakePartition",
     "TextPart",
     "Views",
     "decode",
@@ -407,6 +408,18 @@
         )
 
 
+class TakePartition(Message, frozen=True, tag="takepart"):
+    """Asks an entry to take a partition over from its owner.
+
+    Attributes:
+        partition: Number of the partition.
+        epoch: Epoch of the owner that asks.
+    """
+
+    partition: int
+    epoch: int
+
+
 class SubmitJob(Message, frozen=True, tag="submit"):
     """Asks a partition's owner to accept a batch job.
 
--- /dev/null
+++ b/tests/test_partitions_ownership.py
@@ -0,0 +1,344 @@
+"""Ownership of partitions under lost answers, lapses and races."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import anyio
+import msgspec
+
+from plumvane import clock
+from plumvane.errors import LinkLostError, NotOwnerError
+from plumvane.partitions import ownership as ownership_module
+from plumvane.partitions.ownership import Ownership
+from plumvane.partitions.records import RequestCompleted
+from plumvane.partitions.view import Owner, owner_key
+from plumvane.peers.messages import Done, Outcome, TakePartition
+from plumvane.store.base import Store
+from plumvane.store.memory import MemoryStore
+from tests.faulty_store import Fault, FaultyStore
+
+OUTER_DEADLINE_S = 40.0
+POLL_S = 0.02
+
+
+class Members:
+    """Instances in one process that call each other directly."""
+
+    def __init__(self, store: Store, partitions: int) -> None:
+        self.store = store
+        self.partitions = partitions
+        self.by_name: dict[str, Ownership] = {}
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.keys: dict[str, dict[int, list[str]]] = {}
+        self.group: Any = None
+
+    async def call(
+        self, address: str, message: TakePartition, *, deadline: float
+    ) -> Done:
+        """Stands in for the connections between instances."""
+        if address not in self.by_name:
+            raise LinkLostError("The instance is away.")
+        member = self.by_name[address]
+        await member.take_from_owner(message.partition, message.epoch)
+        return Done()
+
+    def peers(self) -> dict[str, str]:
+        return {name: name for name in self.by_name}
+
+    def add(self, name: str) -> Ownership:
+        """Starts an instance."""
+        held = self.keys.setdefault(name, {})
+        member = Ownership(
+            self.store,
+            name,
+            name,
+            peers=self.peers,
+            on_taken=lambda n, records, _: held.update(
+                {n: [getattr(r, "key", "") for r in records]}
+            ),
+            on_lost=lambda n: held.pop(n, None),
+            links=self,  # type: ignore[arg-type]
+            partitions=self.partitions,
+        )
+        self.by_name[name] = member
+        self.scopes[name] = anyio.CancelScope()
+        self.group.start_soon(self._run, member, self.scopes[name])
+        return member
+
+    def kill(self, name: str) -> None:
+        """Stops an instance without a word."""
+        self.by_name.pop(name)
+        self.scopes.pop(name).cancel()
+
+    def owners(self) -> dict[int, str]:
+        """Returns which instance serves each partition."""
+        return {
+            number: name
+            for name, member in self.by_name.items()
+            for number in member.owned
+        }
+
+    async def _run(self, member: Ownership, scope: anyio.CancelScope) -> None:
+        with scope:
+            await member.run()
+
+
+@contextlib.asynccontextmanager
+async def members(store: Store, partitions: int = 1) -> AsyncIterator[Members]:
+    found = Members(store, partitions)
+    async with anyio.create_task_group() as group:
+        found.group = group
+        yield found
+        group.cancel_scope.cancel()
+
+
+def bounded(test: Callable[[], Awaitable[None]]) -> None:
+    async def run() -> None:
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            await test()
+
+    anyio.run(run)
+
+
+async def until(condition: Callable[[], Any]) -> None:
+    while not condition():
+        await anyio.sleep(POLL_S)
+
+
+async def stored_owner(store: Store, number: int = 0) -> Owner:
+    record = await store.get(owner_key(number))
+    assert record is not None
+    return msgspec.json.decode(record.value, type=Owner)
+
+
+def test_takeover_whose_answer_is_lost_is_taken_up_again() -> None:
+    async def check() -> None:
+        store = FaultyStore()
+        async with members(store) as fleet:
+            # The lease's key is written first, then the owner record.
+            store.faults.extend([Fault.NONE, Fault.LOSE_ANSWER])
+            reads = store.get
+            failed: list[str] = []
+
+            async def get(key: str) -> Any:
+                if key == owner_key(0) and not failed:
+                    failed.append(key)
+                    store.down = True
+                return await reads(key)
+
+            store.get = get  # type: ignore[method-assign]
+            fleet.add("a")
+            await until(lambda: failed)
+            store.down = False
+            lease = await store.get("owners/instance/a")
+            await until(lambda: fleet.owners() == {0: "a"})
+            owner = await stored_owner(store)
+            assert owner.epoch == fleet.by_name["a"].owned[0].epoch
+            # It did not take the end of the lease to get here.
+            assert lease is not None
+            assert owner.lease_id == lease.value.decode()
+
+    bounded(check)
+
+
+def test_release_does_not_overwrite_the_next_owner() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with members(store) as fleet:
+            member = fleet.add("a")
+            await until(lambda: 0 in member.owned)
+            partition = member.owned[0]
+            lease = await store.grant_lease(30.0)
+            await store.put(
+                "owners/instance/b",
+                lease.lease_id.encode(),
+                expected_revision=None,
+                lease_id=lease.lease_id,
+            )
+            taken = Owner(partition.epoch + 1, "b", "b", lease.lease_id)
+            await store.put(
+                owner_key(0), msgspec.json.encode(taken), expected_revision=None
+            )
+            await until(lambda: 0 not in member.owned)
+            await member._release(partition)
+            assert await stored_owner(store) == taken
+
+    bounded(check)
+
+
+def test_lapsed_owner_promises_nothing_until_it_has_registered() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with members(store) as fleet:
+            member = fleet.add("a")
+            await until(lambda: 0 in member.owned and member.may_promise())
+            former = (await stored_owner(store)).lease_id
+            register = store.put
+            promised: list[bool] = []
+
+            async def put(key: str, value: bytes, **options: Any) -> int:
+                if key.startswith("owners/"):
+                    promised.append(member.may_promise())
+                return await register(key, value, **options)
+
+            store.put = put  # type: ignore[method-assign]
+            await store.revoke_lease(former)
+            await until(lambda: len(promised) >= 2)
+            await until(member.may_promise)
+            assert not promised[0]
+            assert (await stored_owner(store)).lease_id != former
+
+    bounded(check)
+
+
+def test_two_takers_leave_one_owner() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with members(store, partitions=4) as fleet:
+            for name in ("a", "b", "c"):
+                fleet.add(name)
+            await until(lambda: len(fleet.owners()) == 4)
+            fleet.kill(fleet.owners()[0])
+            await until(lambda: len(fleet.owners()) == 4)
+            served = [n for m in fleet.by_name.values() for n in m.owned]
+            assert sorted(served) == [0, 1, 2, 3]
+            for number, name in fleet.owners().items():
+                owner = await stored_owner(store, number)
+                assert owner.name == name
+                assert owner.epoch == fleet.by_name[name].owned[number].epoch
+
+    bounded(check)
+
+
+def test_takeover_after_the_store_lost_its_history() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with members(store) as fleet:
+            fleet.add("a")
+            await until(lambda: fleet.owners() == {0: "a"})
+            fleet.add("b")
+            await until(lambda: fleet.by_name["b"].owner(0))
+            lease_id = (await stored_owner(store)).lease_id
+            fleet.kill("a")
+            # No task runs between these, so no watch sees the deletion.
+            await store.revoke_lease(lease_id)
+            store.forget_history()
+            await until(lambda: fleet.owners() == {0: "b"})
+
+    bounded(check)
+
+
+def test_instance_without_partitions_holds_no_lease() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with members(store, partitions=2) as fleet:
+            for number in range(12):
+                fleet.add(f"m{number:02}")
+            await until(lambda: len(fleet.owners()) == 2)
+            owners = set(fleet.owners().values())
+            await until(
+                lambda: (
+                    {
+                        name
+                        for name, member in fleet.by_name.items()
+                        if member.may_promise()
+                    }
+                    == set(fleet.owners().values())
+                )
+            )
+            listed = await store.list("owners/instance/")
+            assert len(listed.records) <= len(owners) + 1
+
+    bounded(check)
+
+
+@contextlib.contextmanager
+def quick_rebalance() -> Any:
+    saved = ownership_module.STABLE_S, ownership_module.REBALANCE_S
+    ownership_module.STABLE_S = ownership_module.REBALANCE_S = 0.2
+    try:
+        yield
+    finally:
+        ownership_module.STABLE_S, ownership_module.REBALANCE_S = saved
+
+
+def record_of(key: str) -> RequestCompleted:
+    return RequestCompleted(
+        "team", key, f"run-{key}", b"", Outcome(200, b""), clock.wall()
+    )
+
+
+def test_new_instance_gets_its_share_once() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with members(store, partitions=4) as fleet:
+            member = fleet.add("a")
+            await until(lambda: len(fleet.owners()) == 4)
+            for number in range(4):
+                await member.owned[number].log.commit(record_of(f"k{number}"))
+            fleet.add("b")
+            await until(
+                lambda: sorted(fleet.owners().values()) == ["a", "a", "b", "b"]
+            )
+            epochs = [(await stored_owner(store, n)).epoch for n in range(4)]
+            start = clock.monotonic()
+            await until(lambda: clock.monotonic() - start > 2.0)
+            again = [(await stored_owner(store, n)).epoch for n in range(4)]
+            assert again == epochs and sorted(epochs) == [1, 1, 2, 2]
+            for number in fleet.by_name["b"].owned:
+                assert fleet.keys["b"][number] == [f"k{number}"]
+
+    with quick_rebalance():
+        bounded(check)
+
+
+def test_leaving_instance_moves_its_partitions() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with members(store, partitions=4) as fleet:
+            member = fleet.add("a")
+            await until(lambda: len(fleet.owners()) == 4)
+            fleet.add("b")
+            await member.leave()
+            assert not member.owned
+            assert len(fleet.by_name["b"].owned) == 4
+            for number in range(4):
+                assert (await stored_owner(store, number)).epoch == 2
+
+    bounded(check)
+
+
+def test_commits_during_a_move_are_there_or_refused() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        async with members(store) as fleet:
+            member = fleet.add("a")
+            await until(lambda: fleet.owners() == {0: "a"})
+            acknowledged: list[str] = []
+
+            async def commit_always() -> None:
+                log = member.owned[0].log
+                for number in range(10_000):
+                    try:
+                        await log.commit(record_of(f"k{number}"))
+                    except NotOwnerError:
+                        return
+                    acknowledged.append(f"k{number}")
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(commit_always)
+                await until(lambda: len(acknowledged) > 5)
+                fleet.add("b")
+                await until(lambda: fleet.owners() == {0: "b"})
+            assert fleet.keys["b"][0][: len(acknowledged)] == acknowledged
+
+    saved = ownership_module.assign
+    ownership_module.assign = lambda partitions, names: {0: "b"}
+    try:
+        with quick_rebalance():
+            bounded(check)
+    finally:
+        ownership_module.assign = saved
