--- a/plumvane/entry/api.py
+++ b/plumvane/entry/api.py
@@ -4,18 +4,22 @@
 
 import hashlib
 import json
+import math
 import secrets
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import msgspec
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import ClientDisconnect
 from starlette.requests import Request as HttpRequest
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from plumvane import clock, hashing
+from plumvane import clock, events, hashing
 from plumvane.entry.batches import BatchService
+from plumvane.entry.bodies import check_completion
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.problems import problem_body, problem_response
 from plumvane.entry.runner import Answer, Request, RequestRunner, Running
@@ -23,19 +27,32 @@
 from plumvane.errors import (
     BadRequestError,
     BodyTooLargeError,
+    ConflictError,
     DeadlineExceededError,
     ForbiddenError,
+    InvalidJsonError,
     LeavingError,
+    MethodNotAllowedError,
     NotFoundError,
     PlumvaneError,
+    RequestCancelledError,
+    StoreUnavailableError,
     UnauthorizedError,
+    UnknownModelError,
     error_from_code,
 )
 from plumvane.fleet.current import CurrentDocument
 from plumvane.fleet.document import FleetDocument, Workload, token_digest
 from plumvane.fleet.revisions import DocumentStore
 from plumvane.instances.directory import Directory
-from plumvane.peers.messages import ClaimResult, JobState, Lookup, Outcome
+from plumvane.limits.teams import TeamLimits
+from plumvane.peers.messages import (
+    CancelRequest,
+    ClaimResult,
+    JobState,
+    Lookup,
+    Outcome,
+)
 
 __all__ = ["Api"]
 
@@ -46,6 +63,9 @@
 LOOKUP_TIMEOUT_S = 5.0
 SERVICE_TIMEOUT_S = 60.0
 
+# Who applies the first document, which names the operators.
+FIRST_OPERATOR = "first-operator"
+
 Handler = Callable[[HttpRequest], Awaitable[Response]]
 
 
@@ -61,6 +81,7 @@
         documents: DocumentStore,
         directory: Directory,
         status: FleetStatus,
+        limits: TeamLimits,
         is_leaving: Callable[[], bool],
     ) -> None:
         """Creates the interface.
@@ -73,6 +94,7 @@
             documents: Changes the fleet document.
             directory: Instances of the fleet.
             status: State of all instances.
+            limits: Request limits by team.
             is_leaving: Whether the entry takes no new work.
         """
         self._current = current
@@ -82,6 +104,7 @@
         self._documents = documents
         self._directory = directory
         self._status = status
+        self._limits = limits
         self._is_leaving = is_leaving
 
     def application(self) -> Starlette:
@@ -107,26 +130,25 @@
             routes=[
                 Route(path, _with_problems(handler), methods=[method])
                 for method, path, handler in routes
-            ]
+            ],
+            exception_handlers={404: _http_problem, 405: _http_problem},
         )
 
     async def complete(self, http: HttpRequest) -> Response:
         """Serves POST /v1/completions."""
         team = self._team(http)
         self._check_leaving()
+        self._limits.admit(team)
         body = await _read_body(http)
         fields = _json_object(body)
         document = self._current.document
         model = fields.get("model")
         if not isinstance(model, str) or model not in document.models:
-            raise NotFoundError(
-                f"Model {model!r} is unknown.",
-                remedy="Name a model of the fleet document.",
-                not_run=True,
+            raise UnknownModelError(
+                f"Model {model!r} is unknown.", not_run=True
             )
-        prompt = fields.get("prompt")
-        if not isinstance(prompt, str):
-            raise BadRequestError("'prompt' must be a string.", not_run=True)
+        check_completion(fields, document.models[model])
+        prompt = str(fields["prompt"])
         workload = _workload(document, fields.pop("workload", None), model)
         timeout_s = workload.timeout_s if workload else SERVICE_TIMEOUT_S
         stream = bool(fields.pop("stream", False))
@@ -143,9 +165,12 @@
             stream=stream,
             rank=workload.rank if workload else 0,
             prefix=prompt[:PREFIX_CHARACTERS],
+            new_key="idempotency-key" not in http.headers,
         )
         running = self._runner.start(request)
         if stream:
+            # A refusal is then an answer with its own status and headers.
+            await running.started()
             return StreamingResponse(
                 _events(running, model), media_type="text/event-stream"
             )
@@ -155,6 +180,7 @@
         """Serves POST /v1/services/{name}."""
         team = self._team(http)
         self._check_leaving()
+        self._limits.admit(team)
         name = http.path_params["name"]
         service = self._current.document.services.get(name)
         if service is None:
@@ -170,6 +196,7 @@
             online=True,
             idempotent=service.idempotent,
             deadline=_deadline(http, SERVICE_TIMEOUT_S),
+            new_key="idempotency-key" not in http.headers,
         )
         return _answer_response(await self._runner.start(request).answer())
 
@@ -193,9 +220,15 @@
         """Serves POST /v1/requests/{key}/cancel."""
         team = self._team(http)
         key = http.path_params["key"]
-        if not await self._runner.cancel(team, key):
-            raise NotFoundError(f"Request {key!r} does not run here.")
-        return JSONResponse({"key": key, "state": "cancelled"})
+        partition = hashing.partition_of(team, key)
+        reply = await self._owners.call(
+            partition,
+            CancelRequest(partition, team, key),
+            deadline=clock.monotonic() + LOOKUP_TIMEOUT_S,
+        )
+        if not isinstance(reply, ClaimResult):
+            raise PlumvaneError("The owner's reply is not understood.")
+        return JSONResponse(_cancel_body(key, reply))
 
     async def submit_batch(self, http: HttpRequest) -> Response:
         """Serves POST /v1/batches."""
@@ -227,30 +260,36 @@
 
     async def batch_results(self, http: HttpRequest) -> Response:
         """Serves GET /v1/batches/{job_id}/results."""
-        state = await self._batches.show(
+        blocks = await self._batches.results(
             self._team(http), http.path_params["job_id"]
         )
-        return StreamingResponse(
-            self._batches.results(state), media_type="application/jsonl"
-        )
+        return StreamingResponse(blocks, media_type="application/jsonl")
 
     async def show_document(self, http: HttpRequest) -> Response:
         """Serves GET /v1/fleet/document."""
-        self._operator(http, "view")
-        revision, _ = await self._documents.read()
-        return JSONResponse(
-            {
-                "revision": revision.number,
-                "document": json.loads(revision.document),
-            }
+        await self._operator(http, "view")
+        try:
+            revision, _ = await self._documents.read()
+        except StoreUnavailableError:
+            # What is in force here goes on being in force.
+            return _document_response(
+                self._current.revision, self._current.data, from_store=False
+            )
+        return _document_response(
+            revision.number, revision.document, from_store=True
         )
 
     async def apply_document(self, http: HttpRequest) -> Response:
         """Serves PUT /v1/fleet/document."""
-        operator = self._operator(http, "change")
-        from_revision = _from_revision(http)
-        body = await _read_body(http)
+        operator = await self._operator(http, "view")
+        from_revision = 0
+        body = b""
         try:
+            from_revision = _from_revision(http)
+            body = await _read_body(http)
+            await self._operator(http, "change")
+            if operator == FIRST_OPERATOR and from_revision != 0:
+                raise ConflictError("The first change is based on revision 0.")
             revision = await self._documents.apply(
                 body, from_revision=from_revision, operator=operator
             )
@@ -259,20 +298,22 @@
                 from_revision=from_revision,
                 operator=operator,
                 refusal=error.code,
+                document=body,
             )
             raise
-        self._current.offer(revision)
+        if revision.document:
+            self._current.offer(revision)
         return JSONResponse({"revision": revision.number})
 
     async def show_audit(self, http: HttpRequest) -> Response:
         """Serves GET /v1/fleet/audit."""
-        self._operator(http, "view")
+        await self._operator(http, "view")
         changes = await self._documents.audit()
         return JSONResponse({"changes": msgspec.to_builtins(changes)})
 
     async def show_instances(self, http: HttpRequest) -> Response:
         """Serves GET /v1/fleet/instances."""
-        self._operator(http, "view")
+        await self._operator(http, "view")
         found = await self._status.instances()
         return JSONResponse(
             {"revision": self._current.revision, "instances": found}
@@ -284,7 +325,11 @@
 
     async def readyz(self, http: HttpRequest) -> Response:
         """Serves GET /readyz: the balancer may send callers here."""
-        ready = self._directory.loaded.is_set() and not self._is_leaving()
+        ready = (
+            self._directory.loaded.is_set()
+            and self._current.loaded.is_set()
+            and not self._is_leaving()
+        )
         names = [
             instance.name
             for role in ("entry", "sidecar", "bulk")
@@ -306,17 +351,29 @@
                 "The entry is leaving.", not_run=True, retry_after_s=1.0
             )
 
+    def _check_loaded(self) -> None:
+        if not self._current.loaded.is_set():
+            raise StoreUnavailableError(
+                "This entry has just started and knows no fleet document yet.",
+                not_run=True,
+                retry_after_s=1.0,
+            )
+
     def _team(self, http: HttpRequest) -> str:
+        self._check_loaded()
         team = self._current.document.team_by_token(_token(http))
         if team is None:
             raise UnauthorizedError("The token is unknown.", not_run=True)
         return team
 
-    def _operator(self, http: HttpRequest, role: str) -> str:
+    async def _operator(self, http: HttpRequest, role: str) -> str:
+        if self._current.revision == 0:
+            revision, _ = await self._documents.read()
+            if revision.number == 0:
+                # The first document names the first operators.
+                return FIRST_OPERATOR
+            self._current.offer(revision)
         operators = self._current.document.operators
-        if not operators and self._current.revision == 0:
-            # The first document names the first operators.
-            return "first-operator"
         digest = token_digest(_token(http))
         for name, operator in operators.items():
             if operator.token_sha256 == digest:
@@ -334,10 +391,30 @@
             return await handler(http)
         except PlumvaneError as error:
             return problem_response(error)
+        except ClientDisconnect:
+            raise
+        except Exception as error:
+            events.log(
+                events.Event.CALL_FAILED,
+                path=http.url.path,
+                error=repr(error),
+            )
+            return problem_response(PlumvaneError("The entry failed."))
 
     return serve
 
 
+async def _http_problem(http: HttpRequest, error: Exception) -> Response:
+    """Answers a path or method that is not served."""
+    if isinstance(error, HTTPException) and error.status_code == 405:
+        return problem_response(
+            MethodNotAllowedError(f"{http.method} is not served here.")
+        )
+    return problem_response(
+        NotFoundError(f"{http.url.path} is not served.", not_run=True)
+    )
+
+
 def _token(http: HttpRequest) -> str:
     scheme, _, token = http.headers.get("authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not token:
@@ -362,11 +439,14 @@
     if text is None:
         return None
     try:
-        return float(text)
+        deadline = float(text)
     except ValueError:
+        deadline = math.nan
+    if not math.isfinite(deadline):
         raise BadRequestError(
             "Plumvane-Deadline must be seconds since the epoch.", not_run=True
-        ) from None
+        )
+    return deadline
 
 
 def _deadline(http: HttpRequest, timeout_s: float) -> float:
@@ -381,7 +461,7 @@
 
 def _from_revision(http: HttpRequest) -> int:
     text = http.headers.get("if-match", "").strip('"')
-    if not text.isdigit():
+    if not (text.isascii() and text.isdigit() and len(text) < 19):
         raise BadRequestError(
             "If-Match must name the revision that the change is based on."
         )
@@ -401,16 +481,24 @@
 
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
-        fields = json.loads(body)
+        fields = json.loads(body, parse_constant=_refuse_constant)
     except ValueError as error:
-        raise BadRequestError(
+        raise InvalidJsonError(
             f"The body is not JSON: {error}.", not_run=True
         ) from None
+    except RecursionError:
+        raise InvalidJsonError(
+            "The body is nested too deeply.", not_run=True
+        ) from None
     if not isinstance(fields, dict):
-        raise BadRequestError("The body is not a JSON object.", not_run=True)
+        raise InvalidJsonError("The body is not a JSON object.", not_run=True)
     return fields
 
 
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is no JSON number")
+
+
 def _digest(path: str, body: bytes) -> bytes:
     return hashlib.sha256(path.encode() + b"\0" + body).digest()
 
@@ -503,6 +591,25 @@
     return b"data: " + json.dumps(piece).encode() + b"\n\n"
 
 
+def _cancel_body(key: str, result: ClaimResult) -> dict[str, object]:
+    error = result.outcome.error
+    cancelled = error is not None and error.code == RequestCancelledError.code
+    return {
+        "key": key,
+        "state": "cancelled" if cancelled else "completed",
+        "durable": result.durable,
+    }
+
+
+def _document_response(
+    revision: int, document: bytes, *, from_store: bool
+) -> Response:
+    return JSONResponse(
+        {"revision": revision, "document": json.loads(document)},
+        headers={"plumvane-from-store": "true" if from_store else "false"},
+    )
+
+
 def _job_body(state: JobState) -> dict[str, object]:
     return {
         "id": state.job_id,
@@ -511,9 +618,16 @@
         "items": state.items,
         "done": state.done,
         "failed": [
-            {"index": item.index, "cause": item.cause} for item in state.failed
+            {
+                "index": item.index,
+                "cause": item.cause,
+                "kind": item.kind.value,
+            }
+            for item in state.failed
         ],
+        "failed_count": state.failed_count,
         "deadline": state.deadline,
+        "late": state.late,
         "expected_finish": state.expected_finish,
         "created": state.created,
     }
--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any, TypeVar
 
 import anyio
+import anyio.abc
 
-from plumvane import clock
+from plumvane import clock, events
+from plumvane.entry.control import LinkRunControl
+from plumvane.entry.inheritance import ClaimInheritance
 from plumvane.errors import (
     NotFoundError,
     NotOwnerError,
@@ -15,38 +18,47 @@
     ProtocolError,
 )
 from plumvane.fleet.current import CurrentDocument
+from plumvane.jobs.handout import HandOut
+from plumvane.jobs.job import Job
 from plumvane.jobs.table import JobTable
 from plumvane.partitions.log import PartitionLog
 from plumvane.partitions.records import LogRecord
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
+    CancelRequest,
+    ChunkRef,
     Claim,
     Complete,
     Done,
+    FetchResults,
     JobCall,
     JobList,
     JobStates,
     Lookup,
     Message,
+    OfferWork,
     PullWork,
     RangeDone,
     RangeGrant,
     Release,
     RenewClaims,
-    Settle,
-    Settled,
+    Renewed,
     SubmitJob,
+    WorkWaiting,
 )
 from plumvane.peers.server import Call, PeerServer
-from plumvane.requests.ledger import RequestLedger
+from plumvane.requests.ledger import OwnerState, RequestLedger
 
 __all__ = ["PartitionHost"]
 
 EXPIRE_S = 1.0
-SETTLE_TIMEOUT_S = 2.0
+WAKE_S = 0.25
+WAKE_TIMEOUT_S = 2.0
 
 M = TypeVar("M", bound=Message)
 OwnerHandler = Callable[[M], Awaitable[Message]]
+# The first owner of a partition has no predecessor.
+FIRST_EPOCH = 1
 NO_WORK = RangeGrant(0, "", 0, 0, "", 0.0, 0.0, ())
 
 
@@ -58,6 +70,10 @@
         current: CurrentDocument,
         links: LinkPool,
         may_promise: Callable[[], bool],
+        *,
+        store_is_down: Callable[[], bool],
+        inheritance: ClaimInheritance,
+        address: str,
     ) -> None:
         """Creates a host of no partition.
 
@@ -65,12 +81,24 @@
             current: Fleet document in force.
             links: Connections to the sidecars.
             may_promise: Whether the owner's lease covers an answer now.
+            store_is_down: Whether the store does not answer now.
+            inheritance: Fetches the claims of a former owner's time.
+            address: Peer address of this entry.
         """
         self._current = current
         self._links = links
         self._may_promise = may_promise
+        self._inheritance = inheritance
+        self._state = OwnerState(
+            may_promise,
+            store_is_down,
+            lambda: float(current.document.retention_s),
+        )
+        self._control = LinkRunControl(links)
+        self._group: anyio.abc.TaskGroup | None = None
         self._ledgers_by_partition: dict[int, RequestLedger] = {}
         self._jobs_by_partition: dict[int, JobTable] = {}
+        self._hand_out = HandOut(address)
         self._handlers_by_type: dict[
             type[Message], Callable[..., Awaitable[Message]]
         ] = {
@@ -78,10 +106,13 @@
             Complete: self._complete,
             Release: self._release,
             RenewClaims: self._renew,
+            CancelRequest: self._cancel,
             Lookup: self._lookup,
             SubmitJob: self._submit,
             JobCall: self._job,
+            FetchResults: self._fetch_results,
             JobList: self._list_jobs,
+            OfferWork: self._offer,
             PullWork: self._pull,
             RangeDone: self._report,
         }
@@ -108,7 +139,7 @@
     ) -> None:
         """Builds the state of a partition just taken from its records."""
         ledger = RequestLedger(
-            log, may_promise=self._may_promise, settle=self._settle
+            partition, log, self._state, self._control, self._spawn
         )
         jobs = JobTable(
             log, partition, log.epoch, may_promise=self._may_promise
@@ -119,12 +150,30 @@
         jobs.start()
         self._ledgers_by_partition[partition] = ledger
         self._jobs_by_partition[partition] = jobs
+        self._spawn(ledger.run)
+        if log.epoch == FIRST_EPOCH:
+            ledger.finish_inheriting()
+        else:
+            self._spawn(self._inheritance.run, partition, ledger)
 
     def drop(self, partition: int) -> None:
         """Forgets a partition that is no longer owned."""
-        self._ledgers_by_partition.pop(partition, None)
+        ledger = self._ledgers_by_partition.pop(partition, None)
+        if ledger is not None:
+            ledger.close()
         self._jobs_by_partition.pop(partition, None)
 
+    def chunks(self) -> Iterator[ChunkRef]:
+        """Yields the references of all jobs of the partitions owned here."""
+        for jobs in list(self._jobs_by_partition.values()):
+            yield from jobs.chunks()
+
+    async def run(self) -> None:
+        """Runs the tasks of the ledgers; must start before the first one."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
+
     async def expire_claims(self) -> None:
         """Takes lapsed range claims back; runs always."""
         while True:
@@ -160,51 +209,116 @@
         return Done()
 
     async def _renew(self, message: RenewClaims) -> Message:
+        known: set[str] = set()
         for ledger in self._ledgers_by_partition.values():
-            ledger.renew(set(message.request_ids))
-        return Done()
+            known |= ledger.renew(message.request_ids)
+        return Renewed(tuple(i for i in message.request_ids if i not in known))
 
     async def _lookup(self, message: Lookup) -> Message:
-        return self._ledger(message.partition).lookup(message.team, message.key)
+        ledger = self._ledger(message.partition)
+        return await ledger.lookup(message.team, message.key)
+
+    async def _cancel(self, message: CancelRequest) -> Message:
+        ledger = self._ledger(message.partition)
+        return await ledger.cancel(message.team, message.key)
 
     async def _submit(self, message: SubmitJob) -> Message:
-        return await self._jobs(message.partition).submit(message)
+        jobs = self._jobs(message.partition)
+        await jobs.submit(message)
+        self._hand_out.foresee_all(self._all_jobs())
+        return jobs.show(message.job_id, message.team)
 
     async def _job(self, message: JobCall) -> Message:
         jobs = self._jobs(message.partition)
         if message.cancel:
             return await jobs.cancel(message.job_id, message.team)
+        self._hand_out.foresee_all(self._all_jobs())
         return jobs.show(message.job_id, message.team)
 
+    async def _fetch_results(self, message: FetchResults) -> Message:
+        return self._jobs(message.partition).page(
+            message.job_id, message.team, message.from_item
+        )
+
     async def _list_jobs(self, message: JobList) -> Message:
+        self._hand_out.foresee_all(self._all_jobs())
         found = []
         for jobs in self._jobs_by_partition.values():
             found.extend(jobs.jobs_of(message.team))
         return JobStates(tuple(found))
 
-    async def _pull(self, message: PullWork) -> Message:
-        order = self._current.document.policies.batch_order
+    def _all_jobs(self) -> list[Job]:
+        return [
+            job
+            for jobs in self._jobs_by_partition.values()
+            for job in jobs.jobs()
+        ]
+
+    async def wake_sidecars(self) -> None:
+        """Tells idle sidecars of waiting items; runs always."""
+        while True:
+            await anyio.sleep(WAKE_S)
+            idle = self._hand_out.take_idle(self._all_jobs())
+            async with anyio.create_task_group() as group:
+                for address in idle:
+                    group.start_soon(self._wake, address)
+
+    async def _wake(self, address: str) -> None:
+        try:
+            await self._links.call(
+                address,
+                WorkWaiting(),
+                deadline=clock.monotonic() + WAKE_TIMEOUT_S,
+            )
+        except PlumvaneError:
+            return
+
+    async def _offer(self, message: OfferWork) -> Message:
         for jobs in list(self._jobs_by_partition.values()):
-            grant = jobs.pull(message, order)
-            if grant is not None:
-                return grant
-        return NO_WORK
+            await jobs.forget_worker(
+                message.sidecar_address, message.incarnation
+            )
+        return self._hand_out.offer(
+            message,
+            self._all_jobs(),
+            self._current.document.policies.batch_order,
+        )
+
+    async def _pull(self, message: PullWork) -> Message:
+        document = self._current.document
+        grant = self._hand_out.pull(
+            message,
+            self._all_jobs(),
+            document.policies.batch_order,
+            {name: team.share for name, team in document.teams.items()},
+        )
+        return grant or NO_WORK
 
     async def _report(self, message: RangeDone) -> Message:
         wanted = await self._jobs(message.partition).report(message)
         if not wanted:
-            raise NotFoundError(f"Job {message.job_id} wants no more items.")
+            raise NotFoundError(
+                f"Job {message.job_id} no longer wants this range."
+            )
         return Done()
 
-    async def _settle(
-        self, address: str, request_id: str, deadline: float
-    ) -> Settled:
-        try:
-            reply = await self._links.call(
-                address,
-                Settle(request_id, deadline),
-                deadline=clock.monotonic() + SETTLE_TIMEOUT_S,
-            )
-        except PlumvaneError:
-            return Settled("unknown")
-        return reply if isinstance(reply, Settled) else Settled("unknown")
+    def _spawn(
+        self, function: Callable[..., Awaitable[Any]], *args: Any
+    ) -> None:
+        """Starts a task whose failure is logged."""
+        if self._group is None:
+            raise RuntimeError("The host does not run.")
+        self._group.start_soon(_run_logged, function, *args)
+
+
+async def _run_logged(
+    function: Callable[..., Awaitable[Any]], *args: Any
+) -> None:
+    try:
+        await function(*args)
+    except Exception as error:
+        events.log(
+            events.Event.TASK_FAILED,
+            task=getattr(function, "__qualname__", repr(function)),
+            error=repr(error),
+        )
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -2,23 +2,32 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import anyio
 import anyio.abc
 
+from plumvane import hashing
 from plumvane.chunks.client import ChunkClient
+from plumvane.chunks.keeper import ChunkKeeper
+from plumvane.console.app import Console
+from plumvane.console.sessions import Sessions
 from plumvane.entry.api import Api
 from plumvane.entry.batches import BatchService
+from plumvane.entry.checks import NAMES_BY_POLICY
 from plumvane.entry.host import PartitionHost
+from plumvane.entry.inheritance import ClaimInheritance
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.runner import RequestRunner
 from plumvane.entry.status import FleetStatus
-from plumvane.fleet.current import CurrentDocument, watch_store
+from plumvane.errors import StoreUnavailableError
+from plumvane.fleet.current import CurrentDocument, PeerWatch, watch_store
 from plumvane.fleet.revisions import DocumentStore
 from plumvane.instances.directory import Directory
+from plumvane.limits.teams import TeamLimits
 from plumvane.partitions.ownership import Ownership
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
-    DocumentData,
     Done,
     FetchDocument,
     FetchViews,
@@ -38,6 +47,8 @@
 DRAIN_POLL_S = 0.05
 # The platform's balancer needs this to see that the entry is not ready.
 UNREADY_S = 0.5
+# How many other entries an entry learns newer documents from.
+DOCUMENT_PEERS = 3
 
 
 class Entry:
@@ -51,13 +62,25 @@
         """
         process = settings.process
         self._settings = settings
+        self._name = process.name
         self._address = str(process.peer_address)
         self._current = CurrentDocument()
         self._links = LinkPool(process.name)
         self._directory = Directory(settings.platform.instances_url)
         self._store = HttpStore(settings.platform.store_url or "")
+        self._inheritance = ClaimInheritance(
+            process.name,
+            self._directory,
+            self._links,
+            lambda: self._ownership.lapsed_owners(),
+        )
         self._host = PartitionHost(
-            self._current, self._links, lambda: self._ownership.may_promise()
+            self._current,
+            self._links,
+            lambda: self._ownership.may_promise(),
+            store_is_down=self._store.is_down,
+            inheritance=self._inheritance,
+            address=self._address,
         )
         self._ownership = Ownership(
             self._store,
@@ -69,7 +92,13 @@
             links=self._links,
             retention_s=lambda: self._current.document.retention_s,
         )
-        self._owners = OwnerClient(self._ownership, self._host, self._links)
+        self._chunks = ChunkClient(self._directory, self._links)
+        self._keeper = ChunkKeeper(
+            self._directory, self._links, self._chunks, self._host.chunks
+        )
+        self._owners = OwnerClient(
+            self._ownership, self._host, self._links, self._store.is_down
+        )
         self._server = PeerServer(str(process.bind_address))
         self._server.handle(Report, self._take_report)
         self._server.handle(FetchDocument, self._send_document)
@@ -79,6 +108,10 @@
             process.name, self._directory, self._links, self._current
         )
         self._server.handle(FetchViews, self._status.send_views)
+        self._documents = DocumentStore(self._store, process.name)
+        self._peer_watch = PeerWatch(
+            self._links, self._current, self._document_peers
+        )
         self._leaving = False
 
     async def serve(self, stopping: anyio.Event) -> None:
@@ -88,13 +121,20 @@
             for task in (
                 self._links.run,
                 self._directory.run,
+                self._host.run,
                 self._ownership.run,
                 self._host.expire_claims,
+                self._host.wake_sidecars,
+                self._keeper.run,
                 self._watch_document,
+                self._peer_watch.run,
+                self._documents.run,
             ):
                 group.start_soon(supervise, task)
             async with anyio.create_task_group() as runs:
                 runner = self._make_runner(runs)
+                runner.register(self._server)
+                self._inheritance.register(self._server, runner.claims_of)
                 web = self._make_web(runner)
                 group.start_soon(web.run)
                 group.start_soon(supervise, runner.renew_claims)
@@ -108,6 +148,8 @@
         while runner.active:
             await anyio.sleep(DRAIN_POLL_S)
         await self._ownership.leave()
+        with contextlib.suppress(StoreUnavailableError):
+            await self._documents.flush()
         web.stop()
 
     def _make_runner(self, group: anyio.abc.TaskGroup) -> RequestRunner:
@@ -122,15 +164,19 @@
         )
 
     def _make_web(self, runner: RequestRunner) -> HttpServer:
-        chunks = ChunkClient(self._directory, self._links)
+        batches = BatchService(self._owners, self._chunks, self._current)
         api = Api(
             self._current,
             runner,
-            BatchService(self._owners, chunks, self._current),
+            batches,
             self._owners,
-            DocumentStore(self._store, self._settings.process.name),
+            self._documents,
             self._directory,
             self._status,
+            TeamLimits(
+                lambda: self._current.document,
+                lambda: len(self._directory.live("entry")),
+            ),
             lambda: self._leaving,
         )
         http = self._settings.http
@@ -138,7 +184,20 @@
         if http.certificate_file and http.key_file:
             tls = Tls(str(http.certificate_file), str(http.key_file))
         bound = bind(http.address.host, http.address.port)
-        return HttpServer(api.application(), bound, tls)
+        app = api.application()
+        app.mount("/console", self._make_console(batches, tls).application())
+        return HttpServer(app, bound, tls)
+
+    def _make_console(self, batches: BatchService, tls: Tls | None) -> Console:
+        return Console(
+            self._current,
+            self._documents,
+            Sessions(self._store),
+            names_by_policy=NAMES_BY_POLICY,
+            instances=self._status.instances,
+            jobs=batches.list,
+            is_secure=tls is not None,
+        )
 
     async def _watch_document(self) -> None:
         await watch_store(self._store, self._current)
@@ -152,8 +211,15 @@
         await self._ownership.take_from_owner(message.partition, message.epoch)
         return Done()
 
+    def _document_peers(self) -> list[str]:
+        names = [n for n in self._entry_addresses() if n != self._name]
+        chosen = hashing.rank(self._name, names)[:DOCUMENT_PEERS]
+        found = [self._directory.by_name(name) for name in chosen]
+        return [instance.address for instance in found if instance]
+
     async def _take_report(self, call: Call, message: Report) -> Message:
         self._directory.take_report(message)
+        self._peer_watch.hint(message.address, message.revision)
         return ReportReply(
             self._current.revision, tuple(self._ownership.owner_addresses())
         )
@@ -161,7 +227,7 @@
     async def _send_document(
         self, call: Call, message: FetchDocument
     ) -> Message:
-        return DocumentData(self._current.revision, self._current.data)
+        return self._current.answer(message)
 
 
 async def _serve(settings: EntrySettings, stopping: anyio.Event) -> None:
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -21,6 +21,7 @@
     PROCESS_LEAVING = (1002, "The process refuses new work and drains.")
     PROCESS_STOPPED = (1003, "The process has drained and ends.")
     TASK_FAILED = (1004, "A background task failed and is started again.")
+    CALL_FAILED = (1005, "An HTTP call failed by a fault of this process.")
     STORE_UNAVAILABLE = (2001, "The store does not answer.")
     STORE_AVAILABLE = (2002, "The store answers again.")
     LEASE_LOST = (2003, "The instance's lease lapsed or was refused.")
@@ -45,7 +46,11 @@
     CONFIGURATION_IN_FORCE = (8001, "A revision is in force here.")
     CONFIGURATION_CHANGED = (8002, "An operator's change is accepted.")
     CONFIGURATION_REFUSED = (8003, "An operator's change is refused.")
+    CONFIGURATION_UNREADABLE = (8004, "A revision is not understood here.")
+    AUDIT_RECORD_DROPPED = (8005, "Too many refusals wait for the store.")
     CHUNK_COPIED = (9001, "A missing copy of a chunk was made again.")
+    CHUNK_DAMAGED = (9002, "A chunk on the disk is damaged and not used.")
+    CHUNK_MISSING = (9003, "No live bulk instance holds a chunk.")
 
     @property
     def number(self) -> int:
--- a/plumvane/partitions/ownership.py
+++ b/plumvane/partitions/ownership.py
@@ -147,6 +147,13 @@
         """Returns the addresses of all known owners, sorted."""
         return self._view.addresses()
 
+    def lapsed_owners(self) -> set[str]:
+        """Returns the names of instances whose lease lapsed while they owned.
+
+        An instance without partitions holds no lease and is not named.
+        """
+        return self._view.lapsed_owners()
+
     def may_promise(self) -> bool:
         """Returns whether the lease covers an answer given now."""
         return self._lease.covers_now()
@@ -202,20 +209,24 @@
     async def _keep_lease(self) -> None:
         while True:
             await anyio.sleep(RENEW_S * random.uniform(0.8, 1.1))
-            now = clock.monotonic()
-            if self._owned_by_partition or self._taking:
-                self._needed = now
             try:
-                if now - self._needed < IDLE_LEASE_S:
-                    if self._lease.lease_id is not None or self._owns():
-                        await self._obtain_lease()
-                elif self._lease.lease_id is not None:
-                    await self._lease.revoke()
+                await self._look_after_lease()
             except StoreUnavailableError as error:
                 events.log(events.Event.STORE_UNAVAILABLE, detail=error.detail)
 
-    def _owns(self) -> bool:
-        return bool(self._owned_by_partition)
+    async def _look_after_lease(self) -> None:
+        """Renews the lease, or gives it back if nothing needs it."""
+        now = clock.monotonic()
+        if self._owned_by_partition or self._taking:
+            self._needed = now
+        if self._owned_by_partition:
+            await self._obtain_lease()
+        elif self._lease.lease_id is None:
+            return
+        elif now - self._needed < IDLE_LEASE_S:
+            await self._obtain_lease()
+        else:
+            await self._lease.revoke()
 
     async def _obtain_lease(self) -> str:
         """Renews the lease; a new one goes into all owner records."""
--- a/plumvane/partitions/view.py
+++ b/plumvane/partitions/view.py
@@ -53,6 +53,7 @@
         self._owners_by_partition: dict[int, Owner] = {}
         self._revisions_by_partition: dict[int, int] = {}
         self._leases_by_instance: dict[str, str] = {}
+        self._lapsed: set[str] = set()
         self._watch_revision: int | None = None
         self._failed = float("-inf")
 
@@ -86,6 +87,10 @@
         """Returns whether an owner's lease still stands."""
         return self._leases_by_instance.get(owner.name) == owner.lease_id
 
+    def lapsed_owners(self) -> set[str]:
+        """Returns the instances whose lease lapsed while they owned."""
+        return set(self._lapsed)
+
     async def run(self) -> None:
         """Follows the store; runs always."""
         while True:
@@ -119,7 +124,10 @@
 
     def _replace(self, result: WatchResult) -> None:
         """Takes a whole list in; leases that are not in it have ended."""
-        self._leases_by_instance.clear()
+        listed = {record.key for record in result.records}
+        for name in list(self._leases_by_instance):
+            if INSTANCE_PREFIX + name not in listed:
+                self._end_lease(name)
         for record in result.records:
             self._take(record)
         self._watch_revision = result.revision
@@ -128,9 +136,10 @@
         if record.key.startswith(INSTANCE_PREFIX):
             name = record.key.removeprefix(INSTANCE_PREFIX)
             if record.deleted:
-                self._leases_by_instance.pop(name, None)
+                self._end_lease(name)
             else:
                 self._leases_by_instance[name] = record.value.decode()
+                self._lapsed.discard(name)
         elif not record.deleted:
             self.take_owner(
                 int(record.key.removeprefix(PARTITION_PREFIX)),
@@ -138,6 +147,12 @@
                 record.revision,
             )
 
+    def _end_lease(self, name: str) -> None:
+        lease_id = self._leases_by_instance.pop(name, None)
+        owners = self._owners_by_partition.values()
+        if any((o.name, o.lease_id) == (name, lease_id) for o in owners):
+            self._lapsed.add(name)
+
 
 def owner_key(partition: int) -> str:
     """Returns the key of a partition's owner record."""
--- a/plumvane/peers/messages.py
+++ b/plumvane/peers/messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 import functools
 import operator
 from collections.abc import Iterable
@@ -16,43 +17,61 @@
 __all__ = [
     "Acknowledge",
     "Attach",
+    "CancelRequest",
     "CancelRun",
     "ChunkData",
+    "ChunkRef",
     "ChunkStored",
+    "ChunksFound",
     "Claim",
     "ClaimGranted",
     "ClaimResult",
     "Committed",
+    "CopyChunk",
     "Complete",
     "DispatchRequest",
     "DocumentData",
     "Done",
+    "EntryClaims",
+    "FailedItem",
     "Failure",
+    "FailureKind",
     "FetchChunk",
+    "FetchClaims",
     "FetchDocument",
+    "FetchResults",
+    "FindChunks",
     "FetchViews",
     "InstanceView",
     "JobCall",
+    "JobDemand",
     "JobList",
     "JobState",
     "JobStates",
     "Lookup",
     "Message",
+    "OfferWork",
     "Outcome",
+    "OwnerView",
     "PullWork",
     "RangeDone",
     "RangeGrant",
     "Release",
     "RenewClaims",
+    "Renewed",
     "Report",
     "ReportReply",
+    "ResultPage",
     "Settle",
     "Settled",
+    "StopRun",
     "StoreChunk",
     "SubmitJob",
     "TakePartition",
     "TextPart",
     "Views",
+    "WorkOffer",
+    "WorkWaiting",
     "decode",
     "encode",
 ]
@@ -76,6 +95,24 @@
     retry_after_s: float | None = None
 
 
+class Load(msgspec.Struct, frozen=True):
+    """Load of an upstream as its sidecar sees it.
+
+    Attributes:
+        online: Online requests queued and running.
+        batch: Batch items queued and running.
+        limit: Requests that may run at once.
+        time: When it was taken.
+        step_s: Time between two tokens of a lone request, 0 if unknown.
+    """
+
+    online: int
+    batch: int
+    limit: int
+    time: float
+    step_s: float = 0.0
+
+
 class Outcome(Message, frozen=True, tag="out"):
     """The whole answer to a request.
 
@@ -84,12 +121,14 @@
         body: Body of the answer.
         content_type: Media type of the body.
         error: The error, if the request ended with one.
+        load: Load of the upstream, on its way to the entry; never stored.
     """
 
     status: int
     body: bytes
     content_type: str = "application/json"
     error: Failure | None = None
+    load: Load | None = None
 
 
 class Claim(Message, frozen=True, tag="claim"):
@@ -104,7 +143,9 @@
         idempotent: Whether the request may run again.
         deadline: Deadline of the request.
         entry_address: Peer address of the claiming entry.
-        sidecar_address: Sidecar chosen for a non-idempotent request.
+        sidecar_address: Sidecar chosen for a non-idempotent request; empty
+            if none is live.
+        new_key: Whether the entry made the key, so nobody else has it.
     """
 
     partition: int
@@ -116,12 +157,19 @@
     deadline: float
     entry_address: str
     sidecar_address: str = ""
+    new_key: bool = False
 
 
 class ClaimGranted(Message, frozen=True, tag="granted"):
-    """The claimant runs the request."""
+    """The claimant runs the request.
+
+    Attributes:
+        request_id: Identifier of the run.
+        claimed_at: When the claim was made.
+    """
 
     request_id: str
+    claimed_at: float = 0.0
 
 
 class ClaimResult(Message, frozen=True, tag="result"):
@@ -164,7 +212,10 @@
 
 
 class Release(Message, frozen=True, tag="release"):
-    """Gives a claim up; no upstream was given the request."""
+    """Gives a claim up.
+
+    Of a non-idempotent request only if no upstream was given it.
+    """
 
     partition: int
     team: str
@@ -178,6 +229,48 @@
     request_ids: tuple[str, ...]
 
 
+class Renewed(Message, frozen=True, tag="renewed"):
+    """The owner's answer to `RenewClaims`.
+
+    Attributes:
+        unknown_ids: Runs that the owner has no claim of.
+    """
+
+    unknown_ids: tuple[str, ...]
+
+
+class FetchClaims(Message, frozen=True, tag="fetchclaims"):
+    """A new owner asks an entry for its claims on a partition."""
+
+    partition: int
+
+
+class EntryClaims(Message, frozen=True, tag="entryclaims"):
+    """An entry's claims on a partition.
+
+    Attributes:
+        claims: Claims of the runs that go on there.
+        results: Results that the entry holds until they are durable.
+    """
+
+    claims: tuple[Claim, ...]
+    results: tuple[Complete, ...] = ()
+
+
+class CancelRequest(Message, frozen=True, tag="cancelreq"):
+    """Asks a partition's owner to cancel a request."""
+
+    partition: int
+    team: str
+    key: str
+
+
+class StopRun(Message, frozen=True, tag="stoprun"):
+    """Tells an entry that the request of a run was cancelled."""
+
+    request_id: str
+
+
 class Lookup(Message, frozen=True, tag="lookup"):
     """Asks for a stored result."""
 
@@ -200,6 +293,7 @@
         rank: Rank of the workload; a lower one goes first.
         resume_text: Text that an earlier run already gave.
         resume_tokens: How many tokens that text has.
+        claimed_at: When the request was claimed.
     """
 
     request_id: str
@@ -212,6 +306,7 @@
     rank: int = 0
     resume_text: str = ""
     resume_tokens: int = 0
+    claimed_at: float = 0.0
 
 
 class CancelRun(Message, frozen=True, tag="cancelrun"):
@@ -235,12 +330,16 @@
         sequence: Number of the part in the run, from 0.
         text: The text.
         tokens: How many tokens it holds.
+        offset: Characters of the answer before it.
+        token_offset: Tokens of the answer before it.
     """
 
     request_id: str
     sequence: int
     text: str
     tokens: int
+    offset: int = 0
+    token_offset: int = 0
 
 
 class Acknowledge(Message, frozen=True, tag="ack"):
@@ -250,33 +349,30 @@
 
 
 class Settle(Message, frozen=True, tag="settle"):
-    """Asks what became of a run, and forbids it if it is unseen."""
+    """Asks what became of a run, and forbids it if it is unseen.
+
+    Attributes:
+        request_id: Identifier of the run.
+        deadline: Deadline of the request.
+        claimed_at: When the request was claimed.
+    """
 
     request_id: str
     deadline: float
+    claimed_at: float = 0.0
 
 
 class Settled(Message, frozen=True, tag="settled"):
-    """What became of a run: `forbidden`, `running` or `done`."""
-
-    state: str
-    outcome: Outcome | None = None
-
-
-class Load(msgspec.Struct, frozen=True):
-    """Load of an upstream as its sidecar sees it.
+    """What became of a run.
 
     Attributes:
-        online: Online requests queued and running.
-        batch: Batch items queued and running.
-        limit: Requests that may run at once.
-        time: When it was taken.
+        state: `forbidden`, `running`, `done`, or `unknown` if the sidecar
+            cannot tell whether it ran.
+        outcome: The answer, if it is done.
     """
 
-    online: int
-    batch: int
-    limit: int
-    time: float
+    state: str
+    outcome: Outcome | None = None
 
 
 class Report(Message, frozen=True, tag="report"):
@@ -344,7 +440,14 @@
 
 
 class FetchDocument(Message, frozen=True, tag="fetchdoc"):
-    """Asks a peer for its fleet document."""
+    """Asks a peer for its fleet document.
+
+    Attributes:
+        newer_than: Revision at the asker; the document is sent only if the
+            peer's is newer.
+    """
+
+    newer_than: int = -1
 
 
 class DocumentData(Message, frozen=True, tag="doc"):
@@ -352,7 +455,7 @@
 
     Attributes:
         revision: Its revision.
-        document: Its JSON.
+        document: Its JSON; empty if it is not newer than asked for.
     """
 
     revision: int
@@ -384,6 +487,30 @@
     data: bytes
 
 
+class FindChunks(Message, frozen=True, tag="findchunks"):
+    """Asks a bulk instance which chunks it has."""
+
+    digests: tuple[str, ...]
+
+
+class ChunksFound(Message, frozen=True, tag="chunksfound"):
+    """The chunks asked for that are on the disk."""
+
+    digests: tuple[str, ...]
+
+
+class CopyChunk(Message, frozen=True, tag="copychunk"):
+    """Asks a bulk instance to fetch a chunk from another and keep it.
+
+    Attributes:
+        digest: SHA-256 of the chunk, in hex.
+        from_addresses: Bulk instances that hold it.
+    """
+
+    digest: str
+    from_addresses: tuple[str, ...]
+
+
 class ChunkRef(msgspec.Struct, frozen=True):
     """Where a run of items is kept.
 
@@ -458,16 +585,32 @@
     cancel: bool = False
 
 
-class FailedItem(msgspec.Struct, frozen=True):
-    """An item that is given up.
+class FailureKind(enum.Enum):
+    """Why an attempt at an item failed.
+
+    Attributes:
+        ERROR: The engine answered with an error.
+        LOST: The engine or the worker was lost while the item ran.
+        REFUSED: The engine refused the item as invalid.
+    """
+
+    ERROR = "error"
+    LOST = "lost"
+    REFUSED = "refused"
+
+
+class FailedItem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An item that failed.
 
     Attributes:
         index: Index of the item in the job.
         cause: Error of its last attempt.
+        kind: Kind of the failure.
     """
 
     index: int
     cause: str
+    kind: FailureKind = FailureKind.ERROR
 
 
 class JobState(Message, frozen=True, tag="jobstate"):
@@ -478,12 +621,12 @@
         state: `running`, `completed` or `cancelled`.
         items: How many items it has.
         done: Items with a result.
-        failed: Items that are given up.
+        failed: The first items that are given up.
         deadline: When it must have ended.
-        expected_finish: When it is expected to end, if known.
-        chunks: Where the input is.
-        results: Where the results are, in the order of the items.
         created: When it was accepted.
+        expected_finish: When it is expected to end, if known.
+        failed_count: How many items are given up.
+        late: Whether it runs on after its deadline.
     """
 
     job_id: str
@@ -492,10 +635,44 @@
     done: int
     failed: tuple[FailedItem, ...]
     deadline: float
-    results: tuple[ChunkRef, ...]
     created: float = 0.0
     expected_finish: float | None = None
-    chunks: tuple[ChunkRef, ...] = ()
+    failed_count: int = 0
+    late: bool = False
+
+
+class FetchResults(Message, frozen=True, tag="fetchresults"):
+    """Asks for a page of a job's results.
+
+    Attributes:
+        partition: Number of the partition.
+        job_id: Identifier of the job.
+        team: Team of the caller.
+        from_item: Index of the page's first item.
+    """
+
+    partition: int
+    job_id: str
+    team: str
+    from_item: int = 0
+
+
+class ResultPage(Message, frozen=True, tag="resultpage"):
+    """Where the results of some neighbouring items of a job are.
+
+    Attributes:
+        results: Chunks that hold them; they may hold others too.
+        failed: Items of the page that are given up.
+        chunks: Input of the failed items.
+        next_item: Index of the first item after the page.
+        last: Whether the job has no items after the page.
+    """
+
+    results: tuple[ChunkRef, ...]
+    failed: tuple[FailedItem, ...]
+    chunks: tuple[ChunkRef, ...]
+    next_item: int
+    last: bool
 
 
 class JobList(Message, frozen=True, tag="joblist"):
@@ -510,6 +687,69 @@
     jobs: tuple[JobState, ...]
 
 
+class JobDemand(msgspec.Struct, frozen=True, array_like=True):
+    """What is left of a job, without its name.
+
+    Attributes:
+        deadline: When the job must have ended.
+        items: Items that are not done.
+    """
+
+    deadline: float
+    items: int
+
+
+class OwnerView(msgspec.Struct, frozen=True):
+    """What one owner tells the others of its jobs of a model.
+
+    Attributes:
+        address: Peer address of the owner.
+        demands: Its running jobs, the earliest deadlines first.
+        service_by_team: Items that it handed out for each team with a
+            running job, over the team's share.
+    """
+
+    address: str
+    demands: tuple[JobDemand, ...] = ()
+    service_by_team: dict[str, float] = {}
+
+
+class OfferWork(Message, frozen=True, tag="offerwork"):
+    """A sidecar asks an owner what it would hand out.
+
+    Attributes:
+        model: Model behind the sidecar.
+        sidecar_address: Peer address of the sidecar.
+        incarnation: The sidecar's process.
+        item_rate: Batch items a second that it does, or 0 if not known.
+    """
+
+    model: str
+    sidecar_address: str
+    incarnation: str = ""
+    item_rate: float = 0.0
+
+
+class WorkOffer(Message, frozen=True, tag="workoffer"):
+    """What an owner would hand out next.
+
+    Attributes:
+        view: The owner's jobs.
+        waiting: Whether items wait there.
+        urgency: Class of its first job; a lower one goes first.
+        key: Place of its first job in the class; a lower one goes first.
+    """
+
+    view: OwnerView
+    waiting: bool = False
+    urgency: int = 0
+    key: float = 0.0
+
+
+class WorkWaiting(Message, frozen=True, tag="workwaiting"):
+    """Tells an idle sidecar that items wait at an owner."""
+
+
 class PullWork(Message, frozen=True, tag="pull"):
     """A sidecar asks an owner for batch items.
 
@@ -517,11 +757,17 @@
         model: Model behind the sidecar.
         sidecar_address: Peer address of the sidecar.
         items: How many items it can take.
+        incarnation: The sidecar's process.
+        item_rate: Batch items a second that it does, or 0 if not known.
+        others: What the other owners told the sidecar.
     """
 
     model: str
     sidecar_address: str
     items: int
+    incarnation: str = ""
+    item_rate: float = 0.0
+    others: tuple[OwnerView, ...] = ()
 
 
 class RangeGrant(Message, frozen=True, tag="range"):
@@ -561,6 +807,10 @@
             a result.
         failed: Items that failed in this attempt.
         finished: Whether the claim ends; otherwise it is renewed.
+        first_item: Index of the range's first item.
+        items: How many items the range has.
+        sidecar_address: Peer address of the sidecar.
+        incarnation: The sidecar's process.
     """
 
     partition: int
@@ -569,6 +819,10 @@
     results: ChunkRef | None
     failed: tuple[FailedItem, ...]
     finished: bool
+    first_item: int = 0
+    items: int = 0
+    sidecar_address: str = ""
+    incarnation: str = ""
 
 
 def _leaves(base: type[Message]) -> list[type[Message]]:
--- a/plumvane/sidecar/dispatcher.py
+++ b/plumvane/sidecar/dispatcher.py
@@ -8,14 +8,17 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
-from plumvane import clock
+from plumvane import clock, events
 from plumvane.errors import (
     BadRequestError,
     DeadlineExceededError,
     LeavingError,
+    OutcomeUnknownError,
     PlumvaneError,
     RequestCancelledError,
+    UpstreamFailedError,
 )
 from plumvane.peers.messages import (
     Acknowledge,
@@ -26,7 +29,6 @@
     Message,
     Outcome,
     Settle,
-    Settled,
 )
 from plumvane.peers.server import Call, PeerServer, failure_from_error
 from plumvane.upstreams.engine import EngineClient
@@ -36,9 +38,6 @@
 
 __all__ = ["Dispatcher"]
 
-# Tokens are joined into one part for at most this long.
-JOIN_S = 0.02
-
 
 class Dispatcher:
     """Serves dispatches, attaches, settlements and cancels."""
@@ -101,13 +100,7 @@
 
     async def settle(self, call: Call, message: Settle) -> Message:
         """Tells what became of a run, and forbids an unseen one."""
-        run = self._runs.get(message.request_id)
-        if run is None:
-            self._runs.forbid(message.request_id, message.deadline)
-            return Settled("forbidden")
-        if run.outcome is None:
-            return Settled("running")
-        return Settled("done", run.outcome)
+        return self._runs.settle(message)
 
     async def cancel(self, call: Call, message: CancelRun) -> Message:
         """Cancels a run; a finished one keeps its answer."""
@@ -120,14 +113,17 @@
 
     async def _follow(self, call: Call, run: Run, sequence: int) -> Outcome:
         """Sends parts as they come; returns the outcome after the last."""
-        while True:
-            if run.request.stream:
-                while sequence < len(run.parts):
-                    call.send_part(run.parts[sequence])
-                    sequence += 1
-            if run.outcome is not None:
-                return run.outcome
-            await run.changed()
+        with run.followed():
+            while True:
+                if run.request.stream:
+                    while sequence < len(run.parts):
+                        call.send_part(run.parts[sequence])
+                        sequence += 1
+                if run.outcome is not None:
+                    return msgspec.structs.replace(
+                        run.outcome, load=self._gate.load()
+                    )
+                await run.changed()
 
     async def _execute(self, run: Run) -> None:
         request = run.request
@@ -142,10 +138,21 @@
                 finally:
                     self._gate.leave(work)
             except PlumvaneError as error:
-                run.end(_error_outcome(error))
+                run.end(_outcome_of(run, error))
+            except Exception as error:
+                events.log(
+                    events.Event.TASK_FAILED, task="run", error=repr(error)
+                )
+                failed = UpstreamFailedError("The sidecar failed.")
+                run.end(_outcome_of(run, failed))
 
     async def _run_upstream(self, run: Run) -> Outcome:
         request = run.request
+        if request.deadline <= clock.wall():
+            raise DeadlineExceededError(
+                "The deadline passed in the queue.", not_run=True
+            )
+        run.is_given = True
         try:
             with anyio.fail_after(max(0.0, request.deadline - clock.wall())):
                 if isinstance(self._upstream, ServiceClient):
@@ -161,12 +168,10 @@
     async def _run_engine(self, run: Run, engine: EngineClient) -> Outcome:
         request = run.request
         body = _json_object(request.body)
-        started = last = clock.monotonic()
         text: list[str] = [request.resume_text]
         tokens = request.resume_tokens
         joined: list[str] = []
         joined_tokens = 0
-        flushed = 0.0
         finish_reason = "stop"
         ended = False
         try:
@@ -176,22 +181,15 @@
                 resume_text=request.resume_text,
                 resume_tokens=request.resume_tokens,
             ):
-                now = clock.monotonic()
-                if len(text) == 1:
-                    self._gate.policy.observe_first_token(now - started)
-                else:
-                    self._gate.policy.observe_between_tokens(now - last)
-                last = now
                 text.append(token.text)
                 tokens += token.tokens
                 joined.append(token.text)
                 joined_tokens += token.tokens
                 finish_reason = token.finish_reason or finish_reason
-                if now - flushed >= JOIN_S:
+                if not token.more:
                     run.add_text("".join(joined), joined_tokens)
                     joined.clear()
                     joined_tokens = 0
-                    flushed = now
             ended = True
         finally:
             if not ended:
@@ -225,6 +223,18 @@
     return Outcome(error.status, b"", error=failure_from_error(error))
 
 
+def _outcome_of(run: Run, error: PlumvaneError) -> Outcome:
+    """Returns the outcome of a run that ended with an error.
+
+    A non-idempotent run may have taken effect unless the error says not.
+    """
+    lost = isinstance(error, UpstreamFailedError | DeadlineExceededError)
+    may_have_run = run.is_given and not error.not_run
+    if lost and may_have_run and not run.request.idempotent:
+        error = OutcomeUnknownError(f"{error.detail} It may have run.")
+    return _error_outcome(error)
+
+
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
         value = json.loads(body)
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -10,10 +10,10 @@
 from plumvane.instances.reporter import Reporter
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
-    DocumentData,
     FetchDocument,
     Message,
     Report,
+    WorkWaiting,
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.process import run_program, supervise
@@ -28,7 +28,7 @@
 
 __all__ = ["Sidecar", "run"]
 
-SWEEP_S = 30.0
+SWEEP_S = 5.0
 DRAIN_POLL_S = 0.05
 
 
@@ -60,7 +60,9 @@
         self._upstream: EngineClient | ServiceClient
         self._batch: BatchWorker | None = None
         if settings.upstream.kind == "engine":
-            self._upstream = EngineClient(settings.upstream.url)
+            self._upstream = EngineClient(
+                settings.upstream.url, self._gate.observe_step
+            )
             self._batch = BatchWorker(
                 settings.upstream.serves,
                 str(process.peer_address),
@@ -70,6 +72,7 @@
                 ChunkClient(self._directory, self._links),
                 self._reporter,
             )
+            self._server.handle(WorkWaiting, self._batch.wake)
         else:
             self._upstream = ServiceClient(settings.upstream.url)
         self._leaving = False
@@ -108,7 +111,7 @@
     async def _drain(self, batch_done: anyio.Event) -> None:
         self._leaving = True
         if self._batch is not None:
-            self._batch.leaving = True
+            self._batch.leave()
         await self._reporter.report()
         await batch_done.wait()
         while self._runs.active() or len(self._runs):
@@ -122,12 +125,13 @@
             policy = make_admission(document.policies)
             if type(policy) is not type(self._gate.policy):
                 self._gate.policy = policy
-            self._gate.policy.set_targets(
+            self._gate.policy.configure(
+                document.policies,
                 [
                     w
                     for w in document.workloads.values()
                     if w.kind == "online" and w.model == model
-                ]
+                ],
             )
             self._gate.refresh()
             await self._current.changed()
@@ -153,7 +157,7 @@
     async def _send_document(
         self, call: Call, message: FetchDocument
     ) -> Message:
-        return DocumentData(self._current.revision, self._current.data)
+        return self._current.answer(message)
 
 
 async def _serve(settings: SidecarSettings, stopping: anyio.Event) -> None:
--- a/plumvane/upstreams/engine.py
+++ b/plumvane/upstreams/engine.py
@@ -4,17 +4,22 @@
 
 import dataclasses
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import anyio
 import httpcore
 
-from plumvane.errors import BadRequestError, UpstreamFailedError
+from plumvane import clock
+from plumvane.errors import (
+    BadRequestError,
+    UpstreamFailedError,
+    UpstreamLostError,
+)
+from plumvane.httppool import NETWORK_ERRORS, HttpPool
 
 __all__ = ["EngineClient", "Token"]
 
-CONNECTIONS = 1024
 CANCEL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 2.0
 
@@ -27,26 +32,28 @@
         text: The text.
         tokens: How many tokens it holds.
         finish_reason: Why the stream ends, on its last piece.
+        more: Whether further pieces were read with it.
     """
 
     text: str
     tokens: int
     finish_reason: str | None
+    more: bool = False
 
 
 class EngineClient:
     """Calls one engine over its completions interface."""
 
-    def __init__(self, url: str) -> None:
+    def __init__(self, url: str, observe_step: Callable[[float], None]) -> None:
         """Creates the client.
 
         Args:
             url: Base URL of the engine.
+            observe_step: Told the seconds between two tokens of a stream.
         """
+        self._observe_step = observe_step
         self._url = url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=CONNECTIONS, max_keepalive_connections=CONNECTIONS
-        )
+        self._pool = HttpPool()
 
     async def stream(
         self,
@@ -76,22 +83,27 @@
             async with self._pool.stream(
                 "POST",
                 f"{self._url}/v1/completions",
-                headers={"content-type": "application/json"},
+                headers=[("content-type", "application/json")],
                 content=json.dumps(sent).encode(),
                 extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
             ) as response:
                 await _check_status(response)
-                async for line in _lines(response):
-                    token = _parse(line)
-                    if token is not None:
-                        yield token
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
-            raise UpstreamFailedError(
-                f"The engine was lost: {type(error).__name__}."
+                last = 0.0
+                async for lines in _lines(response):
+                    now = clock.monotonic()
+                    tokens = list(filter(None, map(_parse, lines)))
+                    if last and len(tokens) == 1:
+                        self._observe_step(now - last)
+                    last = now
+                    for number, token in enumerate(tokens, 1):
+                        more = number < len(tokens)
+                        yield dataclasses.replace(token, more=more)
+        except NETWORK_ERRORS as error:
+            raise UpstreamLostError(
+                f"The engine was lost: {type(error).__name__}.",
+                not_run=isinstance(
+                    error, (httpcore.ConnectError, httpcore.ConnectTimeout)
+                ),
             ) from error
 
     async def cancel(self, request_id: str) -> None:
@@ -101,11 +113,7 @@
                 await self._pool.request(
                     "POST", f"{self._url}/v1/cancel/{request_id}"
                 )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ):
+        except NETWORK_ERRORS:
             return
 
 
@@ -118,23 +126,28 @@
     raise UpstreamFailedError(f"The engine answered {response.status}: {text}")
 
 
-async def _lines(response: httpcore.Response) -> AsyncIterator[bytes]:
+async def _lines(response: httpcore.Response) -> AsyncIterator[list[bytes]]:
+    """Yields the data of the whole events of each read."""
     rest = b""
     async for data in response.aiter_stream():
-        rest += data
-        *lines, rest = rest.split(b"\n")
-        for line in lines:
-            if line.startswith(b"data: "):
-                yield line[6:]
+        *lines, rest = (rest + data).split(b"\n")
+        found = [line[6:] for line in lines if line.startswith(b"data: ")]
+        if found:
+            yield found
 
 
 def _parse(line: bytes) -> Token | None:
     if line == b"[DONE]":
         return None
-    piece = json.loads(line)
-    if "error" in piece:
-        raise UpstreamFailedError(str(piece["error"]))
-    choice = piece["choices"][0]
-    return Token(
-        choice["text"], piece.get("tokens", 1), choice.get("finish_reason")
-    )
+    try:
+        piece = json.loads(line)
+        if "error" in piece:
+            raise UpstreamFailedError(str(piece["error"]))
+        choice = piece["choices"][0]
+        return Token(
+            choice["text"], piece.get("tokens", 1), choice.get("finish_reason")
+        )
+    except (ValueError, KeyError, IndexError, TypeError) as error:
+        raise UpstreamFailedError(
+            f"The engine's answer is not understood: {error!r}."
+        ) from error
--- a/plumvane/upstreams/gate.py
+++ b/plumvane/upstreams/gate.py
@@ -8,12 +8,17 @@
 import anyio
 
 from plumvane import clock, events
-from plumvane.errors import DeadlineExceededError
+from plumvane.errors import DeadlineExceededError, OverloadedError
 from plumvane.peers.messages import Load
 from plumvane.upstreams.admission import Admission
 
 __all__ = ["Gate", "Work"]
 
+# Steps until the prefill of a newcomer is past.
+SETTLED_STEPS = 2.2
+# Weight of one request in the mean time of service.
+SERVICE_WEIGHT = 0.05
+
 
 class Work:
     """A request or batch item that wants to run.
@@ -22,10 +27,21 @@
         online: Whether it is online work.
         rank: A lower rank goes first among its kind.
         deadline: Deadline, seconds since the Unix epoch.
-        preempted: Set when batch work must give its place up.
+        admitted: Set when it may run.
+        started_at: When it was admitted, monotonic.
+        scope: Cancelled when batch work must give its place up.
+        preempted: Whether it had to.
     """
 
-    __slots__ = ("admitted", "deadline", "online", "preempted", "rank")
+    __slots__ = (
+        "admitted",
+        "deadline",
+        "online",
+        "preempted",
+        "rank",
+        "scope",
+        "started_at",
+    )
 
     def __init__(
         self, *, online: bool, rank: int = 0, deadline: float = 0.0
@@ -34,7 +50,14 @@
         self.rank = rank
         self.deadline = deadline
         self.admitted = anyio.Event()
-        self.preempted = anyio.Event()
+        self.started_at = 0.0
+        self.scope = anyio.CancelScope()
+        self.preempted = False
+
+    def preempt(self) -> None:
+        """Takes the place away; what runs in the scope is cancelled."""
+        self.preempted = True
+        self.scope.cancel()
 
 
 class Gate:
@@ -53,6 +76,9 @@
         self._online_running: set[Work] = set()
         # Insertion order: the newest is last.
         self._batch_running: dict[Work, None] = {}
+        self._changed_at = 0.0
+        self._batch_start_at = 0.0
+        self._service_s = 0.0
         self.preemptions = 0
 
     @property
@@ -67,14 +93,23 @@
 
     def load(self) -> Load:
         """Returns the load as other instances see it."""
-        return Load(self.online, self.batch, self.policy.limit(), clock.wall())
+        return Load(
+            self.online,
+            self.batch,
+            self.policy.limit(),
+            clock.wall(),
+            self.policy.lone_step_s(),
+        )
 
     async def enter(self, work: Work) -> None:
         """Waits for a place.
 
         Raises:
             DeadlineExceededError: The deadline passed in the queue.
+            OverloadedError: The queue of online requests is full.
         """
+        if work.online:
+            self._check_queue(work)
         queue = self._online_queue if work.online else self._batch_queue
         item = (work.rank, work.deadline, next(self._order), work)
         heapq.heappush(queue, item)
@@ -93,10 +128,52 @@
 
     def leave(self, work: Work) -> None:
         """Gives a place back."""
-        self._online_running.discard(work)
+        if work in self._online_running:
+            self._online_running.remove(work)
+            self._measure_service(work)
         self._batch_running.pop(work, None)
+        self._changed_at = clock.monotonic()
+        self._admit()
+
+    def observe_step(self, seconds: float) -> None:
+        """Takes in the time between two tokens of any stream."""
+        settled_since = clock.monotonic() - SETTLED_STEPS * seconds
+        self.policy.observe_step(
+            seconds,
+            len(self._online_running) + len(self._batch_running),
+            self._changed_at < settled_since,
+        )
         self._admit()
 
+    def expected_wait_s(self) -> float:
+        """Returns how long a new online request would wait for a place."""
+        if self._has_place_online() and not self._online_queue:
+            return 0.0
+        position = len(self._online_queue) + 1
+        return position * self._service_s / self.policy.limit()
+
+    def _check_queue(self, work: Work) -> None:
+        """Refuses a request that would wait too long.
+
+        Raises:
+            OverloadedError: The wait exceeds the target or the deadline.
+        """
+        wait_s = self.expected_wait_s()
+        left_s = work.deadline - clock.wall()
+        if wait_s <= min(self.policy.queue_target_s, left_s):
+            return
+        raise OverloadedError(
+            f"The queue is full: a place is expected in {wait_s:.2f} s.",
+            not_run=True,
+            retry_after_s=wait_s,
+        )
+
+    def _measure_service(self, work: Work) -> None:
+        took_s = clock.monotonic() - work.started_at
+        if not self._service_s:
+            self._service_s = took_s
+        self._service_s += SERVICE_WEIGHT * (took_s - self._service_s)
+
     def refresh(self) -> None:
         """Admits what a changed limit allows."""
         self._admit()
@@ -107,18 +184,28 @@
         self.leave(work)
 
     def _admit(self) -> None:
-        while self._online_queue and self._may_run_online():
+        while self._online_queue and self._has_place_online():
             work = heapq.heappop(self._online_queue)[3]
+            if work.deadline <= clock.wall():
+                # Its own waiter reports it.
+                continue
             self._online_running.add(work)
-            work.admitted.set()
+            self._start(work)
+        self.policy.observe_online(len(self._online_running))
         if self.policy.preempts:
             self._preempt_excess()
         while self._batch_queue and self._may_run_batch():
             work = heapq.heappop(self._batch_queue)[3]
             self._batch_running[work] = None
-            work.admitted.set()
+            interval_s = self.policy.batch_interval_s(len(self._online_running))
+            self._batch_start_at = clock.monotonic() + interval_s
+            self._start(work)
 
-    def _may_run_online(self) -> bool:
+    def _start(self, work: Work) -> None:
+        self._changed_at = work.started_at = clock.monotonic()
+        work.admitted.set()
+
+    def _has_place_online(self) -> bool:
         running = len(self._online_running)
         if not self.policy.preempts:
             running += len(self._batch_running)
@@ -127,16 +214,19 @@
     def _may_run_batch(self) -> bool:
         if self._online_queue and self.policy.preempts:
             return False
-        allowed = self.policy.batch_limit(len(self._online_running))
-        return len(self._batch_running) < allowed
+        running = len(self._batch_running)
+        if running and clock.monotonic() < self._batch_start_at:
+            return False
+        return running < self.policy.batch_limit(len(self._online_running))
 
     def _preempt_excess(self) -> None:
-        """Tells the newest batch items over the limit to give way."""
-        staying = [w for w in self._batch_running if not w.preempted.is_set()]
-        room = max(0, self.policy.limit() - len(self._online_running))
-        chosen = staying[room:]
+        """Takes the places of the newest batch items over the limit."""
+        room = self.policy.batch_limit(len(self._online_running))
+        chosen = list(self._batch_running)[room:]
         for work in chosen:
-            work.preempted.set()
-            self.preemptions += 1
+            del self._batch_running[work]
+            work.preempt()
         if chosen:
+            self.preemptions += len(chosen)
+            self._changed_at = clock.monotonic()
             events.log(events.Event.BATCH_PREEMPTED, items=len(chosen))
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -82,6 +82,17 @@
         """Where peers reach it."""
         return f"{self.host}:{self.peer_port}"
 
+    @property
+    def pid(self) -> int:
+        """Process id.
+
+        Raises:
+            RuntimeError: The process was never started.
+        """
+        if self.popen is None:
+            raise RuntimeError(f"{self.name} was not started.")
+        return self.popen.pid
+
     def start(self) -> None:
         """Starts the process."""
         with open(self.log, "ab") as log:
@@ -123,7 +134,7 @@
         self.folder = folder
         self.host = loopback_host()
         self.processes_by_name: dict[str, Process] = {}
-        self._http = httpcore.ConnectionPool(max_connections=64)
+        self.http = httpcore.ConnectionPool(max_connections=64)
         self._bin = pathlib.Path(sys.executable).parent
         self._numbers = 0
 
@@ -141,7 +152,7 @@
         for process in self.processes_by_name.values():
             process.signal(signal.SIGCONT)
             process.kill()
-        self._http.close()
+        self.http.close()
 
     def start_platform(self, *, lag_s: float = 0.3) -> None:
         """Starts the store and the instance list.
@@ -220,6 +231,17 @@
         data.mkdir(exist_ok=True)
         return self._start_program(name, "bulk", {"data": {"folder": data}})
 
+    def restart(self, name: str) -> None:
+        """Starts a process that has ended again, and waits for its ports."""
+        process = self[name]
+        process.start()
+        for port in (
+            process.listen_port or process.peer_port,
+            process.http_port,
+        ):
+            if port:
+                self._wait_for_port(process, port)
+
     def list_instance(self, process: Process, state: str = "live") -> None:
         """Puts an instance in the platform's list."""
         self.call(
@@ -298,7 +320,7 @@
         headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes]:
         """Sends one HTTP call; returns status and body."""
-        response = self._http.request(
+        response = self.http.request(
             method,
             url,
             headers=list((headers or {}).items()),
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import httpcore
+
 from standins.launcher import (
     MODEL,
     OPERATOR_TOKEN,
@@ -108,15 +110,46 @@
         )
         return status, json.loads(answer)
 
+    def stream(
+        self,
+        entry: Process,
+        prompt: str,
+        *,
+        key: str | None = None,
+        max_tokens: int = 6,
+    ) -> Iterator[dict[str, Any]]:
+        """Yields the events of a streamed completion as they come."""
+        body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens}
+        with httpcore.stream(
+            "POST",
+            f"{entry.url}/v1/completions",
+            headers=list(self._headers(key).items()),
+            content=json.dumps({**body, "stream": True}).encode(),
+            extensions={"timeout": {"read": OUTER_DEADLINE_S}},
+        ) as response:
+            rest = b""
+            for data in response.iter_stream():
+                *lines, rest = (rest + data).split(b"\n")
+                for line in lines:
+                    if line.startswith(b"data: {"):
+                        yield json.loads(line[6:])
+
     def quote(
-        self, entry: Process, body: Any, *, key: str | None = None
+        self,
+        entry: Process,
+        body: Any,
+        *,
+        key: str | None = None,
+        timeout_s: float = OUTER_DEADLINE_S,
     ) -> tuple[int, Any]:
         """Calls the plain service; returns the status and the JSON."""
+        headers = self._headers(key)
+        headers["plumvane-deadline"] = str(time.time() + timeout_s)
         status, answer = self._fleet.call(
             "POST",
             f"{entry.url}/v1/services/{SERVICE}",
             body,
-            self._headers(key),
+            headers,
         )
         return status, json.loads(answer)
 
@@ -128,11 +161,19 @@
         return status, json.loads(answer)
 
     def submit(
-        self, entry: Process, lines: bytes, *, key: str
+        self,
+        entry: Process,
+        lines: bytes,
+        *,
+        key: str,
+        deadline: float | None = None,
     ) -> tuple[int, Any]:
         """Submits a batch job of JSONL."""
+        headers = self._headers(key)
+        if deadline is not None:
+            headers["plumvane-deadline"] = str(deadline)
         status, answer = self._fleet.call_raw(
-            "POST", f"{entry.url}/v1/batches", lines, self._headers(key)
+            "POST", f"{entry.url}/v1/batches", lines, headers
         )
         return status, json.loads(answer)
 
@@ -143,6 +184,13 @@
         )
         return json.loads(answer)
 
+    def cancel_job(self, entry: Process, job_id: str) -> tuple[int, Any]:
+        """Cancels a job; returns the status and the JSON."""
+        status, answer = self._fleet.call(
+            "POST", f"{entry.url}/v1/batches/{job_id}/cancel", None, TEAM
+        )
+        return status, json.loads(answer)
+
     def job_results(self, entry: Process, job_id: str) -> list[Any]:
         """Returns a job's result lines."""
         _, answer = self._fleet.call(
--- a/tests/test_partitions_ownership.py
+++ b/tests/test_partitions_ownership.py
@@ -227,10 +227,22 @@
             await store.revoke_lease(lease_id)
             store.forget_history()
             await until(lambda: fleet.owners() == {0: "b"})
+            assert fleet.by_name["b"].lapsed_owners() == {"a"}
 
     bounded(check)
 
 
+def count_calls(looked: dict[str, int], name: str, member: Ownership) -> None:
+    """Counts how often an instance looks after its lease."""
+    look = member._look_after_lease
+
+    async def counted() -> None:
+        await look()
+        looked[name] += 1
+
+    member._look_after_lease = counted  # type: ignore[method-assign]
+
+
 def test_instance_without_partitions_holds_no_lease() -> None:
     async def check() -> None:
         store = MemoryStore()
@@ -238,19 +250,16 @@
             for number in range(12):
                 fleet.add(f"m{number:02}")
             await until(lambda: len(fleet.owners()) == 2)
+            looked = {name: 0 for name in fleet.by_name}
+            for name, member in fleet.by_name.items():
+                count_calls(looked, name, member)
+            # Every instance has looked after its lease several times.
+            await until(lambda: min(looked.values()) > 2)
             owners = set(fleet.owners().values())
-            await until(
-                lambda: (
-                    {
-                        name
-                        for name, member in fleet.by_name.items()
-                        if member.may_promise()
-                    }
-                    == set(fleet.owners().values())
-                )
-            )
+            holders = {n for n, m in fleet.by_name.items() if m.may_promise()}
+            assert holders == owners
             listed = await store.list("owners/instance/")
-            assert len(listed.records) <= len(owners) + 1
+            assert len(listed.records) == len(owners)
 
     bounded(check)
 
