Join the acknowledgements of stored answers

Cause: each request cost the sidecar three calls: the dispatch, then a cancel and an acknowledgement once its result was stored. Ruled out: leaving them out (a sidecar would keep each answer until two minutes after its deadline).

--- a/plumvane/entry/runner.py
+++ b/plumvane/entry/runner.py
@@ -8,6 +8,7 @@
 import anyio.abc
 
 from plumvane import clock, events
+from plumvane.entry.acknowledgements import Acknowledgements
 from plumvane.entry.held import HeldResults
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.running import Answer, Request, Running
@@ -89,6 +90,7 @@
         self._current = current
         self._group = group
         self._held = HeldResults(owners, group)
+        self._acknowledgements = Acknowledgements(links, group)
         self._budget = RetryBudget()
         self._running_by_id: dict[str, Running] = {}
 
@@ -352,7 +354,7 @@
         )
 
         async def forget() -> None:
-            await self._sidecars.forget(running.request_id, running.tried)
+            await self._forget(running, outcome)
 
         reply = await self._held.commit(message, request.deadline, forget)
         stands = reply.outcome or outcome
@@ -362,6 +364,17 @@
             )
         return Answer(reply.request_id, stands, reply.durable)
 
+    async def _forget(self, running: Running, outcome: Outcome) -> None:
+        """Lets the sidecars forget a request whose result is stored."""
+        tried = running.tried
+        if running.sidecar is not None and outcome.error is None:
+            # This run has ended, so it needs no cancel.
+            self._acknowledgements.add(
+                running.sidecar.address, running.request_id
+            )
+            tried = [s for s in tried if s is not running.sidecar]
+        await self._sidecars.forget(running.request_id, tried)
+
 
 def _new_id(request: Request) -> str:
     return f"r{request.partition:04}-{secrets.token_hex(12)}"
