--- a/plumvane/entry/problems.py
+++ b/plumvane/entry/problems.py
@@ -14,7 +14,7 @@
 
 def problem_body(error: PlumvaneError) -> dict[str, object]:
     """Returns an error as a problem document."""
-    return {
+    body: dict[str, object] = {
         "type": f"urn:plumvane:error:{error.code}",
         "title": type(error).__doc__ or error.code,
         "status": error.status,
@@ -23,6 +23,9 @@
         "remedy": error.remedy,
         "not_run": error.not_run,
     }
+    if error.request_id is not None:
+        body["request_id"] = error.request_id
+    return body
 
 
 def problem_response(error: PlumvaneError) -> Response:
--- a/plumvane/entry/runner.py
+++ b/plumvane/entry/runner.py
@@ -159,6 +159,7 @@
         try:
             running.end(await self._answer(running))
         except PlumvaneError as error:
+            error.request_id = running.request_id
             running.fail(error)
         except Exception as error:
             events.log(
--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -45,6 +45,7 @@
         remedy: What the caller or operator can do about it.
         not_run: True only if no upstream was given the request.
         retry_after_s: Seconds after which a retry makes sense, or None.
+        request_id: Run that ended with the error, if it was one.
     """
 
     code: ClassVar[str] = "internal"
@@ -73,6 +74,7 @@
         self.remedy = remedy or self.default_remedy
         self.not_run = not_run
         self.retry_after_s = retry_after_s
+        self.request_id: str | None = None
 
     def __init_subclass__(cls) -> None:
         super().__init_subclass__()
--- a/plumvane/requests/ledger.py
+++ b/plumvane/requests/ledger.py
@@ -10,6 +10,7 @@
 
 from plumvane import clock, events
 from plumvane.errors import (
+    BodyTooLargeError,
     DeadlineExceededError,
     KeyReusedError,
     NotFoundError,
@@ -51,6 +52,8 @@
 # How long a sidecar that runs an orphan is left before it is asked again.
 SETTLE_POLL_S = 0.5
 RETRY_AFTER_S = 2.0
+# A larger answer is replaced by an error, as the store would refuse it.
+MAX_RESULT_BYTES = 512 * 1024
 
 Spawn = Callable[..., None]
 
@@ -383,12 +386,20 @@
             )
 
     def _put_result(self, message: Complete) -> RequestCompleted:
+        outcome = message.outcome
+        if len(outcome.body) > MAX_RESULT_BYTES:
+            outcome = _error_outcome(
+                BodyTooLargeError(
+                    f"The answer has {len(outcome.body)} bytes; "
+                    f"{MAX_RESULT_BYTES} can be kept."
+                )
+            )
         record = RequestCompleted(
             message.team,
             message.key,
             message.request_id,
             message.digest,
-            message.outcome,
+            outcome,
             clock.wall(),
         )
         key = (message.team, message.key)
--- a/tests/test_requests_once.py
+++ b/tests/test_requests_once.py
@@ -123,6 +123,8 @@
 def test_lost_store_answers_do_not_repeat_a_quote() -> None:
     with running_fleet(engines=0, services=1) as fleet:
         caller = Caller(fleet)
+        # A sidecar that has just started refuses quotes for a moment.
+        caller.quote(fleet["entry-0"], "first", key="q")
         for number in range(12):
             fleet.store_faults(lose_answers=2)
             body = {"load": number}
@@ -131,7 +133,7 @@
             again = caller.quote(fleet["entry-1"], body, key=key)
             assert status == 200 and again == (status, answer), answer
         executions = _executions(fleet)
-    assert len(executions) == 12
+    assert len(executions) == 13
     assert set(executions.values()) == {1}
 
 
