--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -6,15 +6,20 @@
 
 import anyio
 import anyio.abc
+from starlette.requests import Request as HttpRequest
+from starlette.responses import Response
 
-from plumvane import hashing
+from plumvane import hashing, metrics
 from plumvane.chunks.client import ChunkClient
 from plumvane.chunks.keeper import ChunkKeeper
-from plumvane.entry import checks as _checks  # noqa: F401
+from plumvane.console.app import Console
+from plumvane.console.sessions import Sessions
 from plumvane.entry.api import Api
 from plumvane.entry.batches import BatchService
+from plumvane.entry.checks import NAMES_BY_POLICY
 from plumvane.entry.host import PartitionHost
 from plumvane.entry.inheritance import ClaimInheritance
+from plumvane.entry.observations import observe_entry
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.runner import RequestRunner
 from plumvane.entry.status import FleetStatus
@@ -22,14 +27,18 @@
 from plumvane.fleet.current import CurrentDocument, PeerWatch, watch_store
 from plumvane.fleet.revisions import DocumentStore
 from plumvane.instances.directory import Directory
+from plumvane.limits.teams import TeamLimits
 from plumvane.partitions.ownership import Ownership
+from plumvane.peers import keys
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
+    Done,
     FetchDocument,
     FetchViews,
     Message,
     Report,
     ReportReply,
+    TakePartition,
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.process import run_program, supervise
@@ -56,18 +65,19 @@
             settings: Checked settings.
         """
         process = settings.process
+        peer_keys = keys.load(settings.keys)
         self._settings = settings
         self._name = process.name
         self._address = str(process.peer_address)
         self._current = CurrentDocument()
-        self._links = LinkPool(process.name)
+        self._links = LinkPool(process.name, peer_keys)
         self._directory = Directory(settings.platform.instances_url)
         self._store = HttpStore(settings.platform.store_url or "")
         self._inheritance = ClaimInheritance(
             process.name,
             self._directory,
             self._links,
-            lambda: self._ownership.lease_holders(),
+            lambda: self._ownership.lapsed_owners(),
         )
         self._host = PartitionHost(
             self._current,
@@ -75,14 +85,17 @@
             lambda: self._ownership.may_promise(),
             store_is_down=self._store.is_down,
             inheritance=self._inheritance,
+            address=self._address,
         )
         self._ownership = Ownership(
             self._store,
             process.name,
             self._address,
-            peers=self._entry_names,
+            peers=self._entry_addresses,
             on_taken=self._host.take,
             on_lost=self._host.drop,
+            links=self._links,
+            retention_s=lambda: self._current.document.retention_s,
         )
         self._chunks = ChunkClient(self._directory, self._links)
         self._keeper = ChunkKeeper(
@@ -91,9 +104,10 @@
         self._owners = OwnerClient(
             self._ownership, self._host, self._links, self._store.is_down
         )
-        self._server = PeerServer(str(process.bind_address))
+        self._server = PeerServer(str(process.bind_address), peer_keys)
         self._server.handle(Report, self._take_report)
         self._server.handle(FetchDocument, self._send_document)
+        self._server.handle(TakePartition, self._take_partition)
         self._host.register(self._server)
         self._status = FleetStatus(
             process.name, self._directory, self._links, self._current
@@ -115,6 +129,7 @@
                 self._host.run,
                 self._ownership.run,
                 self._host.expire_claims,
+                self._host.wake_sidecars,
                 self._keeper.run,
                 self._watch_document,
                 self._peer_watch.run,
@@ -137,7 +152,7 @@
         await anyio.sleep(UNREADY_S)
         while runner.active:
             await anyio.sleep(DRAIN_POLL_S)
-        await self._ownership.release_all()
+        await self._ownership.leave()
         with contextlib.suppress(StoreUnavailableError):
             await self._documents.flush()
         web.stop()
@@ -154,14 +169,19 @@
         )
 
     def _make_web(self, runner: RequestRunner) -> HttpServer:
+        batches = BatchService(self._owners, self._chunks, self._current)
         api = Api(
             self._current,
             runner,
-            BatchService(self._owners, self._chunks, self._current),
+            batches,
             self._owners,
             self._documents,
             self._directory,
             self._status,
+            TeamLimits(
+                lambda: self._current.document,
+                lambda: len(self._directory.live("entry")),
+            ),
             lambda: self._leaving,
         )
         http = self._settings.http
@@ -169,20 +189,48 @@
         if http.certificate_file and http.key_file:
             tls = Tls(str(http.certificate_file), str(http.key_file))
         bound = bind(http.address.host, http.address.port)
-        return HttpServer(api.application(), bound, tls)
+        app = api.application()
+        app.mount("/console", self._make_console(batches, tls).application())
+        app.add_route("/metrics", _metrics)
+        metrics.configure()
+        observe_entry(
+            self._current,
+            self._directory,
+            self._host,
+            self._ownership.owned,
+            self._owners,
+        )
+        return HttpServer(metrics.TimedApp(app), bound, tls)
+
+    def _make_console(self, batches: BatchService, tls: Tls | None) -> Console:
+        return Console(
+            self._current,
+            self._documents,
+            Sessions(self._store),
+            names_by_policy=NAMES_BY_POLICY,
+            instances=self._status.instances,
+            jobs=batches.list,
+            is_secure=tls is not None,
+        )
 
     async def _watch_document(self) -> None:
         await watch_store(self._store, self._current)
 
+    def _entry_addresses(self) -> dict[str, str]:
+        return {i.name: i.address for i in self._directory.live("entry")}
+
+    async def _take_partition(
+        self, call: Call, message: TakePartition
+    ) -> Message:
+        await self._ownership.take_from_owner(message.partition, message.epoch)
+        return Done()
+
     def _document_peers(self) -> list[str]:
-        names = [n for n in self._entry_names() if n != self._name]
+        names = [n for n in self._entry_addresses() if n != self._name]
         chosen = hashing.rank(self._name, names)[:DOCUMENT_PEERS]
         found = [self._directory.by_name(name) for name in chosen]
         return [instance.address for instance in found if instance]
 
-    def _entry_names(self) -> list[str]:
-        return [i.name for i in self._directory.live("entry")]
-
     async def _take_report(self, call: Call, message: Report) -> Message:
         self._directory.take_report(message)
         self._peer_watch.hint(message.address, message.revision)
@@ -196,6 +244,12 @@
         return self._current.answer(message)
 
 
+async def _metrics(http: HttpRequest) -> Response:
+    return Response(
+        metrics.exposition(), headers={"content-type": metrics.CONTENT_TYPE}
+    )
+
+
 async def _serve(settings: EntrySettings, stopping: anyio.Event) -> None:
     await Entry(settings).serve(stopping)
 
--- a/plumvane/routing/policies.py
+++ b/plumvane/routing/policies.py
@@ -3,18 +3,28 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 from collections.abc import Callable, Sequence
 
 from plumvane import hashing
 from plumvane.instances.directory import Instance
+from plumvane.routing.loads import UpstreamLoads
 
 __all__ = ["POLICIES_BY_NAME", "RouteRequest", "route", "routing_policy"]
 
-# How many of the upstreams preferred by prefix are compared by load.
-AFFINITY_CANDIDATES = 2
-# Load over the mean by which the preferred upstream is passed over.
-AFFINITY_OVERLOAD = 1.25
+# Part over the mean of dispatches and of requests in flight that affinity may
+# cause at one upstream.
+AFFINITY_OVERLOAD = 1.2
+# A prefix is spread over so many upstreams that each has at most this part of
+# the mean dispatches from it.
+SPREAD_PART = 0.5
+# Requests in flight over the mean that are no overload yet, and standard
+# deviations of a random number of them.
+AFFINITY_SLACK = 2.0
+AFFINITY_DEVIATIONS = 2.0
+# Upstreams compared by load where the prefix says nothing.
+CHOICES = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,12 +33,16 @@
 
     Attributes:
         prefix: Start of the prompt, which caches are keyed by.
+        may_probe: Whether it may try an upstream that failed before.
     """
 
     prefix: str
+    may_probe: bool = True
 
 
-RoutingPolicy = Callable[[Sequence[Instance], RouteRequest], list[Instance]]
+RoutingPolicy = Callable[
+    [Sequence[Instance], RouteRequest, UpstreamLoads], list[Instance]
+]
 POLICIES_BY_NAME: dict[str, RoutingPolicy] = {}
 
 
@@ -43,20 +57,25 @@
 
 
 def route(
-    name: str, candidates: Sequence[Instance], request: RouteRequest
+    name: str,
+    candidates: Sequence[Instance],
+    request: RouteRequest,
+    loads: UpstreamLoads,
 ) -> list[Instance]:
     """Orders the candidates by a policy, the first to try first."""
-    return POLICIES_BY_NAME[name](candidates, request)
+    return POLICIES_BY_NAME[name](candidates, request, loads)
 
 
-def _online_load(instance: Instance) -> float:
+def _reported_load(instance: Instance) -> float:
     load = instance.load
     return load.online / max(1, load.limit) if load is not None else 0.0
 
 
 @routing_policy("random")
 def random_order(
-    candidates: Sequence[Instance], request: RouteRequest
+    candidates: Sequence[Instance],
+    request: RouteRequest,
+    loads: UpstreamLoads,
 ) -> list[Instance]:
     """Orders the candidates at random; the baseline."""
     return random.sample(list(candidates), len(candidates))
@@ -64,23 +83,105 @@
 
 @routing_policy("least_loaded")
 def least_loaded(
-    candidates: Sequence[Instance], request: RouteRequest
+    candidates: Sequence[Instance],
+    request: RouteRequest,
+    loads: UpstreamLoads,
 ) -> list[Instance]:
-    """Orders the candidates by their last reported load."""
+    """Orders the candidates by their last reported load; a baseline."""
     shuffled = random.sample(list(candidates), len(candidates))
-    return sorted(shuffled, key=_online_load)
+    return sorted(shuffled, key=_reported_load)
 
 
 @routing_policy("prefix_affinity")
 def prefix_affinity(
-    candidates: Sequence[Instance], request: RouteRequest
+    candidates: Sequence[Instance],
+    request: RouteRequest,
+    loads: UpstreamLoads,
 ) -> list[Instance]:
-    """Prefers the upstreams that the prefix hashes to, within a load bound."""
-    by_name = {instance.name: instance for instance in candidates}
-    ranked = [by_name[n] for n in hashing.rank(request.prefix, by_name)]
-    mean = sum(map(_online_load, ranked)) / max(1, len(ranked))
-    bound = max(mean * AFFINITY_OVERLOAD, 0.1)
-    near = ranked[:AFFINITY_CANDIDATES]
-    first = [i for i in near if _online_load(i) <= bound]
-    rest = sorted((i for i in ranked if i not in first), key=_online_load)
-    return first + rest
+    """Prefers the upstreams that the prefix hashes to, within a load bound.
+
+    A prefix that comes often is spread over the first few upstreams of its
+    order, the one with the fewest dispatches first; any other goes to the
+    first of its order that is within the bound. Where all are over it, the
+    less busy of a few is taken. Failing and slow upstreams are left out, but
+    for a probe now and then.
+    """
+    loads.keep(candidates)
+    usable = loads.usable(candidates)
+    ordered = _by_affinity(usable, request.prefix, loads)
+    probe = loads.due_probe(candidates) if request.may_probe else None
+    if probe is None or probe in usable:
+        return ordered
+    return [probe, *ordered]
+
+
+def _by_affinity(
+    usable: list[Instance], prefix: str, loads: UpstreamLoads
+) -> list[Instance]:
+    if len(usable) < 2:
+        return usable
+    by_name = {instance.name: instance for instance in usable}
+    ranked = [by_name[n] for n in hashing.rank(prefix, by_name)]
+    first = _first(ranked, prefix, loads)
+    rest = [instance for instance in ranked if instance is not first]
+    rest.sort(key=loads.busyness)
+    return [first, *rest]
+
+
+def _first(
+    ranked: list[Instance], prefix: str, loads: UpstreamLoads
+) -> Instance:
+    bound = _Bound(loads, ranked)
+    count = loads.prefixes.add(prefix)
+    spread = math.ceil(count / (SPREAD_PART * bound.mean_rate + 1.0))
+    near = [i for i in ranked[:spread] if bound.allows(i)]
+    if near:
+        return min(near, key=loads.rate)
+    for instance in ranked[spread:]:
+        if bound.allows(instance):
+            return instance
+    choices = random.sample(ranked, min(CHOICES, len(ranked)))
+    return min(choices, key=loads.busyness)
+
+
+class _Bound:
+    """How much of the load one upstream may have.
+
+    A new upstream is allowed less, rising to the whole over its start.
+
+    Attributes:
+        mean_rate: Mean of the candidates' decayed counts of dispatches.
+    """
+
+    def __init__(
+        self, loads: UpstreamLoads, candidates: Sequence[Instance]
+    ) -> None:
+        number = len(candidates)
+        self._loads = loads
+        self._mean_online = sum(map(loads.online, candidates)) / number
+        self._most_warmth = max(map(loads.warmth, candidates))
+        self.mean_rate = sum(map(loads.rate, candidates)) / number
+
+    def allows(self, instance: Instance) -> bool:
+        """Returns whether an upstream may get another request."""
+        loads = self._loads
+        # The count of dispatches grows as the square of time where their rate
+        # grows in step with it.
+        warmth = self._warmth(instance) ** 2
+        rate = AFFINITY_OVERLOAD * self.mean_rate + 1.0
+        chance = AFFINITY_DEVIATIONS * math.sqrt(self._mean_online)
+        online = max(
+            AFFINITY_OVERLOAD * self._mean_online,
+            self._mean_online + chance + AFFINITY_SLACK,
+        )
+        return (
+            loads.rate(instance) + 1.0 <= max(1.0, rate * warmth)
+            and loads.online(instance) + 1.0 <= online + 1.0
+            and loads.busyness(instance) < 1.0
+        )
+
+    def _warmth(self, instance: Instance) -> float:
+        """Returns the warmth beside the upstream that is known best."""
+        if not self._most_warmth:
+            return 1.0
+        return self._loads.warmth(instance) / self._most_warmth
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -8,11 +8,14 @@
 from plumvane.fleet.current import CurrentDocument
 from plumvane.instances.directory import Directory
 from plumvane.instances.reporter import Reporter
+from plumvane.metrics import Metric, observe
+from plumvane.peers import keys
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     FetchDocument,
     Message,
     Report,
+    WorkWaiting,
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.process import run_program, supervise
@@ -41,13 +44,14 @@
             settings: Checked settings.
         """
         process = settings.process
+        peer_keys = keys.load(settings.keys)
         self._settings = settings
         self._current = CurrentDocument()
-        self._links = LinkPool(process.name)
+        self._links = LinkPool(process.name, peer_keys)
         self._directory = Directory(settings.platform.instances_url)
         self._runs = RunTable()
         self._gate = Gate(make_admission(self._current.document.policies))
-        self._server = PeerServer(str(process.bind_address))
+        self._server = PeerServer(str(process.bind_address), peer_keys)
         self._server.handle(FetchDocument, self._send_document)
         self._reporter = Reporter(
             process.name,
@@ -59,7 +63,9 @@
         self._upstream: EngineClient | ServiceClient
         self._batch: BatchWorker | None = None
         if settings.upstream.kind == "engine":
-            self._upstream = EngineClient(settings.upstream.url)
+            self._upstream = EngineClient(
+                settings.upstream.url, self._gate.observe_step
+            )
             self._batch = BatchWorker(
                 settings.upstream.serves,
                 str(process.peer_address),
@@ -69,9 +75,14 @@
                 ChunkClient(self._directory, self._links),
                 self._reporter,
             )
+            self._server.handle(WorkWaiting, self._batch.wake)
         else:
             self._upstream = ServiceClient(settings.upstream.url)
         self._leaving = False
+        observe(Metric.DOCUMENT_REVISION, lambda: self._current.revision)
+        observe(Metric.UPSTREAM_ONLINE, lambda: self._gate.online)
+        observe(Metric.UPSTREAM_BATCH, lambda: self._gate.batch)
+        observe(Metric.UPSTREAM_LIMIT, lambda: self._gate.policy.limit())
 
     async def serve(self, stopping: anyio.Event) -> None:
         """Serves until the event is set, then drains."""
@@ -121,12 +132,13 @@
             policy = make_admission(document.policies)
             if type(policy) is not type(self._gate.policy):
                 self._gate.policy = policy
-            self._gate.policy.set_targets(
+            self._gate.policy.configure(
+                document.policies,
                 [
                     w
                     for w in document.workloads.values()
                     if w.kind == "online" and w.model == model
-                ]
+                ],
             )
             self._gate.refresh()
             await self._current.changed()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -48,10 +48,14 @@
     "load_lag_s", 1.0, "Seconds that the load report lags."
 )
 
+_FAILING = flags.DEFINE_bool("failing", False, "Answer 500 to each request.")
+
 BLOCK_WORDS = 16
 MAX_TOKENS = 100_000
 DEFAULT_TOKENS = 16
 POISON = "poison"
+# Counters of online tokens by the length of their step in milliseconds.
+STEP_KEY = "online_tokens_by_step_ms:"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +83,7 @@
         given: Tokens given so far, resumed ones included.
         limit: Tokens to give.
         prefill: Prompt tokens that are not in the cache.
+        batch: Whether the request is marked as batch work.
         steps: Sends its tokens.
     """
 
@@ -87,6 +92,7 @@
         self.given = given
         self.limit = limit
         self.prefill = 0
+        self.batch = False
         self.cancelled = False
         self.steps, self.tokens = anyio.create_memory_object_stream[int](
             float("inf")
@@ -113,6 +119,7 @@
         *,
         checks_fencing: bool = False,
         load_lag_s: float = 1.0,
+        failing: bool = False,
     ) -> None:
         """Creates an idle engine.
 
@@ -120,7 +127,9 @@
             model: Timing and size.
             checks_fencing: Whether orders with an old number are refused.
             load_lag_s: Seconds that the load report lags.
+            failing: Whether each request is answered by an error.
         """
+        self._failing = failing
         self._model = model
         self._checks_fencing = checks_fencing
         self._load_lag_s = load_lag_s
@@ -131,6 +140,8 @@
         )
         self._executions_by_id: collections.Counter[str] = collections.Counter()
         self._counts: collections.Counter[str] = collections.Counter()
+        self._most_online = 0
+        self._given_by_cancelled: dict[str, int] = {}
         self._orders: list[dict[str, Any]] = []
         self._fence = 0
         self._loads: collections.deque[tuple[float, int]] = collections.deque()
@@ -144,6 +155,7 @@
                 Route("/v1/orders", self.order, methods=["POST"]),
                 Route("/load", self.load, methods=["GET"]),
                 Route("/record", self.record, methods=["GET"]),
+                Route("/counts", self.counts, methods=["GET"]),
             ]
         )
 
@@ -159,17 +171,26 @@
         """Serves a completion as server-sent events."""
         body = await http.json()
         prompt = body.get("prompt", "")
+        if self._failing:
+            self._counts["requests"] += 1
+            return JSONResponse({"error": "failing"}, status_code=500)
         if POISON in prompt:
+            self._counts["poisoned"] += 1
             return JSONResponse({"error": "poison"}, status_code=500)
         limit = int(body.get("max_tokens", DEFAULT_TOKENS))
         if not 1 <= limit <= MAX_TOKENS:
             return JSONResponse({"error": "max_tokens"}, status_code=400)
         request_id = body["request_id"]
         sequence = _Sequence(prompt, int(body.get("resume_tokens", 0)), limit)
+        sequence.batch = body.get("metadata", {}).get("kind") == "batch"
+        cancelled = self._given_by_cancelled.pop(prompt, sequence.given)
+        self._counts["wasted"] += max(0, cancelled - sequence.given)
         sequence.prefill = self._prefill(prompt) + sequence.given
         self._executions_by_id[request_id] += 1
         self._counts["requests"] += 1
         self._sequences_by_id[request_id] = sequence
+        online = sum(not s.batch for s in self._sequences_by_id.values())
+        self._most_online = max(self._most_online, online)
         self._arrived.set()
         return StreamingResponse(
             self._events(request_id, sequence), media_type="text/event-stream"
@@ -207,9 +228,20 @@
                 "running": list(self._sequences_by_id),
                 "orders": self._orders,
                 "counts": dict(self._counts),
+                "most_online": self._most_online,
             }
         )
 
+    async def counts(self, http: Request) -> Response:
+        """Serves the counters alone.
+
+        `batch_tokens` are tokens of requests marked `batch`; `wasted` are
+        tokens of a cancelled stream that its resumption did not bring back.
+        Online tokens are also counted by the modelled length of their step,
+        which other work on the machine does not change.
+        """
+        return JSONResponse(dict(self._counts))
+
     async def _events(
         self, request_id: str, sequence: _Sequence
     ) -> AsyncIterator[bytes]:
@@ -240,11 +272,13 @@
         for sequence in batch:
             prefill += sequence.prefill
             sequence.prefill = 0
-        await anyio.sleep(
+        step_s = (
             model.step_s
             + model.per_sequence_s * len(batch)
             + model.prefill_token_s * prefill
         )
+        await anyio.sleep(step_s)
+        step_key = f"{STEP_KEY}{step_s * 1000:.1f}"
         self._counts["steps"] += 1
         self._counts["prefilled"] += prefill
         for sequence in batch:
@@ -253,9 +287,12 @@
             sequence.steps.send_nowait(sequence.given)
             sequence.given += 1
             self._counts["tokens"] += 1
+            self._counts["batch_tokens"] += sequence.batch
+            self._counts[step_key] += not sequence.batch
         for request_id, sequence in list(self._sequences_by_id.items()):
             if sequence.given >= sequence.limit:
                 del self._sequences_by_id[request_id]
+                self._counts["finished_batch"] += sequence.batch
         self._loads.append((clock.monotonic(), len(batch)))
         if len(self._loads) > 10_000:
             self._loads.popleft()
@@ -283,6 +320,8 @@
         sequence = self._sequences_by_id.pop(request_id, None)
         if sequence is not None:
             sequence.cancelled = sequence.given < sequence.limit
+            if sequence.cancelled:
+                self._given_by_cancelled[sequence.prompt] = sequence.given
             sequence.steps.close()
 
 
@@ -296,6 +335,7 @@
         ),
         checks_fencing=_CHECKS_FENCING.value,
         load_lag_s=_LOAD_LAG_S.value,
+        failing=_FAILING.value,
     )
 
 
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 import httpcore
@@ -29,6 +30,9 @@
 DATA_CENTRES = ("windhoek-hall", "okahandja", "rehoboth", "brakwater")
 
 
+Sections = dict[str, dict[str, Any]]
+
+
 def loopback_host() -> str:
     """Returns a loopback address that no other fleet is likely to use."""
     parts = [secrets.randbelow(250) + 2 for _ in range(3)]
@@ -134,9 +138,11 @@
         self.folder = folder
         self.host = loopback_host()
         self.processes_by_name: dict[str, Process] = {}
-        self._http = httpcore.ConnectionPool(max_connections=64)
+        self.http = httpcore.ConnectionPool(max_connections=64)
         self._bin = pathlib.Path(sys.executable).parent
         self._numbers = 0
+        #: Returns more sections of a program's settings.
+        self.more_settings: Callable[[Process], Sections] = lambda process: {}
 
     def __enter__(self) -> Fleet:
         return self
@@ -152,7 +158,7 @@
         for process in self.processes_by_name.values():
             process.signal(signal.SIGCONT)
             process.kill()
-        self._http.close()
+        self.http.close()
 
     def start_platform(self, *, lag_s: float = 0.3) -> None:
         """Starts the store and the instance list.
@@ -320,7 +326,7 @@
         headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes]:
         """Sends one HTTP call; returns status and body."""
-        response = self._http.request(
+        response = self.http.request(
             method,
             url,
             headers=list((headers or {}).items()),
@@ -391,7 +397,8 @@
         self._numbers += 1
         if "proxy" in self.processes_by_name:
             self._open_route(process)
-        self._write_settings(path, process, sections)
+        more = self.more_settings(process)
+        self._write_settings(path, process, {**sections, **more})
         process.start()
         self.list_instance(process)
         return process
