--- a/plumvane/entry/running.py
+++ b/plumvane/entry/running.py
@@ -131,11 +131,12 @@
         self._changed.set()
 
     def fits(self, outcome: Outcome) -> bool:
-        """Returns whether an answer starts with the text given so far."""
-        if not self._given:
+        """Returns whether an answer may follow the text given so far.
+
+        An error may; a whole answer must start with that text.
+        """
+        if not self._given or outcome.error is not None:
             return True
-        if outcome.error is not None:
-            return False
         choice = json.loads(outcome.body)["choices"][0]
         return bool(choice["text"].startswith(self.text))
 
