Let a planned stop end what runs, within a deadline

Cause: an entry that had drained its runs cancelled its HTTP server at once, with answers still on their way out. A sidecar waited without end for the acknowledgement of an entry that was lost.

Ruled out: a fixed pause before the end; it cuts long answers and holds up short ones.

Change: the entry waits until its HTTP server has ended the open requests; a sidecar waits a bounded time for acknowledgements. Each drain has an outer deadline.

After: rolling SIGTERM of 2 entries, 2 sidecars and 2 bulk instances under load cut no request and lost none of 600 batch items; a stopping sidecar's items ran elsewhere before a claim could lapse; an upstream that leaves by the list, or by its sidecar's word alone, got nothing new.

Conclusion: zero cut requests with the callers behind a balancer that asks another entry when one refuses as leaving.

--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -45,6 +45,8 @@
 __all__ = ["Entry", "run"]
 
 DRAIN_POLL_S = 0.05
+# A drain ends after this, whatever still runs.
+DRAIN_S = 300.0
 # The platform's balancer needs this to see that the entry is not ready.
 UNREADY_S = 0.5
 # How many other entries an entry learns newer documents from.
@@ -143,14 +145,20 @@
             group.cancel_scope.cancel()
 
     async def _drain(self, runner: RequestRunner, web: HttpServer) -> None:
+        """Ends what runs, moves the partitions, then lets the answers out.
+
+        What has not ended by the drain's deadline is cut.
+        """
         self._leaving = True
-        await anyio.sleep(UNREADY_S)
-        while runner.active:
-            await anyio.sleep(DRAIN_POLL_S)
-        await self._ownership.leave()
-        with contextlib.suppress(StoreUnavailableError):
-            await self._documents.flush()
-        web.stop()
+        with anyio.move_on_after(DRAIN_S):
+            await anyio.sleep(UNREADY_S)
+            while runner.active:
+                await anyio.sleep(DRAIN_POLL_S)
+            await self._ownership.leave()
+            with contextlib.suppress(StoreUnavailableError):
+                await self._documents.flush()
+            web.stop()
+            await web.stopped()
 
     def _make_runner(self, group: anyio.abc.TaskGroup) -> RequestRunner:
         return RequestRunner(
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -30,6 +30,10 @@
 
 SWEEP_S = 5.0
 DRAIN_POLL_S = 0.05
+# A drain ends after this, whatever still runs.
+DRAIN_S = 300.0
+# How long an answer that its entry has not acknowledged keeps a drain up.
+ACKNOWLEDGE_S = 10.0
 
 
 class Sidecar:
@@ -112,10 +116,14 @@
         self._leaving = True
         if self._batch is not None:
             self._batch.leave()
-        await self._reporter.report()
-        await batch_done.wait()
-        while self._runs.active() or len(self._runs):
-            await anyio.sleep(DRAIN_POLL_S)
+        with anyio.move_on_after(DRAIN_S):
+            await self._reporter.report()
+            await batch_done.wait()
+            while self._runs.active():
+                await anyio.sleep(DRAIN_POLL_S)
+            with anyio.move_on_after(ACKNOWLEDGE_S):
+                while len(self._runs):
+                    await anyio.sleep(DRAIN_POLL_S)
 
     async def _follow_document(self) -> None:
         """Puts each new document in force."""
--- a/plumvane/web.py
+++ b/plumvane/web.py
@@ -89,10 +89,18 @@
             ssl_keyfile=tls.key_file if tls else None,
         )
         self._server = _Server(config)
+        self._stopped = anyio.Event()
 
     async def run(self) -> None:
         """Serves until `stop`, then until the open requests have ended."""
-        await self._server.serve(sockets=[self._bound])
+        try:
+            await self._server.serve(sockets=[self._bound])
+        finally:
+            self._stopped.set()
+
+    async def stopped(self) -> None:
+        """Waits until the last open request has ended after `stop`."""
+        await self._stopped.wait()
 
     async def started(self) -> None:
         """Waits until the server accepts connections."""
--- /dev/null
+++ b/tests/test_stopping.py
@@ -0,0 +1,241 @@
+"""Planned stops under load: nothing is cut, lost or run twice."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import json
+import random
+import signal
+import threading
+from collections.abc import Iterator
+from typing import Any
+
+from standins.engine import expected_text
+from standins.launcher import MODEL, Fleet, Process
+from tests.batches import (
+    engine_record,
+    is_own_answer,
+    item_lines,
+    wait_completed,
+)
+from tests.fleets import OPERATOR, TEAM, Caller, running_fleet, wait_for
+
+SEED = 20
+WORKERS = 6
+TOKENS = 40
+ITEMS = 600
+CALL_TIMEOUT_S = 60.0
+
+
+class Load:
+    """Callers behind a balancer that asks another entry when one is leaving.
+
+    Attributes:
+        answered: How many requests were answered whole.
+        failures: What went wrong with the others.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self.answered = 0
+        self.failures: list[str] = []
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator[Load]:
+        """Sends requests all the time."""
+        threads = [
+            threading.Thread(target=self._work, args=(number,))
+            for number in range(WORKERS)
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            yield self
+        finally:
+            self._stopping.set()
+            for thread in threads:
+                thread.join()
+
+    def _work(self, number: int) -> None:
+        chance = random.Random(SEED + number)
+        count = 0
+        while not self._stopping.is_set():
+            count += 1
+            failure = self._request(chance, f"note {number}-{count}")
+            with self._lock:
+                if failure is None:
+                    self.answered += 1
+                else:
+                    self.failures.append(failure)
+
+    def _request(self, chance: random.Random, prompt: str) -> str | None:
+        """Sends one request; returns what went wrong, or None."""
+        entries = [
+            process
+            for process in self._fleet.processes_by_name.values()
+            if process.role == "entry"
+        ]
+        while True:
+            entry = chance.choice(entries)
+            try:
+                status, answer = self._post(entry, prompt)
+            except ConnectionRefusedError:
+                continue
+            except (OSError, http.client.HTTPException) as error:
+                return f"{entry.name} cut {prompt}: {error!r}"
+            if status == 503 and answer.get("not_run"):
+                continue
+            if status != 200:
+                return f"{entry.name} answered {status} {answer}"
+            text = answer["choices"][0]["text"]
+            if text != expected_text(prompt, TOKENS):
+                return f"{entry.name} gave another answer to {prompt}"
+            return None
+
+    def _post(self, entry: Process, prompt: str) -> tuple[int, Any]:
+        connection = http.client.HTTPConnection(
+            entry.host, entry.http_port, timeout=CALL_TIMEOUT_S
+        )
+        body = {"model": MODEL, "prompt": prompt, "max_tokens": TOKENS}
+        headers = {**TEAM, "idempotency-key": prompt, "connection": "close"}
+        with contextlib.closing(connection):
+            connection.request(
+                "POST", "/v1/completions", json.dumps(body), headers
+            )
+            response = connection.getresponse()
+            return response.status, json.loads(response.read())
+
+
+def instances_seen(fleet: Fleet, entry: Process) -> list[str]:
+    with contextlib.suppress(Exception):
+        answer = fleet.call("GET", f"{entry.url}/readyz")[1]
+        return list(json.loads(answer)["instances"])
+    return []
+
+
+def instances_known(fleet: Fleet, entry: Process) -> list[str]:
+    """Returns the instances that an entry knows, leaving ones too."""
+    answer = fleet.call(
+        "GET", f"{entry.url}/v1/fleet/instances", None, OPERATOR
+    )[1]
+    return [item["name"] for item in json.loads(answer)["instances"]]
+
+
+def restart(fleet: Fleet, process: Process) -> None:
+    """Stops an instance gracefully and puts it back in the fleet."""
+    assert process.terminate() == 0, process.name
+    fleet.unlist_instance(process.name)
+    others = [
+        other
+        for other in fleet.processes_by_name.values()
+        if other.role == "entry" and other is not process
+    ]
+    wait_for(
+        lambda: all(
+            process.name not in instances_known(fleet, other)
+            for other in others
+        ),
+        f"{process.name} is gone",
+    )
+    process.start()
+    fleet.list_instance(process)
+    fleet.wait_ready()
+
+
+def test_rolling_stop_cuts_nothing() -> None:
+    with running_fleet(entries=2, engines=2, bulks=2) as fleet:
+        caller = Caller(fleet)
+        prompts = [f"plan {number}" for number in range(ITEMS)]
+        status, job = caller.submit(
+            fleet["entry-0"], item_lines(prompts), key="plans"
+        )
+        assert status == 202, job
+        load = Load(fleet)
+        with load.running():
+            wait_for(lambda: load.answered >= WORKERS, "requests are answered")
+            for role in ("entry", "sidecar", "bulk"):
+                for process in list(fleet.processes_by_name.values()):
+                    if process.role == role:
+                        restart(fleet, process)
+            before = load.answered
+            wait_for(lambda: load.answered > before + WORKERS, "it goes on")
+        assert not load.failures, load.failures[:5]
+        wait_completed(caller, fleet["entry-0"], job["id"])
+        results = caller.job_results(fleet["entry-1"], job["id"])
+        numbers = sorted(int(r["custom_id"].split("-")[1]) for r in results)
+        assert numbers == list(range(ITEMS))
+        for line in results:
+            number = int(line["custom_id"].split("-")[1])
+            assert is_own_answer(line, prompts[number])
+
+
+def test_stopping_sidecar_hands_its_items_back() -> None:
+    flags = ("--step_s=0.05",)
+    with running_fleet(
+        entries=1, engines=1, bulks=2, engine_flags=flags
+    ) as fleet:
+        caller = Caller(fleet)
+        prompts = [f"plan {number}" for number in range(40)]
+        _, job = caller.submit(
+            fleet["entry-0"], item_lines(prompts, max_tokens=100), key="plans"
+        )
+        wait_for(lambda: engine_record(fleet)["running"], "items run")
+        assert fleet["engine-0-sidecar"].terminate() == 0
+        assert engine_record(fleet)["running"] == []
+        fleet.start_engine("engine-1")
+        fleet.wait_started()
+        # Far sooner than a claim lapses, another sidecar has the items.
+        wait_for(
+            lambda: engine_record(fleet, "engine-1")["running"],
+            "the items run elsewhere",
+            timeout_s=12.0,
+        )
+        wait_completed(caller, fleet["entry-0"], job["id"])
+
+
+def test_leaving_upstream_gets_nothing_new() -> None:
+    for by_list in (True, False):
+        with running_fleet(entries=2, engines=2) as fleet:
+            check_leaving(fleet, by_list=by_list)
+
+
+def check_leaving(fleet: Fleet, *, by_list: bool) -> None:
+    """Lets engine-0 leave by the list, or by its sidecar's word alone."""
+    sidecar = fleet["engine-0-sidecar"]
+    load = Load(fleet)
+    with load.running():
+        wait_for(
+            lambda: engine_record(fleet)["counts"].get("requests", 0) > 5,
+            "the upstream works",
+        )
+        if by_list:
+            fleet.list_instance(sidecar, "leaving")
+        else:
+            sidecar.signal(signal.SIGTERM)
+        entries = [fleet["entry-0"], fleet["entry-1"]]
+        wait_for(
+            lambda: (
+                all(
+                    sidecar.name not in instances_seen(fleet, entry)
+                    for entry in entries
+                )
+                or not by_list
+            ),
+            "the entries know",
+            timeout_s=3.0,
+        )
+        if not by_list:
+            # The list goes on to say that it is live.
+            assert sidecar.popen is not None
+            sidecar.popen.wait(CALL_TIMEOUT_S)
+        wait_for(
+            lambda: not engine_record(fleet)["running"], "its requests end"
+        )
+        before = engine_record(fleet)["counts"]["requests"]
+        start = load.answered
+        wait_for(lambda: load.answered > start + 50, "others serve")
+        assert engine_record(fleet)["counts"]["requests"] == before
+    assert not load.failures, load.failures[:5]
