--- a/plumvane/partitions/log.py
+++ b/plumvane/partitions/log.py
@@ -16,7 +16,7 @@
 import anyio
 import msgspec
 
-from plumvane import clock, events
+from plumvane import clock, events, hashing
 from plumvane.errors import (
     BodyTooLargeError,
     ConflictError,
@@ -41,6 +41,8 @@
 MAX_RECORDS_BYTES = MAX_VALUE_BYTES - 100_000
 # Commits a second that one partition may average, and its burst.
 COMMITS_PER_S = 20.0
+# Commits a second that all partitions of a fleet may average together.
+FLEET_COMMITS_PER_S = 320.0
 COMMIT_BURST = 10.0
 DEFAULT_RETENTION_S = 86_400.0
 
@@ -94,6 +96,7 @@
         epoch: int,
         *,
         retention_s: Callable[[], float] = lambda: DEFAULT_RETENTION_S,
+        partitions: int = hashing.PARTITIONS,
     ) -> None:
         """Creates the log; `recover` must run before the first commit.
 
@@ -102,7 +105,11 @@
             partition: Number of the partition.
             epoch: Epoch of this ownership.
             retention_s: Returns how long results are kept, in seconds.
+            partitions: Number of partitions that share the store's rate.
         """
+        self._commits_per_s = min(
+            COMMITS_PER_S, FLEET_COMMITS_PER_S / partitions
+        )
         self.segments = SegmentStore(store, partition)
         self.live = LiveRecords(retention_s)
         self._partition = partition
@@ -381,13 +388,13 @@
         """Waits until the partition's write rate allows a commit."""
         while True:
             now = clock.monotonic()
-            gained = (now - self._refilled) * COMMITS_PER_S
+            gained = (now - self._refilled) * self._commits_per_s
             self._tokens = min(COMMIT_BURST, self._tokens + gained)
             self._refilled = now
             if self._tokens >= 1.0:
                 self._tokens -= 1.0
                 return
-            await anyio.sleep((1.0 - self._tokens) / COMMITS_PER_S)
+            await anyio.sleep((1.0 - self._tokens) / self._commits_per_s)
 
 
 def _records_of(stored: Iterable[StoredSegment]) -> list[LogRecord]:
--- a/plumvane/partitions/ownership.py
+++ b/plumvane/partitions/ownership.py
@@ -319,7 +319,11 @@
                 self._view.revision(number),
             )
             log = PartitionLog(
-                self._store, number, epoch, retention_s=self._retention_s
+                self._store,
+                number,
+                epoch,
+                retention_s=self._retention_s,
+                partitions=self._partitions,
             )
             records = await log.recover(copy)
             self._begin(OwnedPartition(number, epoch, log, revision), records)
--- a/tests/faulty_store.py
+++ b/tests/faulty_store.py
@@ -7,12 +7,16 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from plumvane import clock
 from plumvane.errors import ConflictError, StoreUnavailableError
 from plumvane.store.memory import MemoryStore
 
 __all__ = ["Fault", "FaultyStore"]
 
 
+WATCH_STEP_S = 0.1
+
+
 class Fault(enum.Enum):
     """What becomes of one write."""
 
@@ -64,6 +68,17 @@
         self._check()
         return await super().list(prefix, **page)
 
+    async def watch(
+        self, prefix: str, after_revision: int, *, deadline: float
+    ) -> Any:
+        while True:
+            self._check()
+            step = min(deadline, clock.monotonic() + WATCH_STEP_S)
+            found = await super().watch(prefix, after_revision, deadline=step)
+            self._check()
+            if found.records or clock.monotonic() >= deadline:
+                return found
+
     async def put(self, key: str, value: bytes, **options: Any) -> int:
         inner = super().put
         return await self._faulted(lambda: inner(key, value, **options))
--- a/tests/test_partitions_machine.py
+++ b/tests/test_partitions_machine.py
@@ -273,11 +273,13 @@
     saved = (
         log.SEGMENT_BYTES,
         log.COMMITS_PER_S,
+        log.FLEET_COMMITS_PER_S,
         segments.RETRY_S,
         segments.PAGE_SEGMENTS,
         compaction.MERGED_BYTES,
     )
-    log.SEGMENT_BYTES, log.COMMITS_PER_S = 1000, 1e9
+    log.SEGMENT_BYTES = 1000
+    log.COMMITS_PER_S = log.FLEET_COMMITS_PER_S = 1e9
     segments.RETRY_S, segments.PAGE_SEGMENTS = 0.0, 2
     compaction.MERGED_BYTES = 4000
     try:
@@ -286,6 +288,7 @@
         (
             log.SEGMENT_BYTES,
             log.COMMITS_PER_S,
+            log.FLEET_COMMITS_PER_S,
             segments.RETRY_S,
             segments.PAGE_SEGMENTS,
             compaction.MERGED_BYTES,
--- a/tests/test_partitions_ownership.py
+++ b/tests/test_partitions_ownership.py
@@ -264,6 +264,39 @@
     bounded(check)
 
 
+def test_owner_keeps_its_partitions_over_an_outage() -> None:
+    async def check() -> None:
+        store = FaultyStore()
+        async with members(store) as fleet:
+            member = fleet.add("a")
+            await until(lambda: fleet.owners() == {0: "a"})
+            # The other one is preferred, and would take over at once.
+            fleet.add("b")
+            await until(lambda: fleet.by_name["b"].owner(0))
+            before = await stored_owner(store)
+            store.down = True
+            await until(lambda: not member.may_promise())
+            end = clock.monotonic() + 1.0
+            await until(lambda: clock.monotonic() > end)
+            store.down = False
+            await until(member.may_promise)
+            after = await stored_owner(store)
+            assert (after.name, after.epoch) == ("a", before.epoch)
+            assert after.lease_id != before.lease_id
+
+    saved = ownership_module.successors
+    ownership_module.successors = lambda *words: ["b", "a"]
+    ownership_module.assign, assign = (
+        lambda partitions, names: {0: "a"},
+        ownership_module.assign,
+    )
+    try:
+        bounded(check)
+    finally:
+        ownership_module.successors = saved
+        ownership_module.assign = assign
+
+
 @contextlib.contextmanager
 def quick_rebalance() -> Any:
     saved = ownership_module.STABLE_S, ownership_module.REBALANCE_S
