Route by prefix_affinity unless the document says otherwise

Cause: the default was least_loaded, the baseline that knows lagging reports. Change: the default policy. Conclusion: kept.

--- a/plumvane/fleet/document.py
+++ b/plumvane/fleet/document.py
@@ -145,7 +145,7 @@
     admission: str = "adaptive"
     fixed_concurrency: int = pydantic.Field(default=16, ge=1, le=4096)
     batch_slowdown: float = pydantic.Field(default=1.1, ge=1.0, le=100.0)
-    routing: str = "least_loaded"
+    routing: str = "prefix_affinity"
     batch_order: str = "least_slack"
 
 
