--- a/bench/generator.py
+++ b/bench/generator.py
@@ -19,9 +19,10 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from plumvane.httppool import NETWORK_ERRORS, HttpPool
+
 __all__ = ["Plan", "arrivals", "main"]
 
-CONNECTIONS = 4096
 TIMEOUT_S = 30.0
 # Range of the histograms, microseconds.
 LOWEST_US = 100
@@ -154,9 +155,7 @@
 class _Generator:
     def __init__(self, plan: Plan) -> None:
         self._plan = plan
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=CONNECTIONS, max_keepalive_connections=CONNECTIONS
-        )
+        self._pool = HttpPool()
         self.measures = _Measures()
         self._unmeasured = _Measures()
         self._start = 0.0
@@ -192,11 +191,7 @@
                 await self._stream(number, at, measures)
         except TimeoutError:
             measures.fail("timeout")
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
+        except NETWORK_ERRORS as error:
             measures.fail(type(error).__name__)
 
     async def _stream(
