--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -29,13 +29,16 @@
 from plumvane.instances.directory import Directory
 from plumvane.limits.teams import TeamLimits
 from plumvane.partitions.ownership import Ownership
+from plumvane.peers import keys
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
+    Done,
     FetchDocument,
     FetchViews,
     Message,
     Report,
     ReportReply,
+    TakePartition,
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.process import run_program, supervise
@@ -62,18 +65,19 @@
             settings: Checked settings.
         """
         process = settings.process
+        peer_keys = keys.load(settings.keys)
         self._settings = settings
         self._name = process.name
         self._address = str(process.peer_address)
         self._current = CurrentDocument()
-        self._links = LinkPool(process.name)
+        self._links = LinkPool(process.name, peer_keys)
         self._directory = Directory(settings.platform.instances_url)
         self._store = HttpStore(settings.platform.store_url or "")
         self._inheritance = ClaimInheritance(
             process.name,
             self._directory,
             self._links,
-            lambda: self._ownership.lease_holders(),
+            lambda: self._ownership.lapsed_owners(),
         )
         self._host = PartitionHost(
             self._current,
@@ -87,9 +91,11 @@
             self._store,
             process.name,
             self._address,
-            peers=self._entry_names,
+            peers=self._entry_addresses,
             on_taken=self._host.take,
             on_lost=self._host.drop,
+            links=self._links,
+            retention_s=lambda: self._current.document.retention_s,
         )
         self._chunks = ChunkClient(self._directory, self._links)
         self._keeper = ChunkKeeper(
@@ -98,9 +104,10 @@
         self._owners = OwnerClient(
             self._ownership, self._host, self._links, self._store.is_down
         )
-        self._server = PeerServer(str(process.bind_address))
+        self._server = PeerServer(str(process.bind_address), peer_keys)
         self._server.handle(Report, self._take_report)
         self._server.handle(FetchDocument, self._send_document)
+        self._server.handle(TakePartition, self._take_partition)
         self._host.register(self._server)
         self._status = FleetStatus(
             process.name, self._directory, self._links, self._current
@@ -145,7 +152,7 @@
         await anyio.sleep(UNREADY_S)
         while runner.active:
             await anyio.sleep(DRAIN_POLL_S)
-        await self._ownership.release_all()
+        await self._ownership.leave()
         with contextlib.suppress(StoreUnavailableError):
             await self._documents.flush()
         web.stop()
@@ -209,15 +216,21 @@
     async def _watch_document(self) -> None:
         await watch_store(self._store, self._current)
 
+    def _entry_addresses(self) -> dict[str, str]:
+        return {i.name: i.address for i in self._directory.live("entry")}
+
+    async def _take_partition(
+        self, call: Call, message: TakePartition
+    ) -> Message:
+        await self._ownership.take_from_owner(message.partition, message.epoch)
+        return Done()
+
     def _document_peers(self) -> list[str]:
-        names = [n for n in self._entry_names() if n != self._name]
+        names = [n for n in self._entry_addresses() if n != self._name]
         chosen = hashing.rank(self._name, names)[:DOCUMENT_PEERS]
         found = [self._directory.by_name(name) for name in chosen]
         return [instance.address for instance in found if instance]
 
-    def _entry_names(self) -> list[str]:
-        return [i.name for i in self._directory.live("entry")]
-
     async def _take_report(self, call: Call, message: Report) -> Message:
         self._directory.take_report(message)
         self._peer_watch.hint(message.address, message.revision)
