--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples that run."""
--- a/plumvane/fleet/revisions.py
+++ b/plumvane/fleet/revisions.py
@@ -19,7 +19,7 @@
 )
 from plumvane.fleet import document as fleet_document
 from plumvane.fleet.document import FleetDocument
-from plumvane.store.base import ABSENT, Store
+from plumvane.store.base import ABSENT, Store, list_pages
 
 __all__ = ["AuditRecord", "DocumentStore", "Revision"]
 
@@ -31,6 +31,8 @@
 # Refusals kept in memory while the store does not answer.
 MAX_UNWRITTEN = 1000
 FLUSH_S = 1.0
+# Records of the trail that are read in one call.
+PAGE_RECORDS = 1000
 SETTLE_S = 3.0
 RETRY_S = 0.2
 
@@ -236,16 +238,18 @@
         accepted: dict[int, AuditRecord] = {}
         if current.change is not None:
             accepted[current.number] = current.change
-        for record in (await self._store.list(AUDIT_PREFIX)).records:
-            change = _decode_audit(record.value)
-            accepted[change.revision] = change
+        async for page in list_pages(self._store, AUDIT_PREFIX, PAGE_RECORDS):
+            for record in page:
+                change = _decode_audit(record.value)
+                accepted[change.revision] = change
         write_ids = {change.write_id for change in accepted.values()}
         found = list(accepted.values())
-        for record in (await self._store.list(REFUSED_PREFIX)).records:
-            change = _decode_audit(record.value)
-            unknown = change.refusal == OutcomeUnknownError.code
-            if not unknown or change.write_id not in write_ids:
-                found.append(change)
+        async for page in list_pages(self._store, REFUSED_PREFIX, PAGE_RECORDS):
+            for record in page:
+                change = _decode_audit(record.value)
+                unknown = change.refusal == OutcomeUnknownError.code
+                if not unknown or change.write_id not in write_ids:
+                    found.append(change)
         return sorted(found, key=lambda change: (change.time, change.revision))
 
     def _revision(
--- a/tests/test_config_machine.py
+++ b/tests/test_config_machine.py
@@ -272,8 +272,8 @@
     class ChangingStore(MemoryStore):
         changes: list[Callable[[], Awaitable[Any]]] = []
 
-        async def list(self, prefix: str) -> Any:
-            result = await super().list(prefix)
+        async def list(self, *args: Any, **kwargs: Any) -> Any:
+            result = await super().list(*args, **kwargs)
             while self.changes:
                 await self.changes.pop()()
             return result
