--- a/plumvane/entry/inheritance.py
+++ b/plumvane/entry/inheritance.py
@@ -24,7 +24,8 @@
 class ClaimInheritance:
     """Asks all entries for their claims on a partition, and answers so too.
 
-    An entry that cannot be reached and holds no lease is taken for dead. A
+    An entry that cannot be reached and whose lease lapsed while it owned
+    partitions is taken for dead; one that owns none holds no lease. A
     claim that no entry has announced by `CLAIM_SILENCE_S` is orphaned, so
     nothing waits for longer.
     """
@@ -34,7 +35,7 @@
         name: str,
         directory: Directory,
         links: LinkPool,
-        lease_holders: Callable[[], set[str]],
+        lapsed_owners: Callable[[], set[str]],
     ) -> None:
         """Creates the inheritance.
 
@@ -42,12 +43,13 @@
             name: Name of this entry.
             directory: Knows the entries.
             links: Connections to them.
-            lease_holders: Returns the names of entries that hold a lease.
+            lapsed_owners: Returns the names of entries whose lease lapsed
+                while they owned partitions.
         """
         self._name = name
         self._directory = directory
         self._links = links
-        self._lease_holders = lease_holders
+        self._lapsed_owners = lapsed_owners
         self._own_claims: ClaimSource = _no_claims
 
     def register(self, server: PeerServer, own_claims: ClaimSource) -> None:
@@ -82,7 +84,7 @@
                     deadline=clock.monotonic() + CLAIM_SILENCE_S,
                 )
             except (LinkLostError, DeadlineExceededError):
-                if entry.name not in self._lease_holders():
+                if entry.name in self._lapsed_owners():
                     return
             except PlumvaneError:
                 return
