--- a/examples/embedding.py
+++ b/examples/embedding.py
@@ -203,13 +203,15 @@
 class Member:
     """One instance that owns some of the partitions."""
 
-    def __init__(self, store: Store, name: str, names: list[str]) -> None:
+    def __init__(
+        self, store: Store, name: str, addresses_by_name: dict[str, str]
+    ) -> None:
         """Creates an instance that owns nothing yet.
 
         Args:
             store: The shared store.
             name: Name of the instance.
-            names: Names of all instances.
+            addresses_by_name: Addresses of all instances.
         """
         self.name = name
         self.logs_by_partition: dict[int, PartitionLog] = {}
@@ -217,8 +219,8 @@
         self.ownership = Ownership(
             store,
             name,
-            f"{name}:1",
-            peers=lambda: names,
+            addresses_by_name[name],
+            peers=lambda: addresses_by_name,
             on_taken=self._take,
             on_lost=self._lose,
             partitions=PARTITIONS,
@@ -236,9 +238,10 @@
 
 async def main(folder: pathlib.Path) -> list[LogRecord]:
     """Loses one of two instances; returns what the other one recovered."""
-    names = ["alpha", "beta"]
+    addresses_by_name = {"alpha": "127.0.0.1:1", "beta": "127.0.0.1:2"}
     members = [
-        Member(SqliteStore(folder / "store.db"), name, names) for name in names
+        Member(SqliteStore(folder / "store.db"), name, addresses_by_name)
+        for name in addresses_by_name
     ]
     lost, kept = members
     record = RequestStarted("team", "key", "r-1", b"", 0.0, "", 0.0)
