Start batch at once at an engine that is not known yet

Cause: until the step model is known the gate let one batch item start each 100 ms. Items of eight tokens ended before the next one started, so one ran at a time, the model saw no spread and never became known. Ruled out: the hand-out (ranges waited at the sidecars). Change: without online requests the start limit alone bounds what starts; beside online requests the pause stays. The test first failed with AssertionError at its comparison (one item admitted).

--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -191,7 +191,8 @@
     def batch_interval_s(self, online_running: int) -> float:
         """See base class."""
         if not self._model.known:
-            return SAMPLE_S
+            # `START_LIMIT` bounds what starts at an engine not known yet.
+            return SAMPLE_S if online_running else 0.0
         step_s = self._model.predict(online_running)
         if online_running:
             return step_s / STARTS_BESIDE_ONLINE
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -9,7 +9,7 @@
 from plumvane import clock
 from plumvane.errors import DeadlineExceededError, OverloadedError
 from plumvane.fleet.document import Policies, Workload
-from plumvane.upstreams.admission import Adaptive, make_admission
+from plumvane.upstreams.admission import START_LIMIT, Adaptive, make_admission
 from plumvane.upstreams.gate import Gate, Work
 from plumvane.upstreams.step_model import StepModel
 
@@ -190,3 +190,18 @@
     except OverloadedError as error:
         return error
     raise AssertionError("not refused")
+
+
+def test_batch_fills_an_unknown_engine_to_its_start_limit_at_once() -> None:
+    async def admitted_at_once() -> int:
+        gate = Gate(make_admission(Policies(admission="adaptive")))
+        works = [_work(online=False) for _ in range(2 * START_LIMIT)]
+        async with anyio.create_task_group() as group:
+            for work in works:
+                group.start_soon(gate.enter, work)
+            await anyio.wait_all_tasks_blocked()
+            admitted = sum(work.admitted.is_set() for work in works)
+            group.cancel_scope.cancel()
+        return admitted
+
+    assert anyio.run(admitted_at_once) == START_LIMIT
