Keep a dip of the rate from setting jobs aside

The gate had also stopped ordering items by their jobs' deadlines, and a range of a lax job could hold a sidecar past the deadline of another.

Ruled out: a longer average of the rate; it would hide a lost engine.

Change: a job is set aside only if it needs 1.25 times the time that it has; its expected end is reported as it is. Items stand at the gate in the order of the deadlines. Ranges are short while any job that waits is due soon.

--- a/plumvane/jobs/handout.py
+++ b/plumvane/jobs/handout.py
@@ -8,7 +8,13 @@
 
 from plumvane import clock
 from plumvane.jobs.job import Job
-from plumvane.jobs.order import ORDERS_BY_NAME, Forecast, Ranked, forecast
+from plumvane.jobs.order import (
+    LATE,
+    ORDERS_BY_NAME,
+    Forecast,
+    Ranked,
+    forecast,
+)
 from plumvane.peers.messages import (
     JobDemand,
     OfferWork,
@@ -113,9 +119,14 @@
         for view in message.others:
             self._views_by_owner[message.model, view.address] = (now, view)
         running = _running(jobs, message.model)
-        for ranked in self._ranked(running, message.model, batch_order):
+        all_ranked = self._ranked(running, message.model, batch_order)
+        due = min(
+            (r.job.accepted.deadline for r in all_ranked if r.urgency != LATE),
+            default=0.0,
+        )
+        for ranked in all_ranked:
             grant = ranked.job.grant(
-                self._range_items(ranked.job, message),
+                self._range_items(ranked.job, message, due),
                 message.sidecar_address,
                 message.incarnation,
             )
@@ -223,12 +234,19 @@
             if worker.model == model
         ]
 
-    def _range_items(self, job: Job, message: PullWork) -> int:
-        """Returns how many items to hand out; fewer as the end is near."""
+    def _range_items(self, job: Job, message: PullWork, due: float) -> int:
+        """Returns how many items to hand out.
+
+        Args:
+            job: The job.
+            message: What the sidecar can take.
+            due: The earliest deadline that can be met; a long range of
+                another job must not hold the sidecar until then.
+        """
         now = clock.wall()
         workers = len(self._workers(message.model, now))
         most = int(job.waiting * GUIDED / max(1, workers))
-        left_s = job.accepted.deadline - now
+        left_s = due - now
         if message.item_rate > 0 and left_s > 0:
             most = min(most, int(message.item_rate * left_s * DEADLINE_PART))
         return min(message.items, max(MIN_RANGE_ITEMS, most))
--- a/plumvane/jobs/order.py
+++ b/plumvane/jobs/order.py
@@ -8,11 +8,14 @@
 from plumvane.jobs.job import Job
 from plumvane.peers.messages import JobDemand
 
-__all__ = ["ORDERS_BY_NAME", "Forecast", "Ranked", "forecast", "order"]
+__all__ = ["LATE", "ORDERS_BY_NAME", "Forecast", "Ranked", "forecast", "order"]
 
 # Deadlines leave room for fairness while every job is expected to end within
 # this part of the time to its deadline.
 AMPLE = 0.7
+# A job is set aside if it needs this much of the time that it has; a measured
+# rate that dips for a moment must not make it late.
+SET_ASIDE = 1.25
 URGENT, FAIR, LATE = range(3)
 
 
@@ -74,8 +77,8 @@
 ) -> Forecast:
     """Foresees the ends of jobs that run by the earliest deadline first.
 
-    A job that would end late is set aside, so that it delays no other; those
-    jobs follow the others, the shortest first.
+    A job that would clearly end late is set aside, so that it delays no other;
+    those jobs follow the others, the shortest first.
 
     Args:
         jobs: Running jobs of one model at this owner.
@@ -98,7 +101,7 @@
     busy_until = now
     for deadline, items, job in all_demands:
         finish = busy_until + items / item_rate
-        if finish > deadline:
+        if finish - now > SET_ASIDE * (deadline - now):
             set_aside.append((items, job))
             continue
         busy_until = finish
--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -76,8 +76,8 @@
 # A range whose results nobody takes is dropped after this.
 GIVE_UP_S = 600.0
 LEAVE_S = 10.0
-# An item is never dropped at the gate: a late job goes on.
-ITEM_DEADLINE_S = 7 * 86_400.0
+# An item waits at the gate for this after its job's deadline.
+LATE_ITEM_S = 30 * 86_400.0
 # An engine that gives no token for this is taken as lost.
 SILENT_ENGINE_S = 60.0
 # Completions that the item rate is measured over.
@@ -461,8 +461,8 @@
         tokens = 0
         attempt = 0
         while True:
-            latest = clock.wall() + ITEM_DEADLINE_S
-            work = Work(online=False, deadline=max(deadline, latest))
+            # Keeps the order of the jobs' deadlines at the gate.
+            work = Work(online=False, deadline=deadline + LATE_ITEM_S)
             await self._gate.enter(work)
             stream_id = f"{request_id}:{attempt}"
             attempt += 1
