--- a/plumvane/entry/batches.py
+++ b/plumvane/entry/batches.py
@@ -19,7 +19,9 @@
     BodyTooLargeError,
     BulkUnavailableError,
     DeadlineExceededError,
+    InvalidLineError,
     PlumvaneError,
+    UnknownModelError,
 )
 from plumvane.fleet.current import CurrentDocument
 from plumvane.peers.messages import (
@@ -136,7 +138,7 @@
         try:
             item = self._decoder.decode(line)
         except msgspec.DecodeError as error:
-            raise BadRequestError(
+            raise InvalidLineError(
                 f"Line {self.items} is invalid: {error}.", not_run=True
             ) from None
         self._custom_ids.add(item.custom_id, self.items)
@@ -242,7 +244,7 @@
         job_input = JobInput(self._chunks)
         await job_input.read(stream)
         if job_input.model not in self._current.document.models:
-            raise BadRequestError(
+            raise UnknownModelError(
                 f"Model {job_input.model!r} is unknown.", not_run=True
             )
         job_id = job_id_of(team, key)
--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -87,7 +87,8 @@
         """
         self._current = current
         self._links = links
-        self._may_promise = may_promise
+        # A job that cannot be recorded soon is refused at once.
+        self._may_record = lambda: may_promise() and not store_is_down()
         self._inheritance = inheritance
         self._state = OwnerState(
             may_promise,
@@ -141,9 +142,7 @@
         ledger = RequestLedger(
             partition, log, self._state, self._control, self._spawn
         )
-        jobs = JobTable(
-            log, partition, log.epoch, may_promise=self._may_promise
-        )
+        jobs = JobTable(log, partition, log.epoch, may_promise=self._may_record)
         for record in records:
             ledger.apply(record)
             jobs.apply(record)
@@ -225,14 +224,14 @@
     async def _submit(self, message: SubmitJob) -> Message:
         jobs = self._jobs(message.partition)
         await jobs.submit(message)
-        self._hand_out.foresee_all(self._all_jobs())
+        self._hand_out.foresee_all(self.all_jobs())
         return jobs.show(message.job_id, message.team)
 
     async def _job(self, message: JobCall) -> Message:
         jobs = self._jobs(message.partition)
         if message.cancel:
             return await jobs.cancel(message.job_id, message.team)
-        self._hand_out.foresee_all(self._all_jobs())
+        self._hand_out.foresee_all(self.all_jobs())
         return jobs.show(message.job_id, message.team)
 
     async def _fetch_results(self, message: FetchResults) -> Message:
@@ -241,13 +240,14 @@
         )
 
     async def _list_jobs(self, message: JobList) -> Message:
-        self._hand_out.foresee_all(self._all_jobs())
+        self._hand_out.foresee_all(self.all_jobs())
         found = []
         for jobs in self._jobs_by_partition.values():
             found.extend(jobs.jobs_of(message.team))
         return JobStates(tuple(found))
 
-    def _all_jobs(self) -> list[Job]:
+    def all_jobs(self) -> list[Job]:
+        """Returns the jobs of the partitions owned here."""
         return [
             job
             for jobs in self._jobs_by_partition.values()
@@ -258,7 +258,7 @@
         """Tells idle sidecars of waiting items; runs always."""
         while True:
             await anyio.sleep(WAKE_S)
-            idle = self._hand_out.take_idle(self._all_jobs())
+            idle = self._hand_out.take_idle(self.all_jobs())
             async with anyio.create_task_group() as group:
                 for address in idle:
                     group.start_soon(self._wake, address)
@@ -280,7 +280,7 @@
             )
         return self._hand_out.offer(
             message,
-            self._all_jobs(),
+            self.all_jobs(),
             self._current.document.policies.batch_order,
         )
 
@@ -288,7 +288,7 @@
         document = self._current.document
         grant = self._hand_out.pull(
             message,
-            self._all_jobs(),
+            self.all_jobs(),
             document.policies.batch_order,
             {name: team.share for name, team in document.teams.items()},
         )
--- a/plumvane/entry/runner.py
+++ b/plumvane/entry/runner.py
@@ -8,6 +8,7 @@
 import anyio.abc
 
 from plumvane import clock, events
+from plumvane.entry.acknowledgements import Acknowledgements
 from plumvane.entry.held import HeldResults
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.running import Answer, Request, Running
@@ -50,8 +51,10 @@
 RENEW_S = 1.0
 RELEASE_S = 3.0
 RETRY_AFTER_S = 1.0
-# Full upstreams that one request is offered to.
+# How many full upstreams one request is offered to.
 MAX_REFUSALS = 2
+# How often a non-idempotent request that was not run is tried once more.
+ONCE_ATTEMPTS = 2
 
 
 class RequestRunner:
@@ -87,6 +90,7 @@
         self._current = current
         self._group = group
         self._held = HeldResults(owners, group)
+        self._acknowledgements = Acknowledgements(links, group)
         self._budget = RetryBudget()
         self._running_by_id: dict[str, Running] = {}
 
@@ -101,9 +105,8 @@
 
     def start(self, request: Request) -> Running:
         """Starts a request and returns its handle."""
-        request_id = f"r{request.partition:04}-{secrets.token_hex(12)}"
-        running = Running(request, request_id)
-        self._running_by_id[request_id] = running
+        running = Running(request, _new_id(request))
+        self._running_by_id[running.request_id] = running
         self._group.start_soon(self._run, running)
         return running
 
@@ -153,13 +156,16 @@
         running = self._running_by_id.get(message.request_id)
         if running is not None:
             running.cancelled = True
-            self._group.start_soon(self._sidecars.forget, running)
+            self._group.start_soon(
+                self._sidecars.forget, running.request_id, running.tried
+            )
         return Done()
 
     async def _run(self, running: Running) -> None:
         try:
             running.end(await self._answer(running))
         except PlumvaneError as error:
+            error.request_id = running.request_id
             running.fail(error)
         except Exception as error:
             events.log(
@@ -170,14 +176,31 @@
             del self._running_by_id[running.request_id]
 
     async def _answer(self, running: Running) -> Answer:
+        if running.request.idempotent:
+            return await self._answer_once(running)
+        for _ in range(ONCE_ATTEMPTS):
+            try:
+                return await self._answer_once(running)
+            except (LeavingError, UpstreamUnavailableError) as error:
+                if not error.not_run or not running.tried:
+                    raise
+                await self._release(running.request, running.request_id)
+                await anyio.sleep(error.retry_after_s or 0.0)
+            self._rename(running)
+        return await self._answer_once(running)
+
+    async def _answer_once(self, running: Running) -> Answer:
         request = running.request
         if not request.idempotent:
             live = self._candidates(request)
-            running.sidecar = live[0] if live else None
+            untried = [s for s in live if s not in running.tried]
+            running.sidecar = next(iter(untried + live), None)
         try:
             found = await self._claim(running)
         except PlumvaneError:
-            self._group.start_soon(self._release, running)
+            self._group.start_soon(
+                self._release, running.request, running.request_id
+            )
             raise
         if found is not None:
             return Answer(found.request_id, found.outcome, found.durable)
@@ -188,6 +211,13 @@
             raise
         return await self._commit(running, outcome)
 
+    def _rename(self, running: Running) -> None:
+        """Gives a request that was not run a new run."""
+        del self._running_by_id[running.request_id]
+        running.claimed = False
+        running.request_id = _new_id(running.request)
+        self._running_by_id[running.request_id] = running
+
     def _candidates(self, request: Request) -> list[Instance]:
         found = self._directory.live("sidecar", request.serves)
         policy = self._current.document.policies.routing
@@ -210,6 +240,7 @@
 
     async def _claim(self, running: Running) -> ClaimResult | None:
         """Claims the request; returns its result if it has one."""
+        self._check(running)
         request = running.request
         left_s = max(0.0, request.deadline - clock.wall())
         reply = await self._owners.call(
@@ -225,10 +256,9 @@
         running.claimed_at = reply.claimed_at
         return None
 
-    async def _release(self, running: Running) -> None:
-        request = running.request
+    async def _release(self, request: Request, request_id: str) -> None:
         message = Release(
-            request.partition, request.team, request.key, running.request_id
+            request.partition, request.team, request.key, request_id
         )
         deadline = clock.monotonic() + RELEASE_S
         try:
@@ -240,8 +270,13 @@
 
     async def _give_up(self, running: Running) -> None:
         """Ends what may still run of a request, then its claim."""
-        await self._sidecars.forget(running)
-        await self._release(running)
+        if running.request.idempotent:
+            await self._sidecars.forget(running.request_id, running.tried)
+            await self._release(running.request, running.request_id)
+        else:
+            request_id = running.request_id
+            await self._release(running.request, request_id)
+            await self._sidecars.forget(request_id, running.tried)
 
     async def _dispatch(self, running: Running) -> Outcome:
         if running.request.idempotent:
@@ -320,7 +355,7 @@
         )
 
         async def forget() -> None:
-            await self._sidecars.forget(running)
+            await self._forget(running, outcome)
 
         reply = await self._held.commit(message, request.deadline, forget)
         stands = reply.outcome or outcome
@@ -329,3 +364,18 @@
                 f"Request {request.key!r} was answered otherwise."
             )
         return Answer(reply.request_id, stands, reply.durable)
+
+    async def _forget(self, running: Running, outcome: Outcome) -> None:
+        """Lets the sidecars forget a request whose result is stored."""
+        tried = running.tried
+        if running.sidecar is not None and outcome.error is None:
+            # This run has ended, so it needs no cancel.
+            self._acknowledgements.add(
+                running.sidecar.address, running.request_id
+            )
+            tried = [s for s in tried if s is not running.sidecar]
+        await self._sidecars.forget(running.request_id, tried)
+
+
+def _new_id(request: Request) -> str:
+    return f"r{request.partition:04}-{secrets.token_hex(12)}"
--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -14,9 +14,12 @@
     "DeadlineExceededError",
     "ForbiddenError",
     "HistoryLostError",
+    "InvalidJsonError",
+    "InvalidLineError",
     "KeyReusedError",
     "LeavingError",
     "LinkLostError",
+    "MethodNotAllowedError",
     "NotFoundError",
     "NotOwnerError",
     "OutcomeUnknownError",
@@ -27,6 +30,7 @@
     "SettingsError",
     "StoreUnavailableError",
     "UnauthorizedError",
+    "UnknownModelError",
     "UpstreamFailedError",
     "UpstreamLostError",
     "UpstreamUnavailableError",
@@ -45,6 +49,7 @@
         remedy: What the caller or operator can do about it.
         not_run: True only if no upstream was given the request.
         retry_after_s: Seconds after which a retry makes sense, or None.
+        request_id: Run that ended with the error, if it was one.
     """
 
     code: ClassVar[str] = "internal"
@@ -73,6 +78,7 @@
         self.remedy = remedy or self.default_remedy
         self.not_run = not_run
         self.retry_after_s = retry_after_s
+        self.request_id: str | None = None
 
     def __init_subclass__(cls) -> None:
         super().__init_subclass__()
@@ -90,6 +96,20 @@
     default_remedy = "Correct the request as the detail says."
 
 
+class InvalidJsonError(BadRequestError):
+    """The body is not the JSON object that the call takes."""
+
+    code = "invalid_json"
+    default_remedy = "Send one whole JSON object in UTF-8."
+
+
+class InvalidLineError(BadRequestError):
+    """A line of a job's JSONL is invalid."""
+
+    code = "invalid_line"
+    default_remedy = "Correct the line that the detail names and send it again."
+
+
 class UnauthorizedError(PlumvaneError):
     """The bearer token is missing or unknown."""
 
@@ -114,6 +134,21 @@
     default_remedy = "Check the name and the token's team."
 
 
+class UnknownModelError(NotFoundError):
+    """No model of this name is in the fleet document."""
+
+    code = "unknown_model"
+    default_remedy = "Name a model of the fleet document."
+
+
+class MethodNotAllowedError(PlumvaneError):
+    """The path exists but does not take this method."""
+
+    code = "method_not_allowed"
+    status = 405
+    default_remedy = "Use a method that docs/API.md lists for the path."
+
+
 class KeyReusedError(PlumvaneError):
     """An idempotency key was sent again with another body."""
 
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -4,11 +4,14 @@
 
 import enum
 import sys
+from collections.abc import Callable
 from typing import Any, TextIO
 
 import eliot
 
-__all__ = ["Event", "configure", "log"]
+__all__ = ["Event", "configure", "count_by", "log"]
+
+_counters: list[Callable[[Event], None]] = []
 
 
 class Event(enum.Enum):
@@ -21,6 +24,7 @@
     PROCESS_LEAVING = (1002, "The process refuses new work and drains.")
     PROCESS_STOPPED = (1003, "The process has drained and ends.")
     TASK_FAILED = (1004, "A background task failed and is started again.")
+    CALL_FAILED = (1005, "An HTTP call failed by a fault of this process.")
     STORE_UNAVAILABLE = (2001, "The store does not answer.")
     STORE_AVAILABLE = (2002, "The store answers again.")
     LEASE_LOST = (2003, "The instance's lease lapsed or was refused.")
@@ -71,6 +75,15 @@
     eliot.to_file(stream or sys.stderr)
 
 
+def count_by(counter: Callable[[Event], None]) -> None:
+    """Has each event counted too.
+
+    Args:
+        counter: Called with each event that is logged.
+    """
+    _counters.append(counter)
+
+
 def log(event: Event, **fields: Any) -> None:
     """Writes one event.
 
@@ -81,3 +94,5 @@
     eliot.log_message(
         message_type=event.name.lower(), event=event.number, **fields
     )
+    for counter in _counters:
+        counter(event)
--- a/plumvane/process.py
+++ b/plumvane/process.py
@@ -11,7 +11,7 @@
 import anyio.abc
 from absl import app, flags
 
-from plumvane import events, settings
+from plumvane import events, metrics, settings, web
 from plumvane.errors import SettingsError
 
 __all__ = ["run_program", "supervise"]
@@ -46,16 +46,31 @@
             print(f"{_SETTINGS.value}: the settings are valid")
             return
         events.configure()
-        anyio.run(
-            _serve_until_signal,
-            checked,
-            serve,
-            backend_options={"use_uvloop": True},
-        )
+        try:
+            anyio.run(
+                _serve_until_signal,
+                checked,
+                serve,
+                backend_options={"use_uvloop": True},
+            )
+        except* SettingsError as errors:
+            for error in _leaves(errors):
+                print(error, file=sys.stderr)
+            sys.exit(EXIT_SETTINGS)
 
     app.run(main)
 
 
+def _leaves(group: BaseExceptionGroup[SettingsError]) -> list[SettingsError]:
+    found = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found.extend(_leaves(error))
+        else:
+            found.append(error)
+    return found
+
+
 async def supervise(run: Callable[[], Awaitable[None]]) -> None:
     """Runs a background task again when it fails.
 
@@ -93,11 +108,19 @@
     async with anyio.create_task_group() as group:
         group.start_soon(_wait_for_signal, stopping)
         events.log(events.Event.PROCESS_STARTED, name=name)
+        if checked.metrics is not None:
+            group.start_soon(_serve_metrics, checked.metrics.address)
         await serve(checked, stopping)
         group.cancel_scope.cancel()
     events.log(events.Event.PROCESS_STOPPED, name=name)
 
 
+async def _serve_metrics(address: settings.Address) -> None:
+    metrics.configure()
+    bound = web.bind(address.host, address.port)
+    await web.HttpServer(metrics.MetricsEndpoint(), bound).run()
+
+
 async def _wait_for_signal(stopping: anyio.Event) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -64,6 +64,8 @@
 CALL_TIMEOUT_S = 5.0
 RETRY_S = 0.5
 IDLE_MIN_S = 0.1
+# Marks batch work for the engine's own records.
+BATCH_METADATA = {"kind": "batch"}
 # An idle sidecar is woken by the owners; this is for a lost message.
 IDLE_MAX_S = 60.0
 # The same while the engine, the owners or the bulk instances are away.
@@ -71,8 +73,6 @@
 ASK_TIMEOUT_S = 1.0
 # An owner that did not answer is not asked for work for this.
 SILENT_OWNER_S = 5.0
-# Marks batch work for the engine's own records.
-BATCH_METADATA = {"kind": "batch"}
 # A range whose results nobody takes is dropped after this.
 GIVE_UP_S = 600.0
 LEAVE_S = 10.0
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -8,6 +8,8 @@
 from plumvane.fleet.current import CurrentDocument
 from plumvane.instances.directory import Directory
 from plumvane.instances.reporter import Reporter
+from plumvane.metrics import Metric, observe
+from plumvane.peers import keys
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     FetchDocument,
@@ -30,6 +32,10 @@
 
 SWEEP_S = 5.0
 DRAIN_POLL_S = 0.05
+# A drain ends after this, whatever still runs.
+DRAIN_S = 300.0
+# How long an answer that its entry has not acknowledged keeps a drain up.
+ACKNOWLEDGE_S = 10.0
 
 
 class Sidecar:
@@ -42,13 +48,14 @@
             settings: Checked settings.
         """
         process = settings.process
+        peer_keys = keys.load(settings.keys)
         self._settings = settings
         self._current = CurrentDocument()
-        self._links = LinkPool(process.name)
+        self._links = LinkPool(process.name, peer_keys)
         self._directory = Directory(settings.platform.instances_url)
         self._runs = RunTable()
         self._gate = Gate(make_admission(self._current.document.policies))
-        self._server = PeerServer(str(process.bind_address))
+        self._server = PeerServer(str(process.bind_address), peer_keys)
         self._server.handle(FetchDocument, self._send_document)
         self._reporter = Reporter(
             process.name,
@@ -76,6 +83,10 @@
         else:
             self._upstream = ServiceClient(settings.upstream.url)
         self._leaving = False
+        observe(Metric.DOCUMENT_REVISION, lambda: self._current.revision)
+        observe(Metric.UPSTREAM_ONLINE, lambda: self._gate.online)
+        observe(Metric.UPSTREAM_BATCH, lambda: self._gate.batch)
+        observe(Metric.UPSTREAM_LIMIT, lambda: self._gate.policy.limit())
 
     async def serve(self, stopping: anyio.Event) -> None:
         """Serves until the event is set, then drains."""
@@ -112,10 +123,14 @@
         self._leaving = True
         if self._batch is not None:
             self._batch.leave()
-        await self._reporter.report()
-        await batch_done.wait()
-        while self._runs.active() or len(self._runs):
-            await anyio.sleep(DRAIN_POLL_S)
+        with anyio.move_on_after(DRAIN_S):
+            await self._reporter.report()
+            await batch_done.wait()
+            while self._runs.active():
+                await anyio.sleep(DRAIN_POLL_S)
+            with anyio.move_on_after(ACKNOWLEDGE_S):
+                while len(self._runs):
+                    await anyio.sleep(DRAIN_POLL_S)
 
     async def _follow_document(self) -> None:
         """Puts each new document in force."""
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -40,6 +40,7 @@
     engine_flags: tuple[str, ...] = (),
     service_flags: tuple[str, ...] = (),
     document: dict[str, Any] | None = None,
+    prepare: Callable[[Fleet], None] = lambda fleet: None,
 ) -> Iterator[Fleet]:
     """Yields a fleet that is ready.
 
@@ -50,6 +51,7 @@
         tempfile.TemporaryDirectory() as folder,
         Fleet(pathlib.Path(folder)) as fleet,
     ):
+        prepare(fleet)
         fleet.start_platform()
         if proxied:
             fleet.start_proxy()
@@ -135,14 +137,21 @@
                         yield json.loads(line[6:])
 
     def quote(
-        self, entry: Process, body: Any, *, key: str | None = None
+        self,
+        entry: Process,
+        body: Any,
+        *,
+        key: str | None = None,
+        timeout_s: float = OUTER_DEADLINE_S,
     ) -> tuple[int, Any]:
         """Calls the plain service; returns the status and the JSON."""
+        headers = self._headers(key)
+        headers["plumvane-deadline"] = str(time.time() + timeout_s)
         status, answer = self._fleet.call(
             "POST",
             f"{entry.url}/v1/services/{SERVICE}",
             body,
-            self._headers(key),
+            headers,
         )
         return status, json.loads(answer)
 
