--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -6,8 +6,10 @@
 
 import anyio
 import anyio.abc
+from starlette.requests import Request as HttpRequest
+from starlette.responses import Response
 
-from plumvane import hashing
+from plumvane import hashing, metrics
 from plumvane.chunks.client import ChunkClient
 from plumvane.chunks.keeper import ChunkKeeper
 from plumvane.console.app import Console
@@ -17,6 +19,7 @@
 from plumvane.entry.checks import NAMES_BY_POLICY
 from plumvane.entry.host import PartitionHost
 from plumvane.entry.inheritance import ClaimInheritance
+from plumvane.entry.observations import observe_entry
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.runner import RequestRunner
 from plumvane.entry.status import FleetStatus
@@ -26,6 +29,7 @@
 from plumvane.instances.directory import Directory
 from plumvane.limits.teams import TeamLimits
 from plumvane.partitions.ownership import Ownership
+from plumvane.peers import keys
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
     Done,
@@ -66,11 +70,12 @@
             settings: Checked settings.
         """
         process = settings.process
+        peer_keys = keys.load(settings.keys)
         self._settings = settings
         self._name = process.name
         self._address = str(process.peer_address)
         self._current = CurrentDocument()
-        self._links = LinkPool(process.name)
+        self._links = LinkPool(process.name, peer_keys)
         self._directory = Directory(settings.platform.instances_url)
         self._store = HttpStore(settings.platform.store_url or "")
         self._inheritance = ClaimInheritance(
@@ -104,7 +109,7 @@
         self._owners = OwnerClient(
             self._ownership, self._host, self._links, self._store.is_down
         )
-        self._server = PeerServer(str(process.bind_address))
+        self._server = PeerServer(str(process.bind_address), peer_keys)
         self._server.handle(Report, self._take_report)
         self._server.handle(FetchDocument, self._send_document)
         self._order_leases = OrderLeases(
@@ -204,7 +209,16 @@
         bound = bind(http.address.host, http.address.port)
         app = api.application()
         app.mount("/console", self._make_console(batches, tls).application())
-        return HttpServer(app, bound, tls)
+        app.add_route("/metrics", _metrics)
+        metrics.configure()
+        observe_entry(
+            self._current,
+            self._directory,
+            self._host,
+            self._ownership.owned,
+            self._owners,
+        )
+        return HttpServer(metrics.TimedApp(app), bound, tls)
 
     def _make_console(self, batches: BatchService, tls: Tls | None) -> Console:
         return Console(
@@ -255,6 +269,12 @@
         return self._current.answer(message)
 
 
+async def _metrics(http: HttpRequest) -> Response:
+    return Response(
+        metrics.exposition(), headers={"content-type": metrics.CONTENT_TYPE}
+    )
+
+
 async def _serve(settings: EntrySettings, stopping: anyio.Event) -> None:
     await Entry(settings).serve(stopping)
 
