--- a/plumvane/console/forms.py
+++ b/plumvane/console/forms.py
@@ -248,5 +248,6 @@
         r"^    (\w+): (.*(?:\n     .*)*)", attributes, re.MULTILINE
     ):
         if match[1] in helps:
-            helps[match[1]] = " ".join(match[2].split())
+            text = " ".join(match[2].split())
+            helps[match[1]] = text.replace("`", "")
     return helps
