Test the ledger's rules and fuzz it through crashes of its owner

The machine runs its own event loop by hand, so that each run is the same; it now also loses owners in the middle of a commit and has outages that the owner has not noticed.

--- a/tests/test_ledger_machine.py
+++ b/tests/test_ledger_machine.py
@@ -88,9 +88,10 @@
     def __init__(self, world: _World, epoch: int) -> None:
         self.log = PartitionLog(world.store, 0, epoch)
         self.is_current = True
+        self.scope = anyio.CancelScope()
         state = OwnerState(
-            lambda: self.is_current and not world.store.down,
-            lambda: world.store.down,
+            lambda: self.is_current and not world.outage_noticed,
+            lambda: world.outage_noticed,
             lambda: 1e9,
         )
         self.ledger = RequestLedger(
@@ -100,7 +101,11 @@
     async def take(self, world: _World) -> None:
         for record in await self.log.recover():
             self.ledger.apply(record)
-        world.spawn(self.log.run)
+        world.spawn(self._run)
+
+    async def _run(self) -> None:
+        with self.scope:
+            await self.log.run()
 
 
 class _World:
@@ -108,6 +113,7 @@
 
     def __init__(self) -> None:
         self.store = FaultyStore()
+        self.outage_noticed = False
         self.sidecar = _Sidecar()
         self.owners: list[_Owner] = []
         self.group: Any = None
@@ -251,9 +257,16 @@
     def land_late(self) -> None:
         self._wait(self.world.store.land_late())
 
-    @rule(down=st.sampled_from([False, False, True]))
-    def outage(self, down: bool) -> None:
+    @rule(down=st.sampled_from([False, False, True]), noticed=st.booleans())
+    def outage(self, down: bool, noticed: bool) -> None:
         self.world.store.down = down
+        self.world.outage_noticed = down and noticed
+
+    @rule(announce=st.booleans())
+    def lose_owner(self, announce: bool) -> None:
+        self._call(_crash, self._owner(0))
+        self.outage(False, False)
+        self.take_over(announce)
 
     def _owner(self, back: int) -> _Owner:
         """Returns the current owner, or the one before it."""
@@ -299,7 +312,7 @@
             assert outcome == first, (key, first, outcome)
 
     def _check_all_readable(self) -> None:
-        self.world.store.down = False
+        self.outage(False, False)
         self.world.store.faults.clear()
         self._wait(self.world.take_over([]))
         for key, outcome in self.answers_by_key.items():
@@ -325,6 +338,10 @@
         yield
 
 
+async def _crash(owner: _Owner) -> None:
+    owner.scope.cancel()
+
+
 async def _reap(ledger: RequestLedger) -> None:
     ledger.reap()
 
