--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -36,6 +36,8 @@
     FetchDocument,
     FetchViews,
     Message,
+    OrderLease,
+    PlanLoad,
     Report,
     ReportReply,
     TakePartition,
@@ -44,11 +46,14 @@
 from plumvane.process import run_program, supervise
 from plumvane.settings import EntrySettings
 from plumvane.store.http import HttpStore
+from plumvane.upstreams.order_leases import OrderLeases
 from plumvane.web import HttpServer, Tls, bind
 
 __all__ = ["Entry", "run"]
 
 DRAIN_POLL_S = 0.05
+# A drain ends after this, whatever still runs.
+DRAIN_S = 300.0
 # The platform's balancer needs this to see that the entry is not ready.
 UNREADY_S = 0.5
 # How many other entries an entry learns newer documents from.
@@ -107,6 +112,13 @@
         self._server = PeerServer(str(process.bind_address), peer_keys)
         self._server.handle(Report, self._take_report)
         self._server.handle(FetchDocument, self._send_document)
+        self._order_leases = OrderLeases(
+            self._store,
+            self._current,
+            lambda model: len(self._directory.live("sidecar", model)),
+        )
+        self._server.handle(OrderLease, self._lease_orders)
+        self._server.handle(PlanLoad, self._plan_load)
         self._server.handle(TakePartition, self._take_partition)
         self._host.register(self._server)
         self._status = FleetStatus(
@@ -148,14 +160,20 @@
             group.cancel_scope.cancel()
 
     async def _drain(self, runner: RequestRunner, web: HttpServer) -> None:
+        """Ends what runs, moves the partitions, then lets the answers out.
+
+        What has not ended by the drain's deadline is cut.
+        """
         self._leaving = True
-        await anyio.sleep(UNREADY_S)
-        while runner.active:
-            await anyio.sleep(DRAIN_POLL_S)
-        await self._ownership.leave()
-        with contextlib.suppress(StoreUnavailableError):
-            await self._documents.flush()
-        web.stop()
+        with anyio.move_on_after(DRAIN_S):
+            await anyio.sleep(UNREADY_S)
+            while runner.active:
+                await anyio.sleep(DRAIN_POLL_S)
+            await self._ownership.leave()
+            with contextlib.suppress(StoreUnavailableError):
+                await self._documents.flush()
+            web.stop()
+            await web.stopped()
 
     def _make_runner(self, group: anyio.abc.TaskGroup) -> RequestRunner:
         return RequestRunner(
@@ -219,6 +237,13 @@
     def _entry_addresses(self) -> dict[str, str]:
         return {i.name: i.address for i in self._directory.live("entry")}
 
+    async def _lease_orders(self, call: Call, message: OrderLease) -> Message:
+        return await self._order_leases.lease(message)
+
+    async def _plan_load(self, call: Call, message: PlanLoad) -> Message:
+        await self._order_leases.plan(message)
+        return Done()
+
     async def _take_partition(
         self, call: Call, message: TakePartition
     ) -> Message:
