Order engines under a lease with a rising number

Cause: nothing ordered the engines, and nothing kept two sidecars of one engine from ordering it at once.

Ruled out: a lease in each sidecar's own hands, which has no connection to the store; a rate for each entry, which does not bound their sum; a lease held all the time, which costs the store a renewal for each upstream.

Change: models.NAME.version names what the engines load. An entry keeps the lease, the fencing number and the plan of loads by compare-and-swap for the sidecar. Where the engine ignores the number, a new holder waits until the old lease and the longest order have ended. Loads keep load_interval_s between them over the whole fleet, and the last live copy in use is not changed.

Conclusion: adapters and changes of role are not ordered yet, and the wait before the first order has no order under way to prove it against.

--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -32,6 +32,8 @@
     FetchDocument,
     FetchViews,
     Message,
+    OrderLease,
+    PlanLoad,
     Report,
     ReportReply,
     TakePartition,
@@ -40,6 +42,7 @@
 from plumvane.process import run_program, supervise
 from plumvane.settings import EntrySettings
 from plumvane.store.http import HttpStore
+from plumvane.upstreams.order_leases import OrderLeases
 from plumvane.web import HttpServer, Tls, bind
 
 __all__ = ["Entry", "run"]
@@ -104,6 +107,13 @@
         self._server = PeerServer(str(process.bind_address))
         self._server.handle(Report, self._take_report)
         self._server.handle(FetchDocument, self._send_document)
+        self._order_leases = OrderLeases(
+            self._store,
+            self._current,
+            lambda model: len(self._directory.live("sidecar", model)),
+        )
+        self._server.handle(OrderLease, self._lease_orders)
+        self._server.handle(PlanLoad, self._plan_load)
         self._server.handle(TakePartition, self._take_partition)
         self._host.register(self._server)
         self._status = FleetStatus(
@@ -213,6 +223,13 @@
     def _entry_addresses(self) -> dict[str, str]:
         return {i.name: i.address for i in self._directory.live("entry")}
 
+    async def _lease_orders(self, call: Call, message: OrderLease) -> Message:
+        return await self._order_leases.lease(message)
+
+    async def _plan_load(self, call: Call, message: PlanLoad) -> Message:
+        await self._order_leases.plan(message)
+        return Done()
+
     async def _take_partition(
         self, call: Call, message: TakePartition
     ) -> Message:
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -42,6 +42,7 @@
     PEER_REFUSED = (6002, "A peer speaks another protocol version.")
     UPSTREAM_FAILED = (7001, "The upstream does not answer or failed.")
     BATCH_PREEMPTED = (7002, "Batch streams gave way to online requests.")
+    ORDER_DELAYED = (7020, "An order to the engine must wait.")
     ORDER_REFUSED = (7003, "The engine refused an order.")
     CONFIGURATION_IN_FORCE = (8001, "A revision is in force here.")
     CONFIGURATION_CHANGED = (8002, "An operator's change is accepted.")
--- a/plumvane/fleet/document.py
+++ b/plumvane/fleet/document.py
@@ -62,10 +62,13 @@
     Attributes:
         checks_orders: Whether its engines refuse an order with an old
             fencing number.
+        version: Version that its engines are ordered to load; empty if
+            they are not ordered.
         max_tokens: Most tokens that one answer may have.
     """
 
     checks_orders: bool = False
+    version: str = ""
     max_tokens: int = pydantic.Field(default=4096, ge=1, le=131_072)
 
 
@@ -159,6 +162,8 @@
         teams: Teams by name.
         operators: Operators by name.
         policies: Policies in use.
+        load_interval_s: Least time between two loads from the weight store,
+            in seconds.
         retention_s: How long results stay readable, in seconds.
     """
 
@@ -168,6 +173,7 @@
     teams: dict[Name, Team] = {}
     operators: dict[Name, Operator] = {}
     policies: Policies = Policies()
+    load_interval_s: float = pydantic.Field(default=10.0, ge=0)
     retention_s: int = pydantic.Field(default=86_400, ge=60)
 
     def team_by_token(self, token: str) -> str | None:
--- a/plumvane/peers/messages.py
+++ b/plumvane/peers/messages.py
@@ -51,8 +51,11 @@
     "Lookup",
     "Message",
     "OfferWork",
+    "OrderLease",
+    "OrderLeaseGranted",
     "Outcome",
     "OwnerView",
+    "PlanLoad",
     "PullWork",
     "RangeDone",
     "RangeGrant",
@@ -535,6 +538,55 @@
         )
 
 
+class OrderLease(Message, frozen=True, tag="orderlease"):
+    """A sidecar asks an entry for the lease for orders to its engine.
+
+    Attributes:
+        upstream: Address of the engine.
+        holder: Incarnation of the sidecar.
+        fence: Fencing number of the lease to renew; 0 for a new one.
+        loaded: Version that the engine has been ordered to load.
+    """
+
+    upstream: str
+    holder: str
+    fence: int
+    loaded: str
+
+
+class OrderLeaseGranted(Message, frozen=True, tag="orderleaseok"):
+    """The lease is granted or renewed.
+
+    Attributes:
+        fence: Its fencing number.
+        ttl_s: Seconds to live, from before the call.
+        send_after: No order of an earlier holder is under way after this,
+            seconds since the Unix epoch.
+        loaded: Version that the engine was last ordered to load.
+    """
+
+    fence: int
+    ttl_s: float
+    send_after: float
+    loaded: str
+
+
+class PlanLoad(Message, frozen=True, tag="planload"):
+    """A sidecar asks whether its engine may load weights now.
+
+    Attributes:
+        upstream: Address of the engine.
+        model: Its model.
+        fence: Fencing number of the lease.
+        in_use: Whether the engine serves a version now.
+    """
+
+    upstream: str
+    model: str
+    fence: int
+    in_use: bool
+
+
 class TakePartition(Message, frozen=True, tag="takepart"):
     """Asks an entry to take a partition over from its owner.
 
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -23,6 +23,7 @@
 from plumvane.upstreams.admission import make_admission
 from plumvane.upstreams.engine import EngineClient
 from plumvane.upstreams.gate import Gate
+from plumvane.upstreams.orders import OrderSender
 from plumvane.upstreams.runs import RunTable
 from plumvane.upstreams.service import ServiceClient
 
@@ -63,6 +64,7 @@
         )
         self._upstream: EngineClient | ServiceClient
         self._batch: BatchWorker | None = None
+        self._orders: OrderSender | None = None
         if settings.upstream.kind == "engine":
             self._upstream = EngineClient(
                 settings.upstream.url, self._gate.observe_step
@@ -76,6 +78,13 @@
                 ChunkClient(self._directory, self._links),
                 self._reporter,
             )
+            self._orders = OrderSender(
+                settings.upstream.serves,
+                settings.upstream.url,
+                self._current,
+                self._links,
+                self._entry_addresses,
+            )
             self._server.handle(WorkWaiting, self._batch.wake)
         else:
             self._upstream = ServiceClient(settings.upstream.url)
@@ -90,6 +99,8 @@
             group.start_soon(supervise, self._reporter.run)
             group.start_soon(supervise, self._follow_document)
             group.start_soon(supervise, self._sweep)
+            if self._orders is not None:
+                group.start_soon(supervise, self._orders.run)
             batch_done = anyio.Event()
             if self._batch is not None:
                 group.start_soon(self._run_batch, self._batch, batch_done)
@@ -144,6 +155,9 @@
             self._gate.refresh()
             await self._current.changed()
 
+    def _entry_addresses(self) -> list[str]:
+        return [i.address for i in self._directory.live("entry")]
+
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(SWEEP_S)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -209,7 +209,7 @@
         if self._checks_fencing and fence < self._fence:
             return JSONResponse({"error": "fenced"}, status_code=409)
         self._fence = max(self._fence, fence)
-        self._orders.append(order)
+        self._orders.append({**order, "time": clock.wall()})
         return JSONResponse({})
 
     async def load(self, http: Request) -> Response:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -84,7 +84,7 @@
                 status, answer = self._post(entry, prompt)
             except ConnectionRefusedError:
                 continue
-            except (OSError, http.client.HTTPException) as error:
+            except (OSError, ValueError, http.client.HTTPException) as error:
                 return f"{entry.name} cut {prompt}: {error!r}"
             if status == 503 and answer.get("not_run"):
                 continue
