--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -81,6 +81,22 @@
     assert min(chosen.values()) >= 0.6 * 1000
 
 
+def test_hot_prefix_does_not_displace_the_others() -> None:
+    with _stopped_clock() as stopped:
+        candidates = _instances(4)
+        names = [i.name for i in candidates]
+        loads = UpstreamLoads()
+        _warm(loads, candidates, stopped)
+        _run(candidates, loads, stopped, 2000)
+        kept = 0
+        for number in range(400):
+            prefix = f"p{number % 40}"
+            first = prefix_affinity(candidates, RouteRequest(prefix), loads)[0]
+            kept += first.name == hashing.rank(prefix, names)[0]
+            _run(candidates, loads, stopped, 5)
+    assert kept >= 0.9 * 400
+
+
 def test_prefix_stays_where_the_load_allows() -> None:
     with _stopped_clock() as stopped:
         candidates = _instances(4)
@@ -112,6 +128,21 @@
     assert later["new"] >= 0.5 * 1000 / 5
 
 
+def test_fleet_of_new_upstreams_keeps_prefixes_in_place() -> None:
+    with _stopped_clock() as stopped:
+        candidates = _instances(4)
+        names = [i.name for i in candidates]
+        loads = UpstreamLoads()
+        kept = 0
+        for number in range(200):
+            prefix = f"p{number % 40}"
+            first = prefix_affinity(candidates, RouteRequest(prefix), loads)[0]
+            kept += first.name == hashing.rank(prefix, names)[0]
+            with loads.dispatched(first):
+                stopped.now += 0.01
+    assert kept >= 0.7 * 200
+
+
 def test_failing_upstream_is_left_out_and_probed() -> None:
     with _stopped_clock() as stopped:
         candidates = _instances(3)
@@ -121,14 +152,36 @@
         loads.failed(failing)
         assert failing not in loads.usable(candidates)
         stopped.now += loads_module.FAILED_PROBE_S
-        assert loads.usable(candidates)[0] is failing
+        request = RouteRequest("note")
+        assert prefix_affinity(candidates, request, loads)[0] is failing
+        once = RouteRequest("quote", may_probe=False)
+        assert failing not in prefix_affinity(candidates, once, loads)
         with loads.dispatched(failing):
             # One probe at a time.
+            assert failing not in prefix_affinity(candidates, request, loads)
+            loads.take_load(failing, _load())
             assert failing not in loads.usable(candidates)
-            loads.answered(failing, _load())
+            loads.succeeded(failing)
         assert failing in loads.usable(candidates)
 
 
+def test_upstream_that_goes_on_failing_is_probed_ever_less() -> None:
+    with _stopped_clock() as stopped:
+        candidates = _instances(3)
+        loads = UpstreamLoads()
+        failing = candidates[0]
+        probes = 0
+        loads.failed(failing)
+        for _ in range(6000):
+            stopped.now += 0.01
+            if loads.due_probe(candidates) is failing:
+                probes += 1
+                with loads.dispatched(failing):
+                    loads.take_load(failing, _load())
+                    loads.failed(failing)
+    assert 3 <= probes <= 7
+
+
 def test_all_failing_upstreams_are_still_tried() -> None:
     candidates = _instances(3)
     loads = UpstreamLoads()
@@ -144,16 +197,18 @@
         slow = candidates[2]
         for instance in candidates:
             step_s = 0.05 if instance is slow else 0.01
-            loads.answered(instance, _load(step_s=step_s))
+            loads.take_load(instance, _load(step_s=step_s))
         probes = 0
-        for _ in range(6000):
+        assert slow not in loads.usable(candidates)
+        for _ in range(12_000):
             stopped.now += 0.01
-            if slow in loads.usable(candidates):
+            request = RouteRequest("note")
+            if slow in prefix_affinity(candidates, request, loads):
                 probes += 1
                 with loads.dispatched(slow):
                     pass
         assert 1 <= probes <= 5
-        loads.answered(slow, _load(step_s=0.012, time=2.0))
+        loads.take_load(slow, _load(step_s=0.012, time=2.0))
         assert slow in loads.usable(candidates)
 
 
@@ -161,7 +216,7 @@
     candidates = _instances(2)
     loads = UpstreamLoads()
     with loads.dispatched(candidates[0]), loads.dispatched(candidates[0]):
-        loads.answered(candidates[0], _load(online=5))
+        loads.take_load(candidates[0], _load(online=5))
         assert loads.online(candidates[0]) == 5
         with loads.dispatched(candidates[0]):
             assert loads.online(candidates[0]) == 6
@@ -173,5 +228,5 @@
 ) -> None:
     loads.keep(candidates)
     for instance in candidates:
-        loads.answered(instance, _load())
+        loads.take_load(instance, _load())
     stopped.now += 2 * loads_module.SLOW_START_S
