--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -26,6 +26,10 @@
 TOKENS = 40
 ITEMS = 600
 CALL_TIMEOUT_S = 60.0
+LONG_REQUESTS = 6
+LONG_TOKENS = 1500
+# By then an upstream that leaves gets no new work.
+LEAVING_S = 3.0
 
 
 class Load:
@@ -205,37 +209,58 @@
 def check_leaving(fleet: Fleet, *, by_list: bool) -> None:
     """Lets engine-0 leave by the list, or by its sidecar's word alone."""
     sidecar = fleet["engine-0-sidecar"]
+    entries = [fleet["entry-0"], fleet["entry-1"]]
     load = Load(fleet)
-    with load.running():
-        wait_for(
-            lambda: engine_record(fleet)["counts"].get("requests", 0) > 5,
-            "the upstream works",
-        )
+    with long_requests(fleet) as statuses, load.running():
+        wait_for(lambda: load.answered > WORKERS, "requests are answered")
         if by_list:
             fleet.list_instance(sidecar, "leaving")
         else:
+            # The list goes on to say that it is live.
             sidecar.signal(signal.SIGTERM)
-        entries = [fleet["entry-0"], fleet["entry-1"]]
         wait_for(
-            lambda: (
-                all(
-                    sidecar.name not in instances_seen(fleet, entry)
-                    for entry in entries
-                )
-                or not by_list
+            lambda: all(
+                sidecar.name not in instances_seen(fleet, entry)
+                for entry in entries
             ),
             "the entries know",
-            timeout_s=3.0,
-        )
-        if not by_list:
-            # The list goes on to say that it is live.
-            assert sidecar.popen is not None
-            sidecar.popen.wait(CALL_TIMEOUT_S)
-        wait_for(
-            lambda: not engine_record(fleet)["running"], "its requests end"
+            timeout_s=LEAVING_S,
         )
+        start = load.answered
+        wait_for(lambda: load.answered > start + WORKERS, "what ran has ended")
         before = engine_record(fleet)["counts"]["requests"]
         start = load.answered
-        wait_for(lambda: load.answered > start + 50, "others serve")
-        assert engine_record(fleet)["counts"]["requests"] == before
+        wait_for(lambda: load.answered > start + 20, "others serve")
+        record = engine_record(fleet)
+        assert record["running"], "the upstream was not held up"
+        assert record["counts"]["requests"] == before
     assert not load.failures, load.failures[:5]
+    assert statuses == [200] * LONG_REQUESTS
+
+
+@contextlib.contextmanager
+def long_requests(fleet: Fleet) -> Iterator[list[int]]:
+    """Runs long requests at both engines; yields their statuses."""
+    caller = Caller(fleet)
+    statuses: list[int] = []
+
+    def call(number: int) -> None:
+        status, _ = caller.complete(
+            fleet[f"entry-{number % 2}"],
+            f"long {number}",
+            max_tokens=LONG_TOKENS,
+        )
+        statuses.append(status)
+
+    threads = [
+        threading.Thread(target=call, args=(number,))
+        for number in range(LONG_REQUESTS)
+    ]
+    for thread in threads:
+        thread.start()
+    wait_for(lambda: engine_record(fleet)["running"], "one runs at engine-0")
+    try:
+        yield statuses
+    finally:
+        for thread in threads:
+            thread.join()
