Leave a part of the step to the prefill of batch items

Cause: the law counted steps without prefill, so items that started and resumed took the steps of online requests over the bound. Ruled out: fewer starts (at most one a step already), a lower limit by number (it differs by engine). Change: running items may use 96% of the allowed step.

--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -34,6 +34,8 @@
 START_LIMIT = 8
 # The adaptive limit aims at this part of the latency target.
 HEADROOM = 0.9
+# Part of a step that is left to the prefill of items that start and resume.
+PREFILL_PART = 0.04
 # The limit may exceed what has run before by this factor and number.
 EXPLORE_FACTOR = 1.25
 EXPLORE_STEP = 2
@@ -180,7 +182,8 @@
             return max(0, self.limit() - online_running)
         slowdown = self._policies.batch_slowdown
         alone_s = self._model.predict(peak / slowdown)
-        allowed_s = min(alone_s * slowdown, self._target_s * HEADROOM)
+        allowed_s = alone_s * slowdown * (1.0 - PREFILL_PART)
+        allowed_s = min(allowed_s, self._target_s * HEADROOM)
         return max(0, self._within(allowed_s) - online_running)
 
     def batch_start_limit(self, online_running: int) -> int:
