Run the pieces of lost ranges one at a time at a sidecar

Ruled out: the bound on losses (any bound is met together). Change: a sidecar gets the next piece of a lost range only when it has ended the last one. A test of the job's rules handed all pieces to one sidecar; it now uses one sidecar a piece and checks the same refusal.

--- a/plumvane/jobs/job.py
+++ b/plumvane/jobs/job.py
@@ -50,6 +50,7 @@
         sidecar_address: Who has it.
         incarnation: Process of the sidecar that has it.
         deadline: When it lapses, seconds since the Unix epoch.
+        is_suspect: Whether its worker was lost before.
     """
 
     claim_id: str
@@ -58,6 +59,7 @@
     sidecar_address: str
     incarnation: str
     deadline: float
+    is_suspect: bool = False
 
     def indexes(self) -> range:
         """Returns the indexes of its items."""
@@ -183,16 +185,22 @@
     ) -> RangeGrant | None:
         """Hands out the next waiting items.
 
+        Pieces of lost ranges come last, and to one sidecar one at a time, so
+        that no item is lost again and again beside the one at fault.
+
         Args:
             items: How many at most.
             sidecar_address: Who takes them.
             incarnation: Process of the sidecar.
 
         Returns:
-            The grant, or None if no item waits.
+            The grant, or None if no item waits for this sidecar.
         """
         if not self.has_waiting:
             return None
+        is_suspect = not self._waiting
+        if is_suspect and self._tries_suspect(sidecar_address):
+            return None
         first, taken = self._next_range(items)
         number = next(self._claim_numbers)
         claim = RangeClaim(
@@ -202,6 +210,7 @@
             sidecar_address,
             incarnation,
             clock.wall() + CLAIM_S,
+            is_suspect,
         )
         self._claims_by_id[claim.claim_id] = claim
         return self._message(claim)
@@ -365,6 +374,13 @@
             < bisect.bisect_left(indexes, chunk.first_item + chunk.items)
         )
 
+    def _tries_suspect(self, sidecar_address: str) -> bool:
+        """Returns whether a sidecar runs a piece of a lost range."""
+        return any(
+            claim.is_suspect and claim.sidecar_address == sidecar_address
+            for claim in self._claims_by_id.values()
+        )
+
     def _is_open(self, index: int) -> bool:
         return not self._done[index] and index not in self._failed_by_index
 
--- a/tests/test_jobs_job.py
+++ b/tests/test_jobs_job.py
@@ -139,8 +139,10 @@
     job = make_job(64)
     grant = _grant(job)
     job.expire(clock.wall() + 3600.0)
+    taken = 0
     while job.has_waiting:
-        _grant(job)
+        taken += 1
+        assert job.grant(64, f"sidecar-{taken}") is not None
     assert not job.renew(renewal(grant))
 
 
@@ -209,3 +211,17 @@
     assert state.failed_count == 4000
     assert len(state.failed) == 100
     assert _read(job) == list(range(4000))
+
+
+def test_pieces_of_lost_ranges_run_one_at_a_time_at_a_sidecar() -> None:
+    job = make_job(2)
+    _grant(job)
+    job.expire(clock.wall() + 3600.0)
+    first = _grant(job)
+    assert first.items == 1
+    assert job.grant(64, "sidecar") is None
+    elsewhere = job.grant(64, "another")
+    assert elsewhere is not None
+    _report(job, done(first, ref(first.first_item, 1)))
+    assert job.state == "running"
+    assert not job.has_waiting
