Keep the item rate of a sidecar over an idle time

The rate was forgotten whenever a sidecar was idle, so the first ranges of new jobs went to the one that cannot land, as it had the earliest deadline.

Ruled out: a default rate; it would be wrong for most models.

Change: plumvane/sidecar/rate.py keeps the last rate until a new one is known.

Proof, with the guard off in a scratch edit: test_item_rate_is_kept_over_an_idle_time: assert round(rate.per_s, 3) == 20.0

That this is what made the fifth job late is likely from the code, and not shown by a run.

--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -5,7 +5,6 @@
 import json
 import random
 import secrets
-from collections import deque
 from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
@@ -42,6 +41,7 @@
 from plumvane.peers.server import Call
 from plumvane.sidecar.dispatcher import completion_outcome
 from plumvane.sidecar.ranges import RangeRun
+from plumvane.sidecar.rate import ItemRate
 from plumvane.upstreams.engine import EngineClient, Token
 from plumvane.upstreams.gate import Gate, Work
 
@@ -80,9 +80,6 @@
 LATE_ITEM_S = 30 * 86_400.0
 # An engine that gives no token for this is taken as lost.
 SILENT_ENGINE_S = 60.0
-# Completions that the item rate is measured over.
-RATE_ITEMS = 256
-MIN_RATE_ITEMS = 8
 
 
 class BatchWorker:
@@ -119,7 +116,7 @@
         self._reporter = reporter
         self._incarnation = secrets.token_hex(8)
         self._runs: set[RangeRun] = set()
-        self._completed: deque[float] = deque(maxlen=RATE_ITEMS)
+        self._rate = ItemRate()
         self._saved = anyio.Event()
         self._woken = anyio.Event()
         # Whether any owner answered last.
@@ -127,14 +124,6 @@
         self._silent_until_by_owner: dict[str, float] = {}
         self._leaving = False
 
-    @property
-    def item_rate(self) -> float:
-        """Items a second that complete here; 0 if not known."""
-        if len(self._completed) < MIN_RATE_ITEMS:
-            return 0.0
-        took = self._completed[-1] - self._completed[0]
-        return (len(self._completed) - 1) / max(took, 0.001)
-
     async def run(self) -> None:
         """Pulls and runs ranges until the sidecar leaves."""
         async with anyio.create_task_group() as group:
@@ -169,7 +158,7 @@
                     idle_s = IDLE_MIN_S
                     continue
             if not self._runs:
-                self._completed.clear()
+                self._rate.rest()
             is_idle = has_room and pulled is None and self._asked
             idle_s = min(idle_s, IDLE_MAX_S if is_idle else BLOCKED_MAX_S)
             with anyio.move_on_after(idle_s * random.uniform(0.5, 1.0)):
@@ -203,7 +192,7 @@
                     self._address,
                     self._range_items(),
                     self._incarnation,
-                    self.item_rate,
+                    self._rate.per_s,
                     others,
                 ),
             )
@@ -214,7 +203,7 @@
     async def _offers(self) -> dict[str, WorkOffer]:
         """Asks all owners what they would hand out."""
         message = OfferWork(
-            self._model, self._address, self._incarnation, self.item_rate
+            self._model, self._address, self._incarnation, self._rate.per_s
         )
         offers_by_owner: dict[str, WorkOffer] = {}
 
@@ -242,7 +231,7 @@
             return None
 
     def _range_items(self) -> int:
-        items = int(self.item_rate * RANGES_S / RANGES) or FIRST_RANGE_ITEMS
+        items = int(self._rate.per_s * RANGES_S / RANGES) or FIRST_RANGE_ITEMS
         return min(items, MAX_RANGE_ITEMS)
 
     def _has_room(self) -> bool:
@@ -450,7 +439,7 @@
             "error": None,
         }
         run.add(index, json.dumps(answer).encode())
-        self._completed.append(clock.monotonic())
+        self._rate.add(clock.monotonic())
         return True
 
     async def _complete(
--- a/tests/test_jobs_handout.py
+++ b/tests/test_jobs_handout.py
@@ -14,6 +14,7 @@
     PullWork,
     RangeGrant,
 )
+from plumvane.sidecar.rate import ItemRate
 from tests.jobs import accepted
 
 RATE = 10.0
@@ -167,3 +168,13 @@
     jobs = [_job("job", 10, 60.0)]
     assert hand_out.take_idle(jobs) == ["sidecar"]
     assert hand_out.take_idle(jobs) == []
+
+
+def test_item_rate_is_kept_over_an_idle_time() -> None:
+    rate = ItemRate()
+    assert rate.per_s == 0.0
+    for number in range(101):
+        rate.add(number / 20.0)
+    rate.rest()
+    rate.add(1000.0)
+    assert round(rate.per_s, 3) == 20.0
