--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -87,7 +87,8 @@
         """
         self._current = current
         self._links = links
-        self._may_promise = may_promise
+        # A job that cannot be recorded soon is refused at once.
+        self._may_record = lambda: may_promise() and not store_is_down()
         self._inheritance = inheritance
         self._state = OwnerState(
             may_promise,
@@ -141,9 +142,7 @@
         ledger = RequestLedger(
             partition, log, self._state, self._control, self._spawn
         )
-        jobs = JobTable(
-            log, partition, log.epoch, may_promise=self._may_promise
-        )
+        jobs = JobTable(log, partition, log.epoch, may_promise=self._may_record)
         for record in records:
             ledger.apply(record)
             jobs.apply(record)
--- a/plumvane/entry/problems.py
+++ b/plumvane/entry/problems.py
@@ -25,6 +25,8 @@
         "remedy": error.remedy,
         "not_run": error.not_run,
     }
+    if error.request_id is not None:
+        body["request_id"] = error.request_id
     if error.retry_after_s is not None:
         body["retry_after_s"] = error.retry_after_s
     return body
--- a/plumvane/fleet/document.py
+++ b/plumvane/fleet/document.py
@@ -63,10 +63,13 @@
     Attributes:
         checks_orders: Whether its engines refuse an order with an old
             fencing number.
+        version: Version that its engines are ordered to load; empty if
+            they are not ordered.
         max_tokens: Most tokens that one answer may have.
     """
 
     checks_orders: bool = False
+    version: str = ""
     max_tokens: int = pydantic.Field(default=4096, ge=1, le=131_072)
 
 
@@ -146,7 +149,7 @@
     admission: str = "adaptive"
     fixed_concurrency: int = pydantic.Field(default=16, ge=1, le=4096)
     batch_slowdown: float = pydantic.Field(default=1.1, ge=1.0, le=100.0)
-    routing: str = "least_loaded"
+    routing: str = "prefix_affinity"
     batch_order: str = "least_slack"
 
 
@@ -160,6 +163,8 @@
         teams: Teams by name.
         operators: Operators by name.
         policies: Policies in use.
+        load_interval_s: Least time between two loads from the weight store,
+            in seconds.
         retention_s: How long results stay readable, in seconds.
     """
 
@@ -169,6 +174,7 @@
     teams: dict[Name, Team] = {}
     operators: dict[Name, Operator] = {}
     policies: Policies = Policies()
+    load_interval_s: float = pydantic.Field(default=10.0, ge=0)
     retention_s: int = pydantic.Field(default=86_400, ge=60)
 
     def team_by_token(self, token: str) -> str | None:
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -6,7 +6,7 @@
 
 from plumvane.chunks.client import ChunkClient
 from plumvane.fleet.current import CurrentDocument
-from plumvane.instances.directory import Directory
+from plumvane.instances.directory import OTHER_POLL_S, Directory
 from plumvane.instances.reporter import Reporter
 from plumvane.metrics import Metric, observe
 from plumvane.peers import keys
@@ -25,6 +25,7 @@
 from plumvane.upstreams.admission import make_admission
 from plumvane.upstreams.engine import EngineClient
 from plumvane.upstreams.gate import Gate
+from plumvane.upstreams.orders import OrderSender
 from plumvane.upstreams.runs import RunTable
 from plumvane.upstreams.service import ServiceClient
 
@@ -32,6 +33,10 @@
 
 SWEEP_S = 5.0
 DRAIN_POLL_S = 0.05
+# A drain ends after this, whatever still runs.
+DRAIN_S = 300.0
+# How long an answer that its entry has not acknowledged keeps a drain up.
+ACKNOWLEDGE_S = 10.0
 
 
 class Sidecar:
@@ -48,7 +53,9 @@
         self._settings = settings
         self._current = CurrentDocument()
         self._links = LinkPool(process.name, peer_keys)
-        self._directory = Directory(settings.platform.instances_url)
+        self._directory = Directory(
+            settings.platform.instances_url, OTHER_POLL_S
+        )
         self._runs = RunTable()
         self._gate = Gate(make_admission(self._current.document.policies))
         self._server = PeerServer(str(process.bind_address), peer_keys)
@@ -62,6 +69,7 @@
         )
         self._upstream: EngineClient | ServiceClient
         self._batch: BatchWorker | None = None
+        self._orders: OrderSender | None = None
         if settings.upstream.kind == "engine":
             self._upstream = EngineClient(
                 settings.upstream.url, self._gate.observe_step
@@ -75,6 +83,13 @@
                 ChunkClient(self._directory, self._links),
                 self._reporter,
             )
+            self._orders = OrderSender(
+                settings.upstream.serves,
+                settings.upstream.url,
+                self._current,
+                self._links,
+                self._entry_addresses,
+            )
             self._server.handle(WorkWaiting, self._batch.wake)
         else:
             self._upstream = ServiceClient(settings.upstream.url)
@@ -93,6 +108,8 @@
             group.start_soon(supervise, self._reporter.run)
             group.start_soon(supervise, self._follow_document)
             group.start_soon(supervise, self._sweep)
+            if self._orders is not None:
+                group.start_soon(supervise, self._orders.run)
             batch_done = anyio.Event()
             if self._batch is not None:
                 group.start_soon(self._run_batch, self._batch, batch_done)
@@ -119,10 +136,14 @@
         self._leaving = True
         if self._batch is not None:
             self._batch.leave()
-        await self._reporter.report()
-        await batch_done.wait()
-        while self._runs.active() or len(self._runs):
-            await anyio.sleep(DRAIN_POLL_S)
+        with anyio.move_on_after(DRAIN_S):
+            await self._reporter.report()
+            await batch_done.wait()
+            while self._runs.active():
+                await anyio.sleep(DRAIN_POLL_S)
+            with anyio.move_on_after(ACKNOWLEDGE_S):
+                while len(self._runs):
+                    await anyio.sleep(DRAIN_POLL_S)
 
     async def _follow_document(self) -> None:
         """Puts each new document in force."""
@@ -143,6 +164,9 @@
             self._gate.refresh()
             await self._current.changed()
 
+    def _entry_addresses(self) -> list[str]:
+        return [i.address for i in self._directory.live("entry")]
+
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(SWEEP_S)
--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -34,6 +34,8 @@
 START_LIMIT = 8
 # The adaptive limit aims at this part of the latency target.
 HEADROOM = 0.9
+# Part of a step that is left to the prefill of items that start and resume.
+PREFILL_PART = 0.04
 # The limit may exceed what has run before by this factor and number.
 EXPLORE_FACTOR = 1.25
 EXPLORE_STEP = 2
@@ -180,7 +182,8 @@
             return max(0, self.limit() - online_running)
         slowdown = self._policies.batch_slowdown
         alone_s = self._model.predict(peak / slowdown)
-        allowed_s = min(alone_s * slowdown, self._target_s * HEADROOM)
+        allowed_s = alone_s * slowdown * (1.0 - PREFILL_PART)
+        allowed_s = min(allowed_s, self._target_s * HEADROOM)
         return max(0, self._within(allowed_s) - online_running)
 
     def batch_start_limit(self, online_running: int) -> int:
@@ -191,7 +194,8 @@
     def batch_interval_s(self, online_running: int) -> float:
         """See base class."""
         if not self._model.known:
-            return SAMPLE_S
+            # `START_LIMIT` bounds what starts at an engine not known yet.
+            return SAMPLE_S if online_running else 0.0
         step_s = self._model.predict(online_running)
         if online_running:
             return step_s / STARTS_BESIDE_ONLINE
