Share the wiring of sidecars and bulk instances

Cause: both programs held the same 60 lines: links, directory, reporter, document, metrics. Ruled out: a base class (neither is a kind of the other). Change: plumvane.member.Member holds them, and both have one.

--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -5,19 +5,10 @@
 import anyio
 
 from plumvane.chunks.client import ChunkClient
-from plumvane.fleet.current import CurrentDocument
-from plumvane.instances.directory import OTHER_POLL_S, Directory
-from plumvane.instances.reporter import Reporter
+from plumvane.fleet.document import Policies
+from plumvane.member import Member
 from plumvane.metrics import Metric, observe
-from plumvane.peers import keys
-from plumvane.peers.link import LinkPool
-from plumvane.peers.messages import (
-    FetchDocument,
-    Message,
-    Report,
-    WorkWaiting,
-)
-from plumvane.peers.server import Call, PeerServer
+from plumvane.peers.messages import WorkWaiting
 from plumvane.process import run_program, supervise
 from plumvane.settings import SidecarSettings
 from plumvane.sidecar.batch import BatchWorker
@@ -48,24 +39,11 @@
         Args:
             settings: Checked settings.
         """
-        process = settings.process
-        peer_keys = keys.load(settings.keys)
-        self._settings = settings
-        self._current = CurrentDocument()
-        self._links = LinkPool(process.name, peer_keys)
-        self._directory = Directory(
-            settings.platform.instances_url, OTHER_POLL_S
-        )
+        self._serves = settings.upstream.serves
         self._runs = RunTable()
-        self._gate = Gate(make_admission(self._current.document.policies))
-        self._server = PeerServer(str(process.bind_address), peer_keys)
-        self._server.handle(FetchDocument, self._send_document)
-        self._reporter = Reporter(
-            process.name,
-            self._directory,
-            self._links,
-            self._current,
-            self._make_report,
+        self._gate = Gate(make_admission(Policies()))
+        self._member = Member(
+            settings, "sidecar", serves=self._serves, load=self._gate.load
         )
         self._upstream: EngineClient | ServiceClient
         self._batch: BatchWorker | None = None
@@ -74,27 +52,17 @@
             self._upstream = EngineClient(
                 settings.upstream.url, self._gate.observe_step
             )
-            self._batch = BatchWorker(
-                settings.upstream.serves,
-                str(process.peer_address),
-                self._gate,
-                self._upstream,
-                self._links,
-                ChunkClient(self._directory, self._links),
-                self._reporter,
-            )
+            self._batch = self._make_batch(self._upstream)
             self._orders = OrderSender(
-                settings.upstream.serves,
+                self._serves,
                 settings.upstream.url,
-                self._current,
-                self._links,
+                self._member.current,
+                self._member.links,
                 self._entry_addresses,
             )
-            self._server.handle(WorkWaiting, self._batch.wake)
+            self._member.server.handle(WorkWaiting, self._batch.wake)
         else:
             self._upstream = ServiceClient(settings.upstream.url)
-        self._leaving = False
-        observe(Metric.DOCUMENT_REVISION, lambda: self._current.revision)
         observe(Metric.UPSTREAM_ONLINE, lambda: self._gate.online)
         observe(Metric.UPSTREAM_BATCH, lambda: self._gate.batch)
         observe(Metric.UPSTREAM_LIMIT, lambda: self._gate.policy.limit())
@@ -102,10 +70,7 @@
     async def serve(self, stopping: anyio.Event) -> None:
         """Serves until the event is set, then drains."""
         async with anyio.create_task_group() as group:
-            await group.start(self._server.run)
-            group.start_soon(supervise, self._links.run)
-            group.start_soon(supervise, self._directory.run)
-            group.start_soon(supervise, self._reporter.run)
+            await self._member.start(group)
             group.start_soon(supervise, self._follow_document)
             group.start_soon(supervise, self._sweep)
             if self._orders is not None:
@@ -121,9 +86,9 @@
                     self._gate,
                     self._upstream,
                     runs,
-                    lambda: self._leaving,
+                    lambda: self._member.leaving,
                 )
-                dispatcher.register(self._server)
+                dispatcher.register(self._member.server)
                 await stopping.wait()
                 await self._drain(batch_done)
             group.cancel_scope.cancel()
@@ -133,11 +98,11 @@
         done.set()
 
     async def _drain(self, batch_done: anyio.Event) -> None:
-        self._leaving = True
+        self._member.leaving = True
         if self._batch is not None:
             self._batch.leave()
         with anyio.move_on_after(DRAIN_S):
-            await self._reporter.report()
+            await self._member.leave()
             await batch_done.wait()
             while self._runs.active():
                 await anyio.sleep(DRAIN_POLL_S)
@@ -148,8 +113,7 @@
     async def _follow_document(self) -> None:
         """Puts each new document in force."""
         while True:
-            document = self._current.document
-            model = self._settings.upstream.serves
+            document = self._member.current.document
             policy = make_admission(document.policies)
             if type(policy) is not type(self._gate.policy):
                 self._gate.policy = policy
@@ -158,38 +122,32 @@
                 [
                     w
                     for w in document.workloads.values()
-                    if w.kind == "online" and w.model == model
+                    if w.kind == "online" and w.model == self._serves
                 ],
             )
             self._gate.refresh()
-            await self._current.changed()
+            await self._member.current.changed()
+
+    def _make_batch(self, engine: EngineClient) -> BatchWorker:
+        member = self._member
+        return BatchWorker(
+            self._serves,
+            member.address,
+            self._gate,
+            engine,
+            member.links,
+            ChunkClient(member.directory, member.links),
+            member.reporter,
+        )
 
     def _entry_addresses(self) -> list[str]:
-        return [i.address for i in self._directory.live("entry")]
+        return [i.address for i in self._member.directory.live("entry")]
 
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(SWEEP_S)
             self._runs.sweep()
 
-    def _make_report(self) -> Report:
-        process = self._settings.process
-        return Report(
-            process.name,
-            "sidecar",
-            str(process.peer_address),
-            process.data_centre,
-            self._settings.upstream.serves,
-            self._current.revision,
-            self._leaving,
-            self._gate.load(),
-        )
-
-    async def _send_document(
-        self, call: Call, message: FetchDocument
-    ) -> Message:
-        return self._current.answer(message)
-
 
 async def _serve(settings: SidecarSettings, stopping: anyio.Event) -> None:
     await Sidecar(settings).serve(stopping)
