Order the jobs of one team by deadline at all owners

While the jobs had ample time, owners offered by the service of their teams; with one team that says nothing but how old an owner's knowledge is, so the sidecars pulled from either owner.

Ruled out: the tie of equal services alone; the sums differ between owners.

Change: with a single team jobs go by their deadlines.

Proof, with the guard off in a scratch edit: test_owners_order_jobs_of_one_team_by_deadline: assert (due.urgency, due.key) < (lax.urgency, lax.key)

--- a/plumvane/jobs/handout.py
+++ b/plumvane/jobs/handout.py
@@ -150,6 +150,8 @@
         service_by_team = collections.Counter(self._service_by_team)
         for view in views:
             service_by_team.update(view.service_by_team)
+        teams = {job.accepted.team for job in running}
+        teams.update(team for view in views for team in view.service_by_team)
         foreseen = forecast(
             running,
             [demand for view in views for demand in view.demands],
@@ -157,6 +159,9 @@
             sum(w.item_rate for w in self._workers(model, now)),
             service_by_team,
         )
+        if len(teams) < 2:
+            # Nobody to be fair to; owners then agree on the deadlines.
+            foreseen = dataclasses.replace(foreseen, ample=False)
         for job in running:
             job.expected_finish = foreseen.finish_by_id.get(job.accepted.job_id)
         return foreseen
--- a/tests/test_jobs_handout.py
+++ b/tests/test_jobs_handout.py
@@ -112,6 +112,20 @@
     assert items_by_job == {"one": 600, "two": 200}
 
 
+def test_owners_order_jobs_of_one_team_by_deadline() -> None:
+    message = OfferWork("model", "sidecar", "first", RATE)
+    offers = []
+    for due_s, served in ((3000.0, 0), (2000.0, 5)):
+        hand_out = HandOut("owner")
+        for _ in range(served):
+            _pull(hand_out, [_job("served", 100, 2000.0)], items=10)
+        offers.append(
+            hand_out.offer(message, [_job("job", 100, due_s)], "least_slack")
+        )
+    lax, due = offers
+    assert (due.urgency, due.key) < (lax.urgency, lax.key)
+
+
 def test_team_that_comes_later_does_not_catch_up() -> None:
     first = _job("one", 10_000, 86_400.0, team="depot")
     hand_out = HandOut("owner")
