Call the default document of the test fleet as it is now

Cause: Fleet.default_document takes no fleet any more, so test_expired_request_never_reaches_its_upstream ended with a TypeError.

--- a/tests/test_requests_cancel.py
+++ b/tests/test_requests_cancel.py
@@ -93,7 +93,7 @@
 
 
 def _one_at_a_time() -> dict[str, Any]:
-    document = Fleet.default_document(None)  # type: ignore[arg-type]
+    document = Fleet.default_document()
     document["policies"] = {"admission": "fixed", "fixed_concurrency": 1}
     document["workloads"]["hasty"] = {
         **document["workloads"]["notes"],
