Split the entry's HTTP interface by who calls it

Cause: entry/api.py had grown to 580 lines: callers' calls, operators' calls, the reading of requests and the problem documents. Ruled out: one class for each path. Change: FleetApi for operators, fields for what a request names; problems keeps the error handlers.

--- /dev/null
+++ b/plumvane/entry/fleet_api.py
@@ -0,0 +1,137 @@
+"""HTTP interface for operators: document, audit trail and instances."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+
+from plumvane.entry.fields import base_revision, bearer_token, read_body
+from plumvane.entry.problems import Handler
+from plumvane.entry.status import FleetStatus
+from plumvane.errors import (
+    ConflictError,
+    ForbiddenError,
+    PlumvaneError,
+    StoreUnavailableError,
+    UnauthorizedError,
+)
+from plumvane.fleet.current import CurrentDocument
+from plumvane.fleet.document import token_digest
+from plumvane.fleet.revisions import DocumentStore
+
+__all__ = ["FleetApi"]
+
+# Who applies the first document, which names the operators.
+FIRST_OPERATOR = "first-operator"
+
+
+class FleetApi:
+    """Shows and changes the fleet document."""
+
+    def __init__(
+        self,
+        current: CurrentDocument,
+        documents: DocumentStore,
+        status: FleetStatus,
+    ) -> None:
+        """Creates the interface.
+
+        Args:
+            current: Fleet document in force.
+            documents: Changes the fleet document.
+            status: State of all instances.
+        """
+        self._current = current
+        self._documents = documents
+        self._status = status
+
+    def routes(self) -> list[tuple[str, str, Handler]]:
+        """Returns the methods, paths and handlers."""
+        return [
+            ("GET", "/v1/fleet/document", self.show_document),
+            ("PUT", "/v1/fleet/document", self.apply_document),
+            ("GET", "/v1/fleet/audit", self.show_audit),
+            ("GET", "/v1/fleet/instances", self.show_instances),
+        ]
+
+    async def show_document(self, http: Request) -> Response:
+        """Serves GET /v1/fleet/document."""
+        await self._operator(http, "view")
+        try:
+            revision, _ = await self._documents.read()
+        except StoreUnavailableError:
+            # What is in force here goes on being in force.
+            return _document_response(
+                self._current.revision, self._current.data, from_store=False
+            )
+        return _document_response(
+            revision.number, revision.document, from_store=True
+        )
+
+    async def apply_document(self, http: Request) -> Response:
+        """Serves PUT /v1/fleet/document."""
+        operator = await self._operator(http, "view")
+        from_revision = 0
+        body = b""
+        try:
+            from_revision = base_revision(http)
+            body = await read_body(http)
+            await self._operator(http, "change")
+            if operator == FIRST_OPERATOR and from_revision != 0:
+                raise ConflictError("The first change is based on revision 0.")
+            revision = await self._documents.apply(
+                body, from_revision=from_revision, operator=operator
+            )
+        except PlumvaneError as error:
+            await self._documents.refuse(
+                from_revision=from_revision,
+                operator=operator,
+                refusal=error.code,
+                document=body,
+            )
+            raise
+        if revision.document:
+            self._current.offer(revision)
+        return JSONResponse({"revision": revision.number})
+
+    async def show_audit(self, http: Request) -> Response:
+        """Serves GET /v1/fleet/audit."""
+        await self._operator(http, "view")
+        changes = await self._documents.audit()
+        return JSONResponse({"changes": msgspec.to_builtins(changes)})
+
+    async def show_instances(self, http: Request) -> Response:
+        """Serves GET /v1/fleet/instances."""
+        await self._operator(http, "view")
+        found = await self._status.instances()
+        return JSONResponse(
+            {"revision": self._current.revision, "instances": found}
+        )
+
+    async def _operator(self, http: Request, role: str) -> str:
+        if self._current.revision == 0:
+            revision, _ = await self._documents.read()
+            if revision.number == 0:
+                # The first document names the first operators.
+                return FIRST_OPERATOR
+            self._current.offer(revision)
+        operators = self._current.document.operators
+        digest = token_digest(bearer_token(http))
+        for name, operator in operators.items():
+            if operator.token_sha256 == digest:
+                if role == "change" and operator.role != "change":
+                    raise ForbiddenError(f"Operator {name!r} may only view.")
+                return name
+        raise UnauthorizedError("The token is no operator's.")
+
+
+def _document_response(
+    revision: int, document: bytes, *, from_store: bool
+) -> Response:
+    return JSONResponse(
+        {"revision": revision, "document": json.loads(document)},
+        headers={"plumvane-from-store": "true" if from_store else "false"},
+    )
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -17,6 +17,7 @@
 from plumvane.entry.api import Api
 from plumvane.entry.batches import BatchService
 from plumvane.entry.checks import NAMES_BY_POLICY
+from plumvane.entry.fleet_api import FleetApi
 from plumvane.entry.host import PartitionHost
 from plumvane.entry.inheritance import ClaimInheritance
 from plumvane.entry.observations import observe_entry
@@ -193,9 +194,8 @@
             runner,
             batches,
             self._owners,
-            self._documents,
             self._directory,
-            self._status,
+            FleetApi(self._current, self._documents, self._status),
             TeamLimits(
                 lambda: self._current.document,
                 lambda: len(self._directory.live("entry")),
--- a/plumvane/entry/problems.py
+++ b/plumvane/entry/problems.py
@@ -4,14 +4,31 @@
 
 import json
 import math
+from collections.abc import Awaitable, Callable
 
+from starlette.exceptions import HTTPException
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 
-from plumvane import metrics
-from plumvane.errors import PlumvaneError, error_from_code
+from plumvane import events, metrics
+from plumvane.errors import (
+    MethodNotAllowedError,
+    NotFoundError,
+    PlumvaneError,
+    error_from_code,
+)
 from plumvane.peers.messages import Outcome
 
-__all__ = ["outcome_error", "problem_body", "problem_response"]
+__all__ = [
+    "Handler",
+    "http_problem",
+    "outcome_error",
+    "problem_body",
+    "problem_response",
+    "with_problems",
+]
+
+Handler = Callable[[Request], Awaitable[Response]]
 
 
 def problem_body(error: PlumvaneError) -> dict[str, object]:
@@ -62,3 +79,35 @@
         not_run=failure.not_run,
         retry_after_s=failure.retry_after_s,
     )
+
+
+def with_problems(handler: Handler) -> Handler:
+    """Turns errors into problem documents."""
+
+    async def serve(http: Request) -> Response:
+        try:
+            return await handler(http)
+        except PlumvaneError as error:
+            return problem_response(error)
+        except ClientDisconnect:
+            raise
+        except Exception as error:
+            events.log(
+                events.Event.CALL_FAILED,
+                path=http.url.path,
+                error=repr(error),
+            )
+            return problem_response(PlumvaneError("The entry failed."))
+
+    return serve
+
+
+async def http_problem(http: Request, error: Exception) -> Response:
+    """Answers a path or method that is not served."""
+    if isinstance(error, HTTPException) and error.status_code == 405:
+        return problem_response(
+            MethodNotAllowedError(f"{http.method} is not served here.")
+        )
+    return problem_response(
+        NotFoundError(f"{http.url.path} is not served.", not_run=True)
+    )
