Put an instance that was started again in its place back to work

Cause: once an instance had said that it was leaving, entries gave it nothing until the platform's list had dropped it; one started again under the same name and address, still listed as live, stayed without work for ever. Ruled out: telling processes apart by their reports (a sidecar reports to two entries only). Change: its word stands for 30 s against a list that says live; one that is still leaving refuses the next request as not run, which renews its word. A list that says leaving stands.

Proof: test_directory.test_instance_started_again_in_its_place_serves_again failed with AssertionError while the instance was not put back. test_directory 4 of 4, test_stopping 3 of 3, test_routing_faults, test_path and test_orders 6 of 6 passed after.

--- a/plumvane/instances/directory.py
+++ b/plumvane/instances/directory.py
@@ -20,6 +20,8 @@
 ENTRY_POLL_S = 1.0
 OTHER_POLL_S = 3.0
 CALL_TIMEOUT_S = 2.0
+# How long an instance's own word that it is leaving stands against the list.
+LEAVING_S = 30.0
 # A report older than this no longer proves that the instance lives.
 REPORT_FRESH_S = 3.0
 
@@ -45,6 +47,8 @@
         revision: Revision of the fleet document in force there, if known.
         load: Last known load, if any.
         reported: Monotonic time of its last report; 0 if none.
+        leaving_until: Monotonic time up to which its own word that it is
+            leaving stands, if the list says that it is live.
     """
 
     name: str
@@ -56,14 +60,22 @@
     revision: int = 0
     load: Load | None = None
     reported: float = 0.0
+    leaving_until: float = 0.0
+
+    def leave(self) -> None:
+        """Takes in that it is leaving."""
+        self.state = State.LEAVING
+        self.leaving_until = clock.monotonic() + LEAVING_S
 
 
 class Directory:
     """Instances by name.
 
     The platform's list lags, so a report that is newer than the list's
-    reading goes before it; leaving, once said by either, stands until the
-    instance is gone from the list.
+    reading goes before it. Leaving, once said by either, stands until the
+    instance is gone from the list, or for `LEAVING_S` while the list says that
+    it is live: it may have been started again in its place. One that is still
+    leaving refuses the next request as not run, which renews its word.
     """
 
     def __init__(self, url: str, poll_s: float = ENTRY_POLL_S) -> None:
@@ -78,6 +90,7 @@
         self._pool = HttpPool()
         self._instances_by_name: dict[str, Instance] = {}
         self._listed_names: set[str] = set()
+        self._leaving_names: set[str] = set()
         # Tag of the last reading; an unchanged list is not sent again.
         self._tag = ""
         self.loaded = anyio.Event()
@@ -121,20 +134,26 @@
         instance.revision = _revision_after(instance.revision, report.revision)
         instance.load = report.load
         if report.leaving:
-            instance.state = State.LEAVING
+            instance.leave()
 
     def mark_leaving(self, address: str) -> None:
         """Takes in that the instance at an address refused as leaving."""
         for instance in self._instances_by_name.values():
             if instance.address == address:
-                instance.state = State.LEAVING
+                instance.leave()
 
     def take_list(self, listed: list[dict[str, str]]) -> None:
         """Takes a reading of the platform's list in."""
         self._listed_names = {item["name"] for item in listed}
+        self._leaving_names = {
+            item["name"]
+            for item in listed
+            if item["state"] == State.LEAVING.value
+        }
         for item in listed:
             self._take_listed(item)
         self._forget_silent()
+        self._return_live()
         self.loaded.set()
 
     async def run(self) -> None:
@@ -154,10 +173,24 @@
             )
         if response.status == 304:
             self._forget_silent()
+            self._return_live()
         if response.status == 200:
             self._tag = _entity_tag(response.headers)
             self.take_list(json.loads(response.content)["instances"])
 
+    def _return_live(self) -> None:
+        """Puts back what is listed as live and said long ago that it leaves."""
+        now = clock.monotonic()
+        for name, instance in self._instances_by_name.items():
+            if name in self._leaving_names:
+                instance.leave()
+            elif (
+                instance.state is State.LEAVING
+                and name in self._listed_names
+                and now >= instance.leaving_until
+            ):
+                instance.state = State.LIVE
+
     def _forget_silent(self) -> None:
         """Forgets instances that are neither listed nor reporting."""
         fresh_after = clock.monotonic() - REPORT_FRESH_S
@@ -177,8 +210,6 @@
                 item.get("serves", ""),
             )
             self._instances_by_name[instance.name] = instance
-        if item["state"] == State.LEAVING.value:
-            instance.state = State.LEAVING
 
 
 def _revision_after(known: int, reported: int) -> int:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -61,3 +61,27 @@
         _, body = fleet.call("GET", f"{fleet['instances'].url}/counts")
     assert first == second == ["entry-0", "entry-1"]
     assert b'"unchanged"' in body
+
+
+def test_instance_started_again_in_its_place_serves_again() -> None:
+    directory = Directory("http://127.0.0.1:1/instances")
+    directory.take_list([_item("listed")])
+    directory.mark_leaving("127.0.0.1:1")
+    directory.take_list([_item("listed")])
+    assert directory.live("sidecar") == []
+    instance = directory.by_name("listed")
+    assert instance is not None
+    instance.leaving_until = clock.monotonic()
+    directory.take_list([_item("listed")])
+    assert [i.name for i in directory.live("sidecar")] == ["listed"]
+
+
+def test_instance_that_the_list_calls_leaving_stays_so() -> None:
+    directory = Directory("http://127.0.0.1:1/instances")
+    leaving = {**_item("listed"), "state": "leaving"}
+    directory.take_list([leaving])
+    instance = directory.by_name("listed")
+    assert instance is not None
+    instance.leaving_until = clock.monotonic()
+    directory.take_list([leaving])
+    assert directory.live("sidecar") == []
