--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -259,6 +259,8 @@
         while True:
             await anyio.sleep(WAKE_S)
             idle = self._hand_out.take_idle(self.all_jobs())
+            if not idle:
+                continue
             async with anyio.create_task_group() as group:
                 for address in idle:
                     group.start_soon(self._wake, address)
