Measure what a restarted upstream gets, on real processes

The bench starts killed engines and their sidecars again and counts their requests in windows of a second.

--- a/bench/report.py
+++ b/bench/report.py
@@ -93,6 +93,12 @@
         figures = summary(result)
         cells = "".join(f"{figures[column]:>13.4g}" for column in COLUMNS)
         print(f"{name:<24}{cells}")
+    for name, result in results["variants"].items():
+        for at_s, restarted, others in result.get("restarted", ()):
+            print(
+                f"{name}: second {at_s:.0f}: {restarted:.0f} requests at a "
+                f"restarted engine, {others:.1f} at each other one"
+            )
 
 
 def save_plot(results: dict[str, Any], path: pathlib.Path) -> None:
--- a/bench/run.py
+++ b/bench/run.py
@@ -31,6 +31,8 @@
 
 START_DELAY_S = 1.5
 BULKS = 2
+# Windows in which the share of restarted engines is counted.
+WINDOW_S = 1.0
 UNLIMITED_RATE = 1e9
 
 
@@ -182,7 +184,12 @@
         for engine in engines[: variant.kill_engines]:
             fleet[f"{engine.name}-sidecar"].kill()
             engine.kill()
+        killed = engines[: variant.kill_engines]
         engines = engines[variant.kill_engines :]
+    shares: list[list[float]] = []
+    if variant.kill_engines and scenario.restart_at_s:
+        _sleep_until(plan.start_at + scenario.restart_at_s)
+        shares = _restart(fleet, killed, engines, plan)
     _sleep_until(plan.start_at + plan.from_s)
     before = _records(fleet, engines)
     _sleep_until(plan.start_at + plan.until_s)
@@ -196,9 +203,40 @@
         for then, now in zip(before, after, strict=True)
     ]
     result["duration_s"] = scenario.duration_s
+    result["restarted"] = shares
     return result
 
 
+def _restart(
+    fleet: Fleet, killed: list[Process], others: list[Process], plan: Plan
+) -> list[list[float]]:
+    """Starts killed engines again; returns their share in each window.
+
+    Returns:
+        Rows of seconds since the start of the run, requests at each restarted
+        engine and at each other one in the window, as means.
+    """
+    for engine in killed:
+        engine.start()
+        fleet[f"{engine.name}-sidecar"].start()
+    fleet.wait_started()
+    rows = []
+    before = [_mean_requests(fleet, group) for group in (killed, others)]
+    until = plan.start_at + plan.from_s
+    while (now := time.time()) < until:
+        _sleep_until(now + WINDOW_S)
+        after = [_mean_requests(fleet, group) for group in (killed, others)]
+        done = [b - a for a, b in zip(before, after, strict=True)]
+        rows.append([time.time() - plan.start_at, *done])
+        before = after
+    return rows
+
+
+def _mean_requests(fleet: Fleet, engines: list[Process]) -> float:
+    counts = _records(fleet, engines)
+    return sum(c.get("requests", 0) for c in counts) / len(counts)
+
+
 def _records(fleet: Fleet, engines: list[Process]) -> list[dict[str, int]]:
     records = []
     for engine in engines:
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -79,6 +79,7 @@
         engine_flags: Flags of the engines.
         slow_factor: How much slower a slow engine's steps are.
         kill_at_s: When engines are killed, seconds after the start.
+        restart_at_s: When the killed ones are started again; 0 for never.
         online: The online load.
         batch_items: Items of the batch job.
         batch_max_tokens: Tokens of an item's answer.
@@ -95,6 +96,7 @@
     engine_flags: dict[str, float]
     slow_factor: float
     kill_at_s: float
+    restart_at_s: float
     online: Online
     batch_items: int
     batch_max_tokens: int
@@ -125,6 +127,7 @@
         engine_flags=_numbers(parser, "engine"),
         slow_factor=float(faults.get("slow_factor", "5")),
         kill_at_s=float(faults.get("kill_at_s", "0")),
+        restart_at_s=float(faults.get("restart_at_s", "0")),
         online=_online(parser),
         batch_items=int(batch.get("items", "0")),
         batch_max_tokens=int(batch.get("max_tokens", "64")),
