--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -27,7 +27,12 @@
 TEAM = "intake"
 TEAM_TOKEN = "intake-token"
 OPERATOR_TOKEN = "operator-token"
-DATA_CENTRES = ("windhoek-hall", "okahandja", "rehoboth", "brakwater")
+DATA_CENTRES: tuple[str, ...] = (
+    "windhoek-hall",
+    "okahandja",
+    "rehoboth",
+    "brakwater",
+)
 
 
 Sections = dict[str, dict[str, Any]]
@@ -141,6 +146,8 @@
         self.http = httpcore.ConnectionPool(max_connections=64)
         self._bin = pathlib.Path(sys.executable).parent
         self._numbers = 0
+        #: Where programs are started, in turn.
+        self.data_centres = DATA_CENTRES
         #: Returns more sections of a program's settings.
         self.more_settings: Callable[[Process], Sections] = lambda process: {}
 
@@ -394,7 +401,8 @@
         process.peer_port = free_port(self.host)
         process.http_port = http_port
         process.serves = serves
-        process.data_centre = DATA_CENTRES[self._numbers % len(DATA_CENTRES)]
+        number = self._numbers % len(self.data_centres)
+        process.data_centre = self.data_centres[number]
         self._numbers += 1
         if "proxy" in self.processes_by_name:
             self._open_route(process)
