Preempt batch items only while online requests run

Cause: the gate took places of running batch items whenever the limit fell, also with no online request in flight, where a longer step harms nobody. Ruled out: the sidecar's loop; preemption comes from the gate alone.

Change: without a running online request the items over the limit end by themselves; none starts, and an online request that comes preempts them.

First failure of the new test, on the tree without the change: `assert gate.preemptions == 0` -> AssertionError.

--- a/plumvane/upstreams/gate.py
+++ b/plumvane/upstreams/gate.py
@@ -223,7 +223,12 @@
         return running < self.policy.batch_start_limit(online)
 
     def _preempt_excess(self) -> None:
-        """Takes the places of the newest batch items over the limit."""
+        """Takes the places of the newest batch items over the limit.
+
+        Without online requests they harm nobody, and end by themselves.
+        """
+        if not self._online_running:
+            return
         room = self.policy.batch_limit(len(self._online_running))
         chosen = list(self._batch_running)[room:]
         for work in chosen:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -26,7 +26,9 @@
     return Work(online=online, rank=rank, deadline=clock.wall() + 60)
 
 
-def _trained(slowdown: float) -> Adaptive:
+def _trained(
+    slowdown: float, *, base_s: float = BASE_S, slope_s: float = SLOPE_S
+) -> Adaptive:
     """Returns a policy that has seen an engine with up to 60 requests."""
     policy = Adaptive(Policies(batch_slowdown=slowdown))
     workload = Workload(kind="online", model="m", between_tokens_ms=39)
@@ -35,7 +37,7 @@
     for _ in range(400):
         running = source.randint(1, 60)
         policy._step_at = 0.0
-        policy.observe_step(BASE_S + SLOPE_S * running, running, True)
+        policy.observe_step(base_s + slope_s * running, running, True)
     return policy
 
 
@@ -210,3 +212,26 @@
         return admitted
 
     assert anyio.run(admitted_at_once) == START_AT_ONCE
+
+
+def test_lower_limit_preempts_no_batch_item_without_online_requests() -> None:
+    async def run() -> None:
+        policy = _trained(1.1)
+        gate = Gate(policy)
+        items = []
+        while len(items) < 30:
+            item = _work(online=False)
+            gate._batch_start_at = 0.0
+            await gate.enter(item)
+            items.append(item)
+        for running in range(2000):
+            policy._step_at = 0.0
+            step_s = 5 * (BASE_S + SLOPE_S * (running % 60))
+            policy.observe_step(step_s, running % 60, True)
+            gate.refresh()
+        assert policy.batch_limit(0) < len(items)
+        assert gate.preemptions == 0
+        await gate.enter(_work(online=True))
+        assert gate.preemptions > 0
+
+    anyio.run(run)
