Let batch fill an idle engine that is slower than the target

Cause: with no online request near, the limit of batch was the number that keeps the step at 0.9 of the target between tokens. An engine whose step with one request exceeds that (50 ms of 39) got the least limit, two items, though nobody waited for its tokens; what ran above it was preempted.

Change: without online requests in the last 30 s, batch may lengthen the step to the larger of 0.9 of the target and twice the step of one request.

First failure of the new test, on the tree without the change: `assert limit > 60` -> AssertionError.

--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -36,6 +36,9 @@
 START_AT_ONCE = 4
 # The adaptive limit aims at this part of the latency target.
 HEADROOM = 0.9
+# Batch alone may lengthen the step of one request by this factor, also where
+# that exceeds the target.
+ALONE_FACTOR = 2.0
 # Part of a step that is left to the prefill of items that start and resume.
 PREFILL_PART = 0.04
 # The limit may exceed what has run before by this factor and number.
@@ -182,8 +185,10 @@
     def batch_limit(self, online_running: int) -> int:
         """See base class."""
         peak = max(online_running, self._online_peak)
-        if peak == 0 or not self._model.known:
+        if not self._model.known:
             return max(0, self.limit() - online_running)
+        if peak == 0:
+            return self._batch_limit_alone()
         slowdown = self._policies.batch_slowdown
         alone_s = self._model.predict(peak / slowdown)
         allowed_s = alone_s * slowdown * (1.0 - PREFILL_PART)
@@ -240,6 +245,17 @@
         self._model.add(running, seconds, weight)
         self._most_run = max(self._most_run, float(running))
 
+    def _batch_limit_alone(self) -> int:
+        """Returns how many batch items may run with no online request near.
+
+        An engine that is slower than the target with one request cannot keep
+        the target, so that holding batch back would only leave it idle.
+        """
+        allowed_s = max(
+            self._target_s * HEADROOM, self._model.predict(1) * ALONE_FACTOR
+        )
+        return self._within(allowed_s)
+
     def _within(self, step_s: float) -> int:
         """Returns how many requests keep the step within a time."""
         if not self._model.known:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -235,3 +235,11 @@
         assert gate.preemptions > 0
 
     anyio.run(run)
+
+
+def test_batch_alone_runs_on_an_engine_slower_than_the_target() -> None:
+    base_s, slope_s = 0.050, 0.0004
+    policy = _trained(1.1, base_s=base_s, slope_s=slope_s)
+    limit = policy.batch_limit(0)
+    assert limit > 60
+    assert base_s + slope_s * limit <= 2 * (base_s + slope_s)
