Let four batch items start in a step without online requests

Cause: starts were kept a quarter of a step apart, but tokens of all streams come together once a step, and only they and ends of streams give places out. So one item started in a step where four were meant.

Change: the gate saves up starts that the mean time between them allowed, up to the policy's number at once: four alone, one beside online requests as before.

First failure of the new test, on the tree without the change: `assert anyio.run(admitted_at_once) == STARTS_ALONE` -> AssertionError.

--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -107,9 +107,16 @@
     def batch_interval_s(
         self, online_running: int, batch_running: int
     ) -> float:
-        """Returns the least time between two starts of batch items."""
+        """Returns the mean time between two starts of batch items."""
         return 0.0
 
+    def batch_starts_at_once(self, online_running: int) -> int:
+        """Returns how many batch items may start at one time.
+
+        Tokens come once a step, and places are given out when they come.
+        """
+        return 1
+
     def lone_step_s(self) -> float:
         """Returns the engine's step with one request, or 0 if unknown."""
         return 0.0
@@ -214,6 +221,12 @@
             return step_s / STARTS_BESIDE_ONLINE
         return step_s / STARTS_ALONE
 
+    def batch_starts_at_once(self, online_running: int) -> int:
+        """See base class."""
+        if online_running or not self._model.known:
+            return STARTS_BESIDE_ONLINE
+        return STARTS_ALONE
+
     def lone_step_s(self) -> float:
         """See base class."""
         return max(0.0, self._model.predict(1)) if self._model.known else 0.0
--- a/plumvane/upstreams/gate.py
+++ b/plumvane/upstreams/gate.py
@@ -197,12 +197,20 @@
         while self._batch_queue and self._may_run_batch():
             work = heapq.heappop(self._batch_queue)[3]
             self._batch_running[work] = None
-            interval_s = self.policy.batch_interval_s(
-                len(self._online_running), len(self._batch_running)
-            )
-            self._batch_start_at = clock.monotonic() + interval_s
+            self._pace_batch()
             self._start(work)
 
+    def _pace_batch(self) -> None:
+        """Sets when the next batch item may start, after one has."""
+        now = clock.monotonic()
+        online = len(self._online_running)
+        interval_s = self.policy.batch_interval_s(
+            online, len(self._batch_running)
+        )
+        saved_s = interval_s * (self.policy.batch_starts_at_once(online) - 1)
+        start_at = max(self._batch_start_at, now - saved_s) + interval_s
+        self._batch_start_at = min(start_at, now + interval_s)
+
     def _start(self, work: Work) -> None:
         self._changed_at = work.started_at = clock.monotonic()
         work.admitted.set()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -12,6 +12,7 @@
 from plumvane.upstreams.admission import (
     START_AT_ONCE,
     START_LIMIT,
+    STARTS_ALONE,
     Adaptive,
     make_admission,
 )
@@ -243,3 +244,18 @@
     limit = policy.batch_limit(0)
     assert limit > 60
     assert base_s + slope_s * limit <= 2 * (base_s + slope_s)
+
+
+def test_batch_alone_starts_several_items_a_step() -> None:
+    async def admitted_at_once() -> int:
+        gate = Gate(_trained(1.1, base_s=10.0, slope_s=0.1))
+        works = [_work(online=False) for _ in range(2 * STARTS_ALONE)]
+        async with anyio.create_task_group() as group:
+            for work in works:
+                group.start_soon(gate.enter, work)
+            await anyio.wait_all_tasks_blocked()
+            admitted = sum(work.admitted.is_set() for work in works)
+            group.cancel_scope.cancel()
+        return admitted
+
+    assert anyio.run(admitted_at_once) == STARTS_ALONE
