Refill places of an unknown engine at once

Cause: while the model of the step was unknown, each start over four running items waited 0.1 s. Short items (4 tokens at a step of 50 ms) ended as fast as they started, so two to four ran, their number never varied enough for the model, and it stayed unknown for the whole job.

Change: the pause holds only where more would run than ever ran before.

First failure of the new test, on the tree without the change: `assert policy.batch_interval_s(0, START_AT_ONCE + 1) == 0.0` -> AssertionError.

--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -180,6 +180,7 @@
         self._model = StepModel()
         self._target_s = DEFAULT_TARGET_S
         self._most_run = float(START_LIMIT)
+        self._most_seen = 0
         self._online: deque[int] = deque(maxlen=SAMPLES)
         self._online_peak = 0
         self._sample_at = 0.0
@@ -213,8 +214,10 @@
         """See base class."""
         if not self._model.known:
             # Long items never end, so the model sees steps of several lengths
-            # only if they start one after the other.
-            is_spread = online_running or batch_running >= START_AT_ONCE
+            # only if they start one after the other. Places that ran before
+            # are filled again at once, or short items would never run more.
+            explored = max(START_AT_ONCE, self._most_seen)
+            is_spread = online_running or batch_running >= explored
             return SAMPLE_S if is_spread else 0.0
         step_s = self._model.predict(online_running)
         if online_running:
@@ -257,6 +260,7 @@
         weight = 1.0 if settled else UNSETTLED_WEIGHT
         self._model.add(running, seconds, weight)
         self._most_run = max(self._most_run, float(running))
+        self._most_seen = max(self._most_seen, running)
 
     def _batch_limit_alone(self) -> int:
         """Returns how many batch items may run with no online request near.
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -259,3 +259,11 @@
         return admitted
 
     assert anyio.run(admitted_at_once) == STARTS_ALONE
+
+
+def test_unknown_engine_refills_what_ran_before_without_a_pause() -> None:
+    policy = Adaptive(Policies())
+    policy.observe_step(0.05, START_AT_ONCE + 2, True)
+    assert policy.batch_interval_s(0, START_AT_ONCE + 1) == 0.0
+    assert policy.batch_interval_s(0, START_AT_ONCE + 2) > 0.0
+    assert policy.batch_interval_s(1, START_AT_ONCE + 1) > 0.0
