--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -36,6 +36,9 @@
 START_AT_ONCE = 4
 # The adaptive limit aims at this part of the latency target.
 HEADROOM = 0.9
+# Batch alone may lengthen the step of one request by this factor, also where
+# that exceeds the target.
+ALONE_FACTOR = 2.0
 # Part of a step that is left to the prefill of items that start and resume.
 PREFILL_PART = 0.04
 # The limit may exceed what has run before by this factor and number.
@@ -104,9 +107,16 @@
     def batch_interval_s(
         self, online_running: int, batch_running: int
     ) -> float:
-        """Returns the least time between two starts of batch items."""
+        """Returns the mean time between two starts of batch items."""
         return 0.0
 
+    def batch_starts_at_once(self, online_running: int) -> int:
+        """Returns how many batch items may start at one time.
+
+        Tokens come once a step, and places are given out when they come.
+        """
+        return 1
+
     def lone_step_s(self) -> float:
         """Returns the engine's step with one request, or 0 if unknown."""
         return 0.0
@@ -170,6 +180,7 @@
         self._model = StepModel()
         self._target_s = DEFAULT_TARGET_S
         self._most_run = float(START_LIMIT)
+        self._most_seen = 0
         self._online: deque[int] = deque(maxlen=SAMPLES)
         self._online_peak = 0
         self._sample_at = 0.0
@@ -182,8 +193,10 @@
     def batch_limit(self, online_running: int) -> int:
         """See base class."""
         peak = max(online_running, self._online_peak)
-        if peak == 0 or not self._model.known:
+        if not self._model.known:
             return max(0, self.limit() - online_running)
+        if peak == 0:
+            return self._batch_limit_alone()
         slowdown = self._policies.batch_slowdown
         alone_s = self._model.predict(peak / slowdown)
         allowed_s = alone_s * slowdown * (1.0 - PREFILL_PART)
@@ -201,14 +214,22 @@
         """See base class."""
         if not self._model.known:
             # Long items never end, so the model sees steps of several lengths
-            # only if they start one after the other.
-            is_spread = online_running or batch_running >= START_AT_ONCE
+            # only if they start one after the other. Places that ran before
+            # are filled again at once, or short items would never run more.
+            explored = max(START_AT_ONCE, self._most_seen)
+            is_spread = online_running or batch_running >= explored
             return SAMPLE_S if is_spread else 0.0
         step_s = self._model.predict(online_running)
         if online_running:
             return step_s / STARTS_BESIDE_ONLINE
         return step_s / STARTS_ALONE
 
+    def batch_starts_at_once(self, online_running: int) -> int:
+        """See base class."""
+        if online_running or not self._model.known:
+            return STARTS_BESIDE_ONLINE
+        return STARTS_ALONE
+
     def lone_step_s(self) -> float:
         """See base class."""
         return max(0.0, self._model.predict(1)) if self._model.known else 0.0
@@ -239,6 +260,18 @@
         weight = 1.0 if settled else UNSETTLED_WEIGHT
         self._model.add(running, seconds, weight)
         self._most_run = max(self._most_run, float(running))
+        self._most_seen = max(self._most_seen, running)
+
+    def _batch_limit_alone(self) -> int:
+        """Returns how many batch items may run with no online request near.
+
+        An engine that is slower than the target with one request cannot keep
+        the target, so that holding batch back would only leave it idle.
+        """
+        allowed_s = max(
+            self._target_s * HEADROOM, self._model.predict(1) * ALONE_FACTOR
+        )
+        return self._within(allowed_s)
 
     def _within(self, step_s: float) -> int:
         """Returns how many requests keep the step within a time."""
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -12,6 +12,7 @@
 from plumvane.upstreams.admission import (
     START_AT_ONCE,
     START_LIMIT,
+    STARTS_ALONE,
     Adaptive,
     make_admission,
 )
@@ -26,7 +27,9 @@
     return Work(online=online, rank=rank, deadline=clock.wall() + 60)
 
 
-def _trained(slowdown: float) -> Adaptive:
+def _trained(
+    slowdown: float, *, base_s: float = BASE_S, slope_s: float = SLOPE_S
+) -> Adaptive:
     """Returns a policy that has seen an engine with up to 60 requests."""
     policy = Adaptive(Policies(batch_slowdown=slowdown))
     workload = Workload(kind="online", model="m", between_tokens_ms=39)
@@ -35,7 +38,7 @@
     for _ in range(400):
         running = source.randint(1, 60)
         policy._step_at = 0.0
-        policy.observe_step(BASE_S + SLOPE_S * running, running, True)
+        policy.observe_step(base_s + slope_s * running, running, True)
     return policy
 
 
@@ -210,3 +213,57 @@
         return admitted
 
     assert anyio.run(admitted_at_once) == START_AT_ONCE
+
+
+def test_lower_limit_preempts_no_batch_item_without_online_requests() -> None:
+    async def run() -> None:
+        policy = _trained(1.1)
+        gate = Gate(policy)
+        items = []
+        while len(items) < 30:
+            item = _work(online=False)
+            gate._batch_start_at = 0.0
+            await gate.enter(item)
+            items.append(item)
+        for running in range(2000):
+            policy._step_at = 0.0
+            step_s = 5 * (BASE_S + SLOPE_S * (running % 60))
+            policy.observe_step(step_s, running % 60, True)
+            gate.refresh()
+        assert policy.batch_limit(0) < len(items)
+        assert gate.preemptions == 0
+        await gate.enter(_work(online=True))
+        assert gate.preemptions > 0
+
+    anyio.run(run)
+
+
+def test_batch_alone_runs_on_an_engine_slower_than_the_target() -> None:
+    base_s, slope_s = 0.050, 0.0004
+    policy = _trained(1.1, base_s=base_s, slope_s=slope_s)
+    limit = policy.batch_limit(0)
+    assert limit > 60
+    assert base_s + slope_s * limit <= 2 * (base_s + slope_s)
+
+
+def test_batch_alone_starts_several_items_a_step() -> None:
+    async def admitted_at_once() -> int:
+        gate = Gate(_trained(1.1, base_s=10.0, slope_s=0.1))
+        works = [_work(online=False) for _ in range(2 * STARTS_ALONE)]
+        async with anyio.create_task_group() as group:
+            for work in works:
+                group.start_soon(gate.enter, work)
+            await anyio.wait_all_tasks_blocked()
+            admitted = sum(work.admitted.is_set() for work in works)
+            group.cancel_scope.cancel()
+        return admitted
+
+    assert anyio.run(admitted_at_once) == STARTS_ALONE
+
+
+def test_unknown_engine_refills_what_ran_before_without_a_pause() -> None:
+    policy = Adaptive(Policies())
+    policy.observe_step(0.05, START_AT_ONCE + 2, True)
+    assert policy.batch_interval_s(0, START_AT_ONCE + 1) == 0.0
+    assert policy.batch_interval_s(0, START_AT_ONCE + 2) > 0.0
+    assert policy.batch_interval_s(1, START_AT_ONCE + 1) > 0.0
