Part the batch worker into pulling, items and reports

The order bench takes the engines' step and prints the rate over the jobs beside the measured capacity.

--- a/bench/batch_order.py
+++ b/bench/batch_order.py
@@ -3,7 +3,9 @@
 The capacity is measured by a first job in each run. Then jobs of random
 sizes arrive at once in random order; their deadlines are such that the
 earliest deadline first lands all but one, which no order can land. The
-clairvoyant order knows the measured capacity and all jobs. Run with
+clairvoyant order knows the measured capacity and all jobs. The rate over the
+jobs is printed beside it: where it is lower, the machine or the hand-out fell
+behind the capacity that the clairvoyant order counts on. Run with
 `python -m bench.batch_order`; figures are printed as JSON lines.
 """
 
@@ -32,6 +34,9 @@
 _JOBS = flags.DEFINE_integer("jobs", 5, "Jobs that can land.")
 _ITEMS = flags.DEFINE_integer("items", 300, "Mean items of a job.")
 _ENGINES = flags.DEFINE_integer("engines", 2, "Engines.")
+_ENGINE_STEP_S = flags.DEFINE_float(
+    "engine_step_s", 0.008, "Seconds of an engine's empty step."
+)
 
 CAPACITY_ITEMS = 1000
 TOKENS = 8
@@ -138,7 +143,10 @@
         document = Fleet(pathlib.Path(folder)).default_document()
     document["policies"] = {"batch_order": order}
     with running_fleet(
-        bulks=2, engines=_ENGINES.value, document=document
+        bulks=2,
+        engines=_ENGINES.value,
+        engine_flags=(f"--step_s={_ENGINE_STEP_S.value}",),
+        document=document,
     ) as fleet:
         caller = Caller(fleet)
         capacity = _capacity(fleet, caller)
@@ -150,6 +158,9 @@
         "seed": seed,
         "model": MODEL,
         "items_per_s": round(capacity, 1),
+        "items_per_s_of_jobs": round(
+            sum(j.items for j in jobs) / max(j.finished_s for j in jobs), 1
+        ),
         "clairvoyant": sum(j.lands for j in jobs),
         "landed": len(landed),
         "landed_of_clairvoyant": sum(j.lands for j in landed),
--- /dev/null
+++ b/plumvane/sidecar/items.py
@@ -0,0 +1,148 @@
+"""Runs single batch items at an engine."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import anyio
+
+from plumvane import clock
+from plumvane.errors import (
+    BadRequestError,
+    PlumvaneError,
+    UpstreamLostError,
+)
+from plumvane.peers.messages import FailedItem, FailureKind
+from plumvane.sidecar.dispatcher import completion_outcome
+from plumvane.sidecar.ranges import RangeRun
+from plumvane.sidecar.rate import ItemRate
+from plumvane.upstreams.engine import EngineClient, Token
+from plumvane.upstreams.gate import Gate, Work
+
+__all__ = ["ItemRunner"]
+
+# Marks batch work for the engine's own records.
+BATCH_METADATA = {"kind": "batch"}
+# An item waits at the gate for this after its job's deadline.
+LATE_ITEM_S = 30 * 86_400.0
+# An engine that gives no token for this is taken as lost.
+SILENT_ENGINE_S = 60.0
+
+
+class ItemRunner:
+    """Runs items as the gate admits them and measures their rate."""
+
+    def __init__(
+        self, gate: Gate, engine: EngineClient, rate: ItemRate
+    ) -> None:
+        """Creates the runner.
+
+        Args:
+            gate: Gate before the engine.
+            engine: Client of the engine.
+            rate: Takes each completion in.
+        """
+        self._gate = gate
+        self._engine = engine
+        self._rate = rate
+
+    async def run(self, run: RangeRun, index: int, line: bytes) -> bool:
+        """Runs an item; returns False if the engine could not be asked.
+
+        Args:
+            run: The range, which takes the result or the failure in.
+            index: Index of the item.
+            line: Its line of input.
+        """
+        item = json.loads(line)
+        request_id = f"{run.grant.claim_id}:{index}"
+        try:
+            body = await self._complete(
+                request_id, item["body"], run.grant.job_deadline
+            )
+        except PlumvaneError as error:
+            if isinstance(error, UpstreamLostError) and error.not_run:
+                return False
+            run.failed.append(FailedItem(index, str(error), _kind(error)))
+            return True
+        answer = {
+            "id": request_id,
+            "custom_id": item["custom_id"],
+            "response": {"status_code": 200, "body": body},
+            "error": None,
+        }
+        run.add(index, json.dumps(answer).encode())
+        self._rate.add(clock.monotonic())
+        return True
+
+    async def _complete(
+        self, request_id: str, body: dict[str, Any], deadline: float
+    ) -> Any:
+        """Runs one item; a preempted one resumes from its tokens."""
+        text: list[str] = []
+        tokens = 0
+        attempt = 0
+        while True:
+            # Keeps the order of the jobs' deadlines at the gate.
+            work = Work(online=False, deadline=deadline + LATE_ITEM_S)
+            await self._gate.enter(work)
+            stream_id = f"{request_id}:{attempt}"
+            attempt += 1
+            finish_reason = None
+            ended = False
+            stream = self._engine.stream(
+                stream_id,
+                {**body, "metadata": BATCH_METADATA},
+                resume_text="".join(text),
+                resume_tokens=tokens,
+            )
+            try:
+                with work.scope:
+                    async for token in _watched(stream):
+                        text.append(token.text)
+                        tokens += token.tokens
+                        finish_reason = token.finish_reason
+                    ended = True
+            finally:
+                self._gate.leave(work)
+                if not ended:
+                    await self._engine.cancel(stream_id)
+            ended = ended or finish_reason is not None
+            if ended and finish_reason is None:
+                raise UpstreamLostError("The engine ended the stream early.")
+            if ended:
+                outcome = completion_outcome(
+                    request_id,
+                    body,
+                    "".join(text),
+                    tokens,
+                    finish_reason or "stop",
+                )
+                return json.loads(outcome.body)
+
+
+async def _watched(stream: AsyncIterator[Token]) -> AsyncIterator[Token]:
+    """Yields the pieces of a stream.
+
+    Raises:
+        UpstreamLostError: The stream went silent.
+    """
+    while True:
+        try:
+            with anyio.fail_after(SILENT_ENGINE_S):
+                token = await anext(stream)
+        except StopAsyncIteration:
+            return
+        except TimeoutError:
+            raise UpstreamLostError("The engine went silent.") from None
+        yield token
+
+
+def _kind(error: PlumvaneError) -> FailureKind:
+    if isinstance(error, BadRequestError):
+        return FailureKind.REFUSED
+    if isinstance(error, UpstreamLostError):
+        return FailureKind.LOST
+    return FailureKind.ERROR
