--- a/bench/batch_order.py
+++ b/bench/batch_order.py
@@ -2,7 +2,9 @@
 
 The capacity is measured by a first job in each run. Then jobs of random
 sizes arrive at once in random order; their deadlines are such that the
-earliest deadline first lands all but one, which no order can land. The
+earliest deadline first lands all but one, which no order can land. With
+`--gap_s` they arrive one after the other, each with as much time as before, so
+that urgent jobs find the engines at work for lax ones. The
 clairvoyant order knows the measured capacity and all jobs. The rate over the
 jobs is printed beside it: where it is lower, the machine or the hand-out fell
 behind the capacity that the clairvoyant order counts on. Run with
@@ -13,6 +15,7 @@
 
 import dataclasses
 import json
+import math
 import pathlib
 import random
 import tempfile
@@ -21,7 +24,7 @@
 
 from absl import app, flags
 
-from standins.launcher import MODEL, Fleet
+from standins.launcher import MODEL, Fleet, Process
 from tests.batches import item_lines
 from tests.fleets import Caller, running_fleet
 
@@ -34,12 +37,12 @@
 _JOBS = flags.DEFINE_integer("jobs", 5, "Jobs that can land.")
 _ITEMS = flags.DEFINE_integer("items", 300, "Mean items of a job.")
 _ENGINES = flags.DEFINE_integer("engines", 2, "Engines.")
-_ENGINE_STEP_S = flags.DEFINE_float(
-    "engine_step_s", 0.008, "Seconds of an engine's empty step."
+_GAP_S = flags.DEFINE_float(
+    "gap_s", 0.0, "Seconds between the arrivals of two jobs."
 )
+_TOKENS = flags.DEFINE_integer("tokens", 8, "Tokens of an item.")
 
 CAPACITY_ITEMS = 1000
-TOKENS = 8
 # Deadlines leave this much more than the work before them takes.
 SPARE = 1.3
 SPARE_S = 3.0
@@ -54,6 +57,7 @@
     Attributes:
         items: How many items it has.
         due_s: Deadline, in seconds from the start.
+        arrival_s: When it arrives, in seconds from the start.
         lands: Whether the clairvoyant order lands it.
         job_id: Its id, once it is submitted.
         finished_s: When it ended, in seconds from the start.
@@ -62,6 +66,7 @@
 
     items: int
     due_s: float
+    arrival_s: float = 0.0
     lands: bool = True
     job_id: str = ""
     finished_s: float = 0.0
@@ -81,24 +86,44 @@
     # This one needs twice the time that it has.
     hopeless = int(jobs[0].due_s * 2 * capacity)
     jobs.append(_Job(hopeless, jobs[0].due_s))
-    _clairvoyant(jobs, capacity)
     rng.shuffle(jobs)
+    for number, job in enumerate(jobs):
+        job.arrival_s = number * _GAP_S.value
+        job.due_s += job.arrival_s
+    _clairvoyant(jobs, capacity)
     return jobs
 
 
 def _clairvoyant(jobs: list[_Job], capacity: float) -> None:
     """Notes what the earliest deadline first lands."""
-    busy_s = 0.0
+    landing: list[_Job] = []
     for job in sorted(jobs, key=lambda job: job.due_s):
-        finish_s = busy_s + job.items / capacity
-        job.lands = finish_s <= job.due_s
+        job.lands = _all_land([*landing, job], capacity)
         if job.lands:
-            busy_s = finish_s
+            landing.append(job)
+
+
+def _all_land(jobs: list[_Job], capacity: float) -> bool:
+    """Returns whether the earliest deadline first lands all jobs.
+
+    A job that arrives takes the engines from those that are due later.
+    """
+    left_s = {id(job): job.items / capacity for job in jobs}
+    arrivals = sorted({job.arrival_s for job in jobs})
+    for now_s, until_s in zip(arrivals, [*arrivals[1:], math.inf], strict=True):
+        arrived = [job for job in jobs if job.arrival_s <= now_s]
+        for job in sorted(arrived, key=lambda job: job.due_s):
+            spent_s = min(left_s[id(job)], until_s - now_s)
+            left_s[id(job)] -= spent_s
+            now_s += spent_s
+            if spent_s and not left_s[id(job)] and now_s > job.due_s:
+                return False
+    return True
 
 
 def _capacity(fleet: Fleet, caller: Caller) -> float:
     """Returns the items a second that a long job gets through."""
-    lines = item_lines(["warm-up"] * CAPACITY_ITEMS, max_tokens=TOKENS)
+    lines = item_lines(["warm-up"] * CAPACITY_ITEMS, max_tokens=_TOKENS.value)
     _, job = caller.submit(fleet["entry-0"], lines, key="capacity")
     # The limit of admission adapts over the first half.
     marks: list[tuple[float, int]] = []
@@ -114,39 +139,46 @@
 def _run(fleet: Fleet, caller: Caller, jobs: list[_Job]) -> None:
     entry = fleet["entry-0"]
     started = time.time()
+    waiting: list[_Job] = []
     for number, job in enumerate(jobs):
+        while time.time() < started + job.arrival_s:
+            _poll(entry, caller, waiting, started)
         lines = item_lines(
             [f"job {number} item {n}" for n in range(job.items)],
-            max_tokens=TOKENS,
+            max_tokens=_TOKENS.value,
         )
         _, state = caller.submit(
             entry, lines, key=f"job-{number}", deadline=started + job.due_s
         )
         job.job_id = state["id"]
-    waiting = list(jobs)
+        waiting.append(job)
     while waiting and time.time() < started + TIMEOUT_S:
-        for job in list(waiting):
-            state = caller.job(entry, job.job_id)
-            expected = state["expected_finish"]
-            if job.foreseen_late is None and expected is not None:
-                job.foreseen_late = expected > state["deadline"]
-            if state["state"] == "completed":
-                job.finished_s = time.time() - started
-                waiting.remove(job)
-        time.sleep(POLL_S)
+        _poll(entry, caller, waiting, started)
     for job in waiting:
         job.finished_s = TIMEOUT_S
 
 
+def _poll(
+    entry: Process, caller: Caller, waiting: list[_Job], started: float
+) -> None:
+    """Notes what came of the jobs that have not ended."""
+    for job in list(waiting):
+        state = caller.job(entry, job.job_id)
+        expected = state["expected_finish"]
+        if job.foreseen_late is None and expected is not None:
+            job.foreseen_late = expected > state["deadline"]
+        if state["state"] == "completed":
+            job.finished_s = time.time() - started
+            waiting.remove(job)
+    time.sleep(POLL_S)
+
+
 def _measure(order: str, seed: int) -> dict[str, Any]:
     with tempfile.TemporaryDirectory() as folder:
         document = Fleet(pathlib.Path(folder)).default_document()
     document["policies"] = {"batch_order": order}
     with running_fleet(
-        bulks=2,
-        engines=_ENGINES.value,
-        engine_flags=(f"--step_s={_ENGINE_STEP_S.value}",),
-        document=document,
+        bulks=2, engines=_ENGINES.value, document=document
     ) as fleet:
         caller = Caller(fleet)
         capacity = _capacity(fleet, caller)
