Hand running ranges back for more urgent jobs

Cause: a sidecar holds two ranges of up to 30 s each, and nothing takes one back.

Change: a sidecar whose ranges all run asks the owners every 2 s. If an owner has an urgent job waiting and no running range is as urgent, the range that is least urgent starts no further item; items that run end and are kept, no attempt is counted, and its place is free at once. An offer says the deadline for which ranges shall be given up; grants carry the job's class. Under fifo nothing is handed back.

Proof: tests.test_sidecar_batch.test_running_range_gives_way_to_an_urgent_job; without the call of hand_back it failed first with TimeoutError after 30 s (no range of the urgent job was ever pulled); with it 1 passed in 2.0 s. tests.test_jobs_handout, test_orders: passed.

--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -41,6 +41,7 @@
     JOB_FINISHED = (5002, "A batch job has ended.")
     RANGE_LOST = (5003, "A range's claim lapsed; it is handed out again.")
     ITEM_FAILED = (5004, "An item failed for the last time.")
+    RANGE_HANDED_BACK = (5005, "A range gave way to more urgent work.")
     PEER_SILENT = (6001, "A connection went silent; a new one is opened.")
     PEER_REFUSED = (6002, "A peer speaks another protocol version.")
     UPSTREAM_FAILED = (7001, "The upstream does not answer or failed.")
--- a/plumvane/jobs/handout.py
+++ b/plumvane/jobs/handout.py
@@ -6,10 +6,11 @@
 import dataclasses
 from collections.abc import Mapping, Sequence
 
+import msgspec
+
 from plumvane import clock
 from plumvane.jobs.job import Job
 from plumvane.jobs.order import (
-    LATE,
     ORDERS_BY_NAME,
     Forecast,
     Ranked,
@@ -21,6 +22,7 @@
     OwnerView,
     PullWork,
     RangeGrant,
+    Urgency,
     WorkOffer,
 )
 
@@ -94,7 +96,9 @@
         if not ranked:
             self._note_worker(message, is_idle=True)
             return WorkOffer(view)
-        return WorkOffer(view, True, ranked[0].urgency, ranked[0].key)
+        first = ranked[0]
+        due = first.job.accepted.deadline if first.takes_back else None
+        return WorkOffer(view, True, first.urgency, first.key, due)
 
     def pull(
         self,
@@ -121,7 +125,11 @@
         running = _running(jobs, message.model)
         all_ranked = self._ranked(running, message.model, batch_order)
         due = min(
-            (r.job.accepted.deadline for r in all_ranked if r.urgency != LATE),
+            (
+                r.job.accepted.deadline
+                for r in all_ranked
+                if r.urgency != Urgency.LATE
+            ),
             default=0.0,
         )
         for ranked in all_ranked:
@@ -134,7 +142,7 @@
                 team = ranked.job.accepted.team
                 weight = share_by_team.get(team, 1)
                 self._service_by_team[team] += grant.items / weight
-                return grant
+                return msgspec.structs.replace(grant, urgency=ranked.urgency)
         self._note_worker(message, is_idle=True)
         return None
 
--- a/plumvane/jobs/order.py
+++ b/plumvane/jobs/order.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from plumvane.jobs.job import Job
-from plumvane.peers.messages import JobDemand
+from plumvane.peers.messages import JobDemand, Urgency
 
-__all__ = ["LATE", "ORDERS_BY_NAME", "Forecast", "Ranked", "forecast", "order"]
+__all__ = ["ORDERS_BY_NAME", "Forecast", "Ranked", "forecast", "order"]
 
 # Deadlines leave room for fairness while every job is expected to end within
 # this part of the time to its deadline.
@@ -16,7 +16,6 @@
 # A job is set aside if it needs this much of the time that it has; a measured
 # rate that dips for a moment must not make it late.
 SET_ASIDE = 1.25
-URGENT, FAIR, LATE = range(3)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,14 +23,17 @@
     """A job and its place, which owners can compare.
 
     Attributes:
-        urgency: Class of the job; a lower one goes first.
+        urgency: Class of the job.
         key: Place in the class; a lower one goes first.
         job: The job.
+        takes_back: Whether running ranges of less urgent jobs are handed
+            back for it.
     """
 
-    urgency: int
+    urgency: Urgency
     key: float
     job: Job
+    takes_back: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,7 +124,7 @@
 def fifo(foreseen: Forecast) -> Sequence[Ranked]:
     """Ranks jobs by the time of their acceptance."""
     jobs = [*foreseen.landing, *foreseen.late]
-    return [Ranked(URGENT, job.accepted.time, job) for job in jobs]
+    return [Ranked(Urgency.URGENT, job.accepted.time, job) for job in jobs]
 
 
 @order("least_slack")
@@ -133,13 +135,14 @@
     the least slack. Jobs that will be late come after those that will not.
     """
     ranked = [
-        Ranked(FAIR, _service(foreseen, job), job)
+        Ranked(Urgency.FAIR, _service(foreseen, job), job)
         if foreseen.ample
-        else Ranked(URGENT, job.accepted.deadline, job)
+        else Ranked(Urgency.URGENT, job.accepted.deadline, job, takes_back=True)
         for job in foreseen.landing
     ]
     ranked.extend(
-        Ranked(LATE, _service(foreseen, job), job) for job in foreseen.late
+        Ranked(Urgency.LATE, _service(foreseen, job), job)
+        for job in foreseen.late
     )
     return ranked
 
--- a/plumvane/peers/messages/__init__.py
+++ b/plumvane/peers/messages/__init__.py
@@ -41,6 +41,7 @@
     RangeGrant,
     ResultPage,
     SubmitJob,
+    Urgency,
     WorkOffer,
     WorkWaiting,
 )
@@ -135,6 +136,7 @@
     "SubmitJob",
     "TakePartition",
     "TextPart",
+    "Urgency",
     "Views",
     "WorkOffer",
     "WorkWaiting",
--- a/plumvane/peers/messages/jobs.py
+++ b/plumvane/peers/messages/jobs.py
@@ -25,6 +25,7 @@
     "RangeGrant",
     "ResultPage",
     "SubmitJob",
+    "Urgency",
     "WorkOffer",
     "WorkWaiting",
 ]
@@ -197,6 +198,17 @@
     service_by_team: dict[str, float] = {}
 
 
+class Urgency(enum.IntEnum):
+    """Class of a job with waiting items; a lower one goes first."""
+
+    URGENT = 0
+    """Goes by its deadline."""
+    FAIR = 1
+    """Its deadline leaves room for fairness between teams."""
+    LATE = 2
+    """Cannot land; set aside."""
+
+
 class OfferWork(Message, frozen=True, tag="offerwork"):
     """A sidecar asks an owner what it would hand out.
 
@@ -219,14 +231,17 @@
     Attributes:
         view: The owner's jobs.
         waiting: Whether items wait there.
-        urgency: Class of its first job; a lower one goes first.
+        urgency: Class of its first job.
         key: Place of its first job in the class; a lower one goes first.
+        due: Deadline of its first job if ranges of less urgent jobs shall be
+            handed back for it, or None.
     """
 
     view: OwnerView
     waiting: bool = False
-    urgency: int = 0
+    urgency: Urgency = Urgency.URGENT
     key: float = 0.0
+    due: float | None = None
 
 
 class WorkWaiting(Message, frozen=True, tag="workwaiting"):
@@ -266,6 +281,7 @@
         job_deadline: When the job must have ended.
         chunks: Input chunks that hold the items.
         skip: Indexes of items that already have a result or are given up.
+        urgency: Class of the job when the range was handed out.
     """
 
     partition: int
@@ -277,6 +293,7 @@
     job_deadline: float
     chunks: tuple[ChunkRef, ...]
     skip: tuple[int, ...] = ()
+    urgency: Urgency = Urgency.URGENT
 
 
 class RangeDone(Message, frozen=True, tag="rangedone"):
--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -8,8 +8,9 @@
 
 import anyio
 import msgspec
+from anyio.abc import TaskGroup
 
-from plumvane import clock
+from plumvane import clock, events
 from plumvane.chunks.cache import ChunkCache
 from plumvane.chunks.client import ChunkClient
 from plumvane.errors import PlumvaneError
@@ -21,6 +22,7 @@
     OfferWork,
     PullWork,
     RangeGrant,
+    Urgency,
     WorkOffer,
     WorkWaiting,
 )
@@ -45,6 +47,11 @@
 # Unsaved results at which no further item is started.
 MAX_UNSAVED_BYTES = 8 * 1024 * 1024
 IDLE_MIN_S = 0.1
+# While all ranges run, owners are asked this often for more urgent work.
+LOOK_S = 2.0
+LOOK_MIN_S = 0.25
+# A range that ends within this is not handed back.
+SOON_S = 1.0
 # An idle sidecar is woken by the owners; this is for a lost message.
 IDLE_MAX_S = 60.0
 # The same while the engine, the owners or the bulk instances are away.
@@ -96,17 +103,20 @@
         self._asked = False
         self._silent_until_by_owner: dict[str, float] = {}
         self._leaving = False
+        self._looking = anyio.CancelScope()
 
     async def run(self) -> None:
         """Pulls and runs ranges until the sidecar leaves."""
         async with anyio.create_task_group() as group:
+            group.start_soon(self._look_loop)
             for _ in range(RANGES):
-                group.start_soon(self._pull_loop)
+                group.start_soon(self._pull_loop, group)
 
     def leave(self) -> None:
         """Stops pulling and hands back what is not done."""
         self._leaving = True
         self._reports.is_leaving = True
+        self._looking.cancel()
         for run in self._runs:
             run.scope.cancel()
 
@@ -119,7 +129,52 @@
         self._woken.set()
         self._woken = anyio.Event()
 
-    async def _pull_loop(self) -> None:
+    async def _look_loop(self) -> None:
+        """Hands a range back if much more urgent work waits."""
+        with self._looking:
+            while True:
+                await anyio.sleep(LOOK_MIN_S)
+                with anyio.move_on_after(LOOK_S * random.uniform(0.5, 1.0)):
+                    await self._woken.wait()
+                if self._least_urgent() is not None:
+                    await self._look()
+
+    async def _look(self) -> None:
+        """Asks the owners and hands the least urgent range back for theirs."""
+        offers_by_owner = await self._offers()
+        due = min(
+            (o.due for o in offers_by_owner.values() if o.due is not None),
+            default=None,
+        )
+        run = self._least_urgent()
+        if due is None or run is None:
+            return
+        if any(_goes_before(other, due) for other in self._active()):
+            # Its loop comes to the urgent work next.
+            return
+        events.log(
+            events.Event.RANGE_HANDED_BACK,
+            job=run.grant.job_id,
+            first_item=run.grant.first_item,
+            items=run.left,
+        )
+        run.hand_back()
+
+    def _active(self) -> list[RangeRun]:
+        return [run for run in self._runs if not run.handed_back]
+
+    def _least_urgent(self) -> RangeRun | None:
+        """Returns a range to hand back, or None if a loop is soon free."""
+        active = self._active()
+        soon = max(1.0, self._rate.per_s * SOON_S)
+        if len(active) < RANGES or min(run.left for run in active) <= soon:
+            return None
+        return max(
+            active,
+            key=lambda run: (run.grant.urgency, run.grant.job_deadline),
+        )
+
+    async def _pull_loop(self, group: TaskGroup) -> None:
         idle_s = IDLE_MIN_S
         while not self._leaving:
             woken = self._woken
@@ -128,7 +183,10 @@
             if pulled is not None:
                 # The other loops find work too.
                 self._wake()
-                if await self._run_range(*pulled):
+                run = RangeRun(*pulled)
+                group.start_soon(self._run_range, run)
+                await run.settled.wait()
+                if run.tried or run.handed_back:
                     idle_s = IDLE_MIN_S
                     continue
             if not self._runs:
@@ -213,42 +271,37 @@
         unsaved = sum(run.unsaved_bytes for run in self._runs)
         return unsaved < MAX_UNSAVED_BYTES and self._chunks.available()
 
-    async def _run_range(self, owner: str, grant: RangeGrant) -> bool:
-        """Runs a range and reports it; returns whether an item was tried."""
-        run = RangeRun(owner, grant)
+    async def _run_range(self, run: RangeRun) -> None:
+        """Runs a range and reports it."""
         self._runs.add(run)
         if self._leaving:
             run.scope.cancel()
-        tried = False
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._reports.keep, run)
                 with run.scope:
-                    tried = await self._run_items(run)
+                    await self._run_items(run)
                 await self._reports.finish(run)
                 group.cancel_scope.cancel()
         finally:
             self._runs.discard(run)
-        return tried
+            run.settled.set()
 
-    async def _run_items(self, run: RangeRun) -> bool:
-        """Runs the items of a range; returns whether any was tried."""
+    async def _run_items(self, run: RangeRun) -> None:
+        """Runs the items of a range."""
         try:
             lines = await self._load(run.grant)
         except PlumvaneError:
-            return False
-        tried: set[int] = set()
+            return
         items = iter(lines.items())
         async with anyio.create_task_group() as group:
             for _ in range(min(QUEUED_ITEMS, len(lines))):
-                group.start_soon(self._run_each, run, items, tried)
-        return bool(tried)
+                group.start_soon(self._run_each, run, items)
 
     async def _run_each(
         self,
         run: RangeRun,
         items: Iterator[tuple[int, bytes]],
-        tried: set[int],
     ) -> None:
         for index, line in items:
             while not self._has_room():
@@ -256,9 +309,10 @@
                 with anyio.move_on_after(RENEW_S):
                     await saved.wait()
             if not await self._items.run(run, index, line):
-                # The engine is away; the rest is handed back.
+                # The rest is handed back.
                 return
-            tried.add(index)
+            run.tried = True
+            run.left -= 1
 
     async def _load(self, grant: RangeGrant) -> dict[int, bytes]:
         """Returns the input lines of a range's open items by index."""
@@ -273,3 +327,8 @@
                 if chunk.first_item + offset in wanted:
                     lines[chunk.first_item + offset] = line
         return lines
+
+
+def _goes_before(run: RangeRun, due: float) -> bool:
+    """Returns whether a range is as urgent as a job that is due then."""
+    return run.grant.urgency is Urgency.URGENT and run.grant.job_deadline <= due
--- a/plumvane/sidecar/items.py
+++ b/plumvane/sidecar/items.py
@@ -49,7 +49,9 @@
         self._rate = rate
 
     async def run(self, run: RangeRun, index: int, line: bytes) -> bool:
-        """Runs an item; returns False if the engine could not be asked.
+        """Runs an item; returns False if it was not run.
+
+        The engine could not be asked, or the range is handed back.
 
         Args:
             run: The range, which takes the result or the failure in.
@@ -59,14 +61,14 @@
         item = json.loads(line)
         request_id = f"{run.grant.claim_id}:{index}"
         try:
-            body = await self._complete(
-                request_id, item["body"], run.grant.job_deadline
-            )
+            body = await self._complete(run, request_id, item["body"])
         except PlumvaneError as error:
             if isinstance(error, UpstreamLostError) and error.not_run:
                 return False
             run.failed.append(FailedItem(index, str(error), _kind(error)))
             return True
+        if body is None:
+            return False
         answer = {
             "id": request_id,
             "custom_id": item["custom_id"],
@@ -78,16 +80,26 @@
         return True
 
     async def _complete(
-        self, request_id: str, body: dict[str, Any], deadline: float
+        self, run: RangeRun, request_id: str, body: dict[str, Any]
     ) -> Any:
-        """Runs one item; a preempted one resumes from its tokens."""
+        """Runs one item; a preempted one resumes from its tokens.
+
+        Returns:
+            The answer, or None if the range was handed back before its end.
+        """
         text: list[str] = []
         tokens = 0
         attempt = 0
         while True:
             # Keeps the order of the jobs' deadlines at the gate.
-            work = Work(online=False, deadline=deadline + LATE_ITEM_S)
-            await self._gate.enter(work)
+            work = Work(
+                online=False,
+                deadline=run.grant.job_deadline + LATE_ITEM_S,
+            )
+            with run.queueing() as queueing:
+                await self._gate.enter(work)
+            if queueing.cancelled_caught:
+                return None
             stream_id = f"{request_id}:{attempt}"
             attempt += 1
             finish_reason = None
--- a/plumvane/sidecar/ranges.py
+++ b/plumvane/sidecar/ranges.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+from collections.abc import Iterator
+
 import anyio
 
 from plumvane import clock
@@ -21,6 +24,10 @@
         failed: Items that failed in this attempt.
         stored: Chunk of results that the owner has not taken yet.
         saved: Monotonic time at which results were taken last.
+        left: Items that have not been run.
+        tried: Whether an item was run.
+        handed_back: Whether no further item is started.
+        settled: Set once the range has ended or is being handed back.
     """
 
     def __init__(self, owner: str, grant: RangeGrant) -> None:
@@ -37,7 +44,12 @@
         self.failed: list[FailedItem] = []
         self.stored: ChunkRef | None = None
         self.saved = clock.monotonic()
+        self.left = grant.items - len(grant.skip)
+        self.tried = False
+        self.handed_back = False
+        self.settled = anyio.Event()
         self._lines_by_index: dict[int, bytes] = {}
+        self._queued: set[anyio.CancelScope] = set()
 
     @property
     def unsaved_bytes(self) -> int:
@@ -49,6 +61,25 @@
         """Whether there are results that the owner has not taken."""
         return bool(self._lines_by_index)
 
+    def hand_back(self) -> None:
+        """Starts no further item; those that run are finished."""
+        self.handed_back = True
+        for scope in self._queued:
+            scope.cancel()
+        self.settled.set()
+
+    @contextlib.contextmanager
+    def queueing(self) -> Iterator[anyio.CancelScope]:
+        """Yields a scope that is cancelled if the range is handed back."""
+        with anyio.CancelScope() as scope:
+            if self.handed_back:
+                scope.cancel()
+            self._queued.add(scope)
+            try:
+                yield scope
+            finally:
+                self._queued.discard(scope)
+
     def add(self, index: int, line: bytes) -> None:
         """Takes the result of an item in."""
         self._lines_by_index[index] = line
--- /dev/null
+++ b/tests/test_sidecar_batch.py
@@ -0,0 +1,140 @@
+"""Batch worker of a sidecar before an engine that waits for the test."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any, cast
+
+import anyio
+import msgspec
+
+from plumvane import clock
+from plumvane.errors import NotFoundError
+from plumvane.fleet.document import Policies
+from plumvane.jobs.handout import HandOut
+from plumvane.jobs.job import Job
+from plumvane.peers.messages import (
+    Done,
+    Message,
+    OfferWork,
+    PullWork,
+    RangeDone,
+    RangeGrant,
+)
+from plumvane.sidecar.batch import BatchWorker
+from plumvane.upstreams.admission import Fixed
+from plumvane.upstreams.engine import Token
+from plumvane.upstreams.gate import Gate
+from tests.jobs import INPUT_CHUNK_ITEMS, accepted
+
+ITEMS = 400
+PLACES = 4
+OUTER_DEADLINE_S = 30.0
+
+
+class _Fleet:
+    """An owner, bulk instances and an engine in one.
+
+    Attributes:
+        jobs: Jobs of the owner.
+        started: Items that the engine got, as job id and index.
+        places: Items that may end, for a test to add to.
+        owners: Peer addresses of the owners.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: list[Job] = []
+        self.started: list[tuple[str, int]] = []
+        self.places = anyio.Semaphore(0)
+        self.owners = ["owner"]
+        self._hand_out = HandOut("owner")
+
+    def submit(self, job_id: str, items: int, due_s: float) -> Job:
+        """Adds a job."""
+        record = accepted(job_id, items, deadline=clock.wall() + due_s)
+        self.jobs.append(Job(record, 0, 1))
+        return self.jobs[-1]
+
+    async def call(
+        self, owner: str, message: Message, *, deadline: float
+    ) -> Message:
+        """Answers as the owner."""
+        if isinstance(message, OfferWork):
+            return self._hand_out.offer(message, self.jobs, "least_slack")
+        if isinstance(message, PullWork):
+            grant = self._hand_out.pull(message, self.jobs, "least_slack", {})
+            return grant or RangeGrant(0, "", 0, 0, "", 0.0, 0.0, ())
+        assert isinstance(message, RangeDone)
+        job = next(j for j in self.jobs if j.accepted.job_id == message.job_id)
+        if not message.finished and not job.renew(message):
+            raise NotFoundError("The range is not wanted.")
+        results, failed = job.accept(message)
+        if results is not None:
+            job.apply_done(results)
+        job.apply_failed(failed)
+        return Done()
+
+    def available(self) -> bool:
+        """Returns whether results can be stored."""
+        return True
+
+    async def store(self, data: bytes) -> tuple[str, tuple[str, ...]]:
+        """Takes a chunk of results."""
+        return "results", ("bulk",)
+
+    async def fetch(self, digest: str, addresses: tuple[str, ...]) -> bytes:
+        """Returns a chunk of input; all are alike."""
+        body = {"model": "model", "prompt": "item", "max_tokens": 1}
+        line = json.dumps({"custom_id": "item", "body": body}).encode()
+        return msgspec.msgpack.encode([line] * INPUT_CHUNK_ITEMS)
+
+    async def stream(
+        self, request_id: str, body: dict[str, Any], **resume: Any
+    ) -> AsyncIterator[Token]:
+        """Runs an item once the test lets it end."""
+        claim_id, index, _ = request_id.rsplit(":", 2)
+        self.started.append((claim_id.split(":")[0], int(index)))
+        await self.places.acquire()
+        yield Token("word", 1, "stop")
+
+    async def cancel(self, request_id: str) -> None:
+        """Ends a stream."""
+
+    def end(self, items: int) -> None:
+        """Lets items that run end."""
+        for _ in range(items):
+            self.places.release()
+
+    def worker(self) -> BatchWorker:
+        """Returns the worker of a sidecar whose engine has few places."""
+        gate = Gate(Fixed(Policies(fixed_concurrency=PLACES)))
+        fleet = cast(Any, self)
+        return BatchWorker("model", "sidecar", gate, fleet, fleet, fleet, fleet)
+
+
+async def _until(condition: Any) -> None:
+    while not condition():
+        await anyio.sleep(0.01)
+
+
+def test_running_range_gives_way_to_an_urgent_job() -> None:
+    async def check() -> None:
+        fleet = _Fleet()
+        lax = fleet.submit("lax", ITEMS, 86_400.0)
+        worker = fleet.worker()
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(worker.run)
+                await _until(lambda: len(fleet.started) == PLACES)
+                urgent = fleet.submit("urgent", 2, 3600.0)
+                await _until(lambda: urgent.claims)
+                # The items that the engine has begun end and are kept.
+                fleet.end(PLACES + urgent.items)
+                await _until(lambda: urgent.state == "completed")
+                worker.leave()
+        assert lax.remaining == lax.waiting == ITEMS - PLACES
+        assert len(fleet.started) == len(set(fleet.started))
+        assert not lax._attempts_by_index and not lax._losses_by_index
+
+    anyio.run(check)
