Part claims and result pages from the job

The claim went to claims.py and the references to results with their pages to results.py; no behaviour changes. The test of the pages imports its bounds from there.

tests.test_jobs_job, _table and _machine: 25 passed, 0 failed.

--- a/plumvane/jobs/job.py
+++ b/plumvane/jobs/job.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import bisect
-import dataclasses
 import itertools
 from collections import deque
 
 from plumvane import clock, events
+from plumvane.jobs.claims import CLAIM_S, RangeClaim
 from plumvane.jobs.intervals import IntervalSet, runs
+from plumvane.jobs.results import ResultRefs, narrowed
 from plumvane.partitions.records import JobAccepted
 from plumvane.peers.messages import (
     ChunkRef,
@@ -20,10 +20,8 @@
     ResultPage,
 )
 
-__all__ = ["Job", "RangeClaim"]
+__all__ = ["Job"]
 
-# A range's claim lapses unless it is renewed.
-CLAIM_S = 15.0
 # An item that its engine answered with an error this often is given up.
 MAX_ATTEMPTS = 3
 # An item whose worker or engine was lost this often, while no other item of
@@ -33,39 +31,9 @@
 LOST_PIECES = 8
 # Failed items that a job's state lists; the results list all.
 MAX_LISTED = 100
-# References and failed items in one page of results.
-PAGE_REFS = 32
-PAGE_FAILED = 1000
 ENDED_CLAIMS = 256
 
 
-@dataclasses.dataclass(slots=True)
-class RangeClaim:
-    """A range of items handed to a sidecar.
-
-    Attributes:
-        claim_id: Identifier of the claim.
-        first_item: Index of the first item.
-        items: How many items.
-        sidecar_address: Who has it.
-        incarnation: Process of the sidecar that has it.
-        deadline: When it lapses, seconds since the Unix epoch.
-        is_suspect: Whether its worker was lost before.
-    """
-
-    claim_id: str
-    first_item: int
-    items: int
-    sidecar_address: str
-    incarnation: str
-    deadline: float
-    is_suspect: bool = False
-
-    def indexes(self) -> range:
-        """Returns the indexes of its items."""
-        return range(self.first_item, self.first_item + self.items)
-
-
 class Job:
     """One job; it changes only through its methods.
 
@@ -95,8 +63,7 @@
         self._epoch = epoch
         self._done = bytearray(self.items)
         self._done_count = 0
-        self._results: list[ChunkRef] = []
-        self._longest_result = 0
+        self._results = ResultRefs()
         self._failed_by_index: dict[int, FailedItem] = {}
         self._attempts_by_index: dict[int, int] = {}
         self._losses_by_index: dict[int, int] = {}
@@ -162,9 +129,7 @@
             self._done[index] = 1
         self._done_count += len(fresh)
         self._drop_waiting(fresh)
-        ref = narrowed(results, fresh)
-        self._longest_result = max(self._longest_result, ref.items)
-        bisect.insort(self._results, ref, key=_first_item)
+        self._results.add(narrowed(results, fresh))
 
     def apply_failed(self, items: tuple[FailedItem, ...]) -> None:
         """Takes committed failures in."""
@@ -333,45 +298,8 @@
         Returns:
             A page that covers the items up to its `next_item`.
         """
-        found, next_item = self._results_from(from_item)
-        failed = [
-            self._failed_by_index[i]
-            for i in sorted(self._failed_by_index)
-            if from_item <= i < next_item
-        ]
-        if len(failed) > PAGE_FAILED:
-            next_item = failed[PAGE_FAILED].index
-            failed = failed[:PAGE_FAILED]
-        return ResultPage(
-            tuple(ref for ref in found if ref.first_item < next_item),
-            tuple(failed),
-            self._input_of([item.index for item in failed]),
-            next_item,
-            next_item >= self.items,
-        )
-
-    def _results_from(self, from_item: int) -> tuple[list[ChunkRef], int]:
-        """Returns a page of references and the first item left out."""
-        oldest = from_item - self._longest_result
-        low = bisect.bisect_left(self._results, oldest, key=_first_item)
-        found: list[ChunkRef] = []
-        for position in range(low, len(self._results)):
-            ref = self._results[position]
-            if ref.first_item + ref.items <= from_item:
-                continue
-            if len(found) >= PAGE_REFS and ref.first_item > max(
-                from_item, found[-1].first_item
-            ):
-                return found, ref.first_item
-            found.append(ref)
-        return found, self.items
-
-    def _input_of(self, indexes: list[int]) -> tuple[ChunkRef, ...]:
-        return tuple(
-            chunk
-            for chunk in self.accepted.chunks
-            if bisect.bisect_left(indexes, chunk.first_item)
-            < bisect.bisect_left(indexes, chunk.first_item + chunk.items)
+        return self._results.page(
+            from_item, self.items, self._failed_by_index, self.accepted.chunks
         )
 
     def _tries_suspect(self, sidecar_address: str) -> bool:
@@ -500,19 +428,3 @@
             chunks,
             skip,
         )
-
-
-def narrowed(ref: ChunkRef, indexes: tuple[int, ...]) -> ChunkRef:
-    """Returns a reference narrowed to some of its items."""
-    whole = len(indexes) == ref.items
-    return ChunkRef(
-        ref.digest,
-        ref.first_item,
-        ref.items,
-        ref.bulk_addresses,
-        () if whole else indexes,
-    )
-
-
-def _first_item(ref: ChunkRef) -> int:
-    return ref.first_item
--- a/tests/test_jobs_job.py
+++ b/tests/test_jobs_job.py
@@ -6,10 +6,9 @@
 from plumvane.jobs.job import (
     MAX_ATTEMPTS,
     MAX_LOSSES,
-    PAGE_FAILED,
-    PAGE_REFS,
     Job,
 )
+from plumvane.jobs.results import PAGE_FAILED, PAGE_REFS
 from plumvane.peers.messages import (
     ChunkRef,
     FailedItem,
