Tell owners that are asked what the others told

Cause: what the owners told was passed on with pulls only. An owner all of whose jobs were set aside is pulled from only when no other has work, so it went on with the demand of the others that it last heard of, for up to 90 s after that work was done, and its job stayed set aside although it could land.

Change: the question for an offer carries what the others told in the round before; views carry the time of their owner, and the newest counts.

Proof: test_jobs_handout.test_owner_that_is_asked_learns_that_others_have_ended; with the views of an offer ignored it failed first with AssertionError at 'assert urgencies == [LATE, URGENT, URGENT]'. test_jobs_handout and test_sidecar_batch: 15 passed, 0 failed.

--- a/plumvane/jobs/handout.py
+++ b/plumvane/jobs/handout.py
@@ -90,6 +90,7 @@
             batch_order: Name of the order policy.
         """
         self._note_worker(message, is_idle=False)
+        self._note_views(message)
         running = _running(jobs, message.model)
         ranked = self._ranked(running, message.model, batch_order)
         view = self._view(running)
@@ -118,10 +119,8 @@
         Returns:
             The grant, or None if no item waits.
         """
-        now = clock.wall()
         self._note_worker(message, is_idle=False)
-        for view in message.others:
-            self._views_by_owner[message.model, view.address] = (now, view)
+        self._note_views(message)
         running = _running(jobs, message.model)
         all_ranked = self._ranked(running, message.model, batch_order)
         due = min(
@@ -221,8 +220,18 @@
             self._address,
             tuple(demands[:MAX_DEMANDS]),
             {team: self._service_by_team[team] for team in teams},
+            clock.wall(),
         )
 
+    def _note_views(self, message: OfferWork | PullWork) -> None:
+        """Takes in what other owners told, unless newer is known."""
+        now = clock.wall()
+        for view in message.others:
+            key = message.model, view.address
+            noted, known = self._views_by_owner.get(key, (0.0, view))
+            if noted < now - VIEW_FRESH_S or known.told <= view.told:
+                self._views_by_owner[key] = (now, view)
+
     def _views(self, model: str, now: float) -> list[OwnerView]:
         return [
             view
--- a/plumvane/peers/messages/jobs.py
+++ b/plumvane/peers/messages/jobs.py
@@ -191,11 +191,13 @@
         demands: Its running jobs, the earliest deadlines first.
         service_by_team: Items that it handed out for each team with a
             running job, over the team's share.
+        told: When it told this, by its own clock; the newest counts.
     """
 
     address: str
     demands: tuple[JobDemand, ...] = ()
     service_by_team: dict[str, float] = {}
+    told: float = 0.0
 
 
 class Urgency(enum.IntEnum):
@@ -217,12 +219,14 @@
         sidecar_address: Peer address of the sidecar.
         incarnation: The sidecar's process.
         item_rate: Batch items a second that it does, or 0 if not known.
+        others: What the other owners told the sidecar last.
     """
 
     model: str
     sidecar_address: str
     incarnation: str = ""
     item_rate: float = 0.0
+    others: tuple[OwnerView, ...] = ()
 
 
 class WorkOffer(Message, frozen=True, tag="workoffer"):
--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -20,6 +20,7 @@
     Done,
     Message,
     OfferWork,
+    OwnerView,
     PullWork,
     RangeGrant,
     Urgency,
@@ -101,6 +102,7 @@
         self._woken = anyio.Event()
         # Whether any owner answered last.
         self._asked = False
+        self._views_by_owner: dict[str, OwnerView] = {}
         self._silent_until_by_owner: dict[str, float] = {}
         self._leaving = False
         self._looking = anyio.CancelScope()
@@ -212,11 +214,6 @@
             ),
         )
         for owner in ranked:
-            others = tuple(
-                offer.view
-                for other, offer in offers_by_owner.items()
-                if other != owner
-            )
             reply = await self._ask(
                 owner,
                 PullWork(
@@ -225,7 +222,7 @@
                     self._range_items(),
                     self._incarnation,
                     self._rate.per_s,
-                    others,
+                    self._views_besides(owner),
                 ),
             )
             if isinstance(reply, RangeGrant) and reply.items:
@@ -234,12 +231,16 @@
 
     async def _offers(self) -> dict[str, WorkOffer]:
         """Asks all owners what they would hand out."""
-        message = OfferWork(
-            self._model, self._address, self._incarnation, self._rate.per_s
-        )
         offers_by_owner: dict[str, WorkOffer] = {}
 
         async def ask(owner: str) -> None:
+            message = OfferWork(
+                self._model,
+                self._address,
+                self._incarnation,
+                self._rate.per_s,
+                self._views_besides(owner),
+            )
             reply = await self._ask(owner, message)
             if isinstance(reply, WorkOffer):
                 offers_by_owner[owner] = reply
@@ -247,8 +248,19 @@
         async with anyio.create_task_group() as group:
             for owner in self._reporter.owners:
                 group.start_soon(ask, owner)
+        self._views_by_owner = {
+            owner: offer.view for owner, offer in offers_by_owner.items()
+        }
         return offers_by_owner
 
+    def _views_besides(self, owner: str) -> tuple[OwnerView, ...]:
+        """Returns what the other owners told last."""
+        return tuple(
+            view
+            for other, view in self._views_by_owner.items()
+            if other != owner
+        )
+
     async def _ask(self, owner: str, message: Message) -> Message | None:
         """Asks an owner; one that does not answer is left out for a while."""
         if self._silent_until_by_owner.get(owner, 0.0) > clock.monotonic():
--- a/tests/test_jobs_handout.py
+++ b/tests/test_jobs_handout.py
@@ -13,6 +13,7 @@
     OwnerView,
     PullWork,
     RangeGrant,
+    Urgency,
 )
 from plumvane.sidecar.rate import ItemRate
 from tests.jobs import accepted
@@ -192,3 +193,22 @@
     rate.rest()
     rate.add(1000.0)
     assert round(rate.per_s, 3) == 20.0
+
+
+def test_owner_that_is_asked_learns_that_others_have_ended() -> None:
+    busy, free = (
+        OwnerView("other", demands, told=told)
+        for demands, told in (
+            ((JobDemand(clock.wall() + 30.0, 250),), 1.0),
+            ((), 2.0),
+        )
+    )
+    job = _job("job", 300, 40.0)
+    hand_out = HandOut("owner")
+    _pull(hand_out, [job], others=(busy,))
+    urgencies = []
+    for view in (busy, free, busy):
+        message = OfferWork("model", "sidecar", "first", RATE, (view,))
+        urgencies.append(hand_out.offer(message, [job], "least_slack").urgency)
+    # What is told late does not replace what is newer.
+    assert urgencies == [Urgency.LATE, Urgency.URGENT, Urgency.URGENT]
