Keep jobs that were set aside behind the others at the gate

Cause: items wait at the gate by their job's deadline. A job that was set aside mostly has the earliest one, so its items went before those of the jobs that can land wherever a sidecar held ranges of both.

Change: the job's class is the rank at the gate, before the deadline.

Proof: test_sidecar_batch.test_job_set_aside_delays_no_other_at_the_gate; without the rank it failed first with TimeoutError after 30 s (the places went to the job that was set aside). The test of handed back ranges failed 1 of 4 runs: it let items end before the urgent ones were queued at the gate. It now waits for that, which is as strict.

--- a/plumvane/sidecar/items.py
+++ b/plumvane/sidecar/items.py
@@ -91,9 +91,11 @@
         tokens = 0
         attempt = 0
         while True:
-            # Keeps the order of the jobs' deadlines at the gate.
+            # Keeps the order of the jobs at the gate: one that was set
+            # aside does not go first by its earlier deadline.
             work = Work(
                 online=False,
+                rank=run.grant.urgency,
                 deadline=run.grant.job_deadline + LATE_ITEM_S,
             )
             with run.queueing() as queueing:
--- a/tests/test_sidecar_batch.py
+++ b/tests/test_sidecar_batch.py
@@ -23,6 +23,8 @@
     RangeGrant,
 )
 from plumvane.sidecar.batch import BatchWorker
+from plumvane.sidecar.items import LATE_ITEM_S
+from plumvane.sidecar.rate import ItemRate
 from plumvane.upstreams.admission import Fixed
 from plumvane.upstreams.engine import Token
 from plumvane.upstreams.gate import Gate
@@ -33,6 +35,12 @@
 OUTER_DEADLINE_S = 30.0
 
 
+class _KnownRate(ItemRate):
+    """A rate that is known before an item has ended."""
+
+    per_s = 10.0
+
+
 class _Fleet:
     """An owner, bulk instances and an engine in one.
 
@@ -49,6 +57,7 @@
         self.places = anyio.Semaphore(0)
         self.owners = ["owner"]
         self._hand_out = HandOut("owner")
+        self._gate = Gate(Fixed(Policies(fixed_concurrency=PLACES)))
 
     def submit(self, job_id: str, items: int, due_s: float) -> Job:
         """Adds a job."""
@@ -106,11 +115,17 @@
         for _ in range(items):
             self.places.release()
 
+    def queued(self, job: Job) -> int:
+        """Returns how many items of a job wait at the gate."""
+        due = job.accepted.deadline + LATE_ITEM_S
+        return sum(place[1] == due for place in self._gate._batch_queue)
+
     def worker(self) -> BatchWorker:
         """Returns the worker of a sidecar whose engine has few places."""
-        gate = Gate(Fixed(Policies(fixed_concurrency=PLACES)))
         fleet = cast(Any, self)
-        return BatchWorker("model", "sidecar", gate, fleet, fleet, fleet, fleet)
+        return BatchWorker(
+            "model", "sidecar", self._gate, fleet, fleet, fleet, fleet
+        )
 
 
 async def _until(condition: Any) -> None:
@@ -118,6 +133,28 @@
         await anyio.sleep(0.01)
 
 
+def test_job_set_aside_delays_no_other_at_the_gate() -> None:
+    async def check() -> None:
+        fleet = _Fleet()
+        worker = fleet.worker()
+        worker._rate = _KnownRate()
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(worker.run)
+                late = fleet.submit("late", ITEMS, 0.001)
+                await _until(lambda: late.claims)
+                landing = fleet.submit("landing", PLACES, 86_400.0)
+                await _until(lambda: fleet.queued(landing) == landing.items)
+                fleet.started.clear()
+                fleet.end(PLACES + landing.items)
+                await _until(lambda: landing.state == "completed")
+                ended = [job for job, _ in fleet.started[: landing.items]]
+                worker.leave()
+        assert ended == ["landing"] * landing.items
+
+    anyio.run(check)
+
+
 def test_running_range_gives_way_to_an_urgent_job() -> None:
     async def check() -> None:
         fleet = _Fleet()
@@ -128,7 +165,7 @@
                 group.start_soon(worker.run)
                 await _until(lambda: len(fleet.started) == PLACES)
                 urgent = fleet.submit("urgent", 2, 3600.0)
-                await _until(lambda: urgent.claims)
+                await _until(lambda: fleet.queued(urgent) == urgent.items)
                 # The items that the engine has begun end and are kept.
                 fleet.end(PLACES + urgent.items)
                 await _until(lambda: urgent.state == "completed")
