Prove that compaction keeps what ends a stored start

A direct test has a start that stays in a segment because most of that segment is needed, and its end in a segment that is rewritten, with a release and with an expired result as the end.

With the rule off (`if self._log.live.is_live(...)` alone) the test fails with `AssertionError: the run is open again`; with it the module's 12 tests pass, four runs in a row. A first form of the test did not notice the rule: the second segment was not rewritten, as less than half of it was dropped.

--- a/tests/test_partitions_log.py
+++ b/tests/test_partitions_log.py
@@ -14,7 +14,12 @@
     LogCopy,
     PartitionLog,
 )
-from plumvane.partitions.records import LogRecord, RequestCompleted
+from plumvane.partitions.records import (
+    LogRecord,
+    RequestCompleted,
+    RequestReleased,
+    RequestStarted,
+)
 from plumvane.peers.messages import Outcome
 from plumvane.store.base import MAX_VALUE_BYTES, Store
 from plumvane.store.memory import MemoryStore
@@ -244,6 +249,33 @@
     bounded(check)
 
 
+def test_what_ends_a_stored_start_is_kept_with_it() -> None:
+    async def check() -> None:
+        for end in (
+            RequestReleased("team", "once", "run-once"),
+            completed("once", time=0.0),
+        ):
+            await compact_started_and(end)
+
+    async def compact_started_and(end: LogRecord) -> None:
+        store = MemoryStore()
+        async with owned_log(store, 1) as (log, _):
+            started = RequestStarted("team", "once", "run-once", b"", 0.0, "")
+            await log.commit(started)
+            # Most of this segment is needed, so it stays as it is, with the
+            # start. The next one is rewritten without what is not needed.
+            await log.commit(completed("large", size=200_000))
+            await log.commit(end)
+            await log.commit(completed("expired", size=40_000, time=0.0))
+            await log.commit(completed("next", size=30_000))
+            assert await Compaction(log).run()
+        found = await PartitionLog(store, 0, 2).recover()
+        assert [k for k in keys_of(found) if k != "once"] == ["large", "next"]
+        assert started in found and end in found, "the run is open again"
+
+    bounded(check)
+
+
 def test_log_holds_a_bounded_amount() -> None:
     async def check() -> None:
         store = MemoryStore()
