Prove 'not run' under the full mix of faults, and a lost service

480 completions (half of them not idempotent) and 240 quotes with deadlines of 0.05 to 8 s run under seven strikes of the mix: an owner killed or frozen, a sidecar frozen, connections cut, sidecars killed. No request id that was refused as not run is in the records of the engines and services; each quote ran at most once, and all its callers and the stored result agree. A refusal without a request id is only that of a request that came past its deadline.

A plain service killed between execution and answer: `outcome_unknown` at once for both callers and later ones, also after the sidecar and an entry were lost; the restarted service has no execution.

--- /dev/null
+++ b/tests/test_requests_not_run.py
@@ -0,0 +1,185 @@
+"""What is refused as not run was never run, by the upstreams' own records."""
+
+from __future__ import annotations
+
+import collections
+import json
+import random
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from standins.launcher import MODEL, SERVICE, Fleet
+from tests.fleets import Caller, running_fleet
+from tests.mixed_faults import (
+    ENTRIES,
+    MixedFaults,
+    executions,
+    post,
+    replace_all,
+)
+
+SEED = 17
+QUOTES = 240
+COMPLETIONS = 480
+CALLERS = 12
+ANSWERS_PER_FAULT = 100
+OUTER_DEADLINE_S = 120.0
+# A call lasts so long that faults find some under way.
+SERVICE_FLAGS = ("--delay_s=0.4",)
+# How far away the deadlines of the requests are.
+TIMEOUTS_S = (0.05, 0.5, 4.0, 8.0)
+ENGINES = ("engine-0", "engine-1")
+SERVICES = ("service-0", "service-1")
+SIDECARS = tuple(f"{name}-sidecar" for name in ENGINES + SERVICES)
+OUTCOME_UNKNOWN = "outcome_unknown"
+CAME_TOO_LATE = "The deadline has passed."
+
+# Workload of completions that are not idempotent.
+ONCE = "once"
+
+# A status and the JSON of an answer.
+Reply = tuple[int, Any]
+
+
+class _Callers:
+    """Sends completions once, and quotes until their outcome is final.
+
+    Attributes:
+        refusals_by_kind: Refusals of completions and of quotes.
+        replies_by_key: Final answers that callers of a quote have read.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.refusals_by_kind: dict[str, list[Any]] = {
+            "completion": [],
+            "quote": [],
+        }
+        self.replies_by_key: dict[str, list[Reply]] = collections.defaultdict(
+            list
+        )
+        self.ended = 0
+
+    def complete(self, number: int) -> None:
+        """Sends one completion without a key."""
+        source = random.Random(f"{SEED}-c{number}")
+        fields = {
+            "model": MODEL,
+            "prompt": f"note {number}",
+            "max_tokens": 30,
+            "workload": source.choice(("notes", ONCE)),
+        }
+        entry = self._fleet[source.choice(ENTRIES)]
+        timeout_s = source.choice(TIMEOUTS_S)
+        status, body = post(entry, "/v1/completions", fields, "", timeout_s)
+        if status not in (0, 200):
+            self.refusals_by_kind["completion"].append(json.loads(body))
+        self.ended += 1
+
+    def quote(self, number: int) -> None:
+        """Sends a keyed quote by two callers until each knows its outcome."""
+        source = random.Random(f"{SEED}-q{number}")
+        with ThreadPoolExecutor(2) as senders:
+            sent = [
+                senders.submit(self._quote, f"q{number}", source.random())
+                for _ in range(source.choice((1, 2)))
+            ]
+            for future in sent:
+                future.result()
+        self.ended += 1
+
+    def _quote(self, key: str, seed: float) -> None:
+        source = random.Random(seed)
+        deadline = time.monotonic() + OUTER_DEADLINE_S
+        while time.monotonic() < deadline:
+            entry = self._fleet[source.choice(ENTRIES)]
+            timeout_s = source.choice(TIMEOUTS_S)
+            status, body = post(
+                entry, f"/v1/services/{SERVICE}", key, key, timeout_s
+            )
+            if not status:
+                continue
+            answer = json.loads(body)
+            if status == 200 or answer.get("code") == OUTCOME_UNKNOWN:
+                self.replies_by_key[key].append((status, answer))
+                return
+            self.refusals_by_kind["quote"].append(answer)
+        raise AssertionError(f"a caller of {key} was never answered")
+
+
+def _check_refusals(callers: _Callers, executed: dict[str, int]) -> None:
+    for kind, refusals in callers.refusals_by_kind.items():
+        not_run = [r for r in refusals if r.get("not_run")]
+        runs = [r["request_id"] for r in not_run if "request_id" in r]
+        assert runs, f"no run of a {kind} was refused as not run"
+        wrong = [r for r in not_run if r.get("request_id") in executed]
+        assert not wrong, (kind, wrong)
+        # What came past its deadline is refused before it becomes a run.
+        for refusal in not_run:
+            if "request_id" not in refusal:
+                assert refusal["detail"] == CAME_TOO_LATE, refusal
+
+
+def _check_quotes(fleet: Fleet, callers: _Callers, struck: list[str]) -> None:
+    """Checks that each quote ran at most once and has one outcome."""
+    runs_by_key: collections.Counter[str] = collections.Counter()
+    for name in SERVICES:
+        _, body = fleet.call("GET", f"{fleet[name].url}/executions")
+        for quoted, count in json.loads(body)["by_body"].items():
+            runs_by_key[json.loads(quoted)] += count
+    assert len(callers.replies_by_key) == QUOTES
+    for key, replies in callers.replies_by_key.items():
+        stored = Caller(fleet).result(fleet["entry-0"], key)
+        assert all(r == stored for r in replies), (key, replies, stored, struck)
+        assert runs_by_key[key] <= 1, (key, struck)
+        if stored[0] == 200:
+            assert runs_by_key[key] == 1, (key, struck)
+
+
+def _document() -> dict[str, Any]:
+    document = Fleet.default_document()
+    once = {"kind": "online", "model": MODEL, "idempotent": False}
+    document["workloads"][ONCE] = once
+    return document
+
+
+def test_what_is_refused_as_not_run_was_not_run() -> None:
+    with running_fleet(
+        entries=3,
+        engines=2,
+        services=2,
+        proxied=True,
+        service_flags=SERVICE_FLAGS,
+        document=_document(),
+    ) as fleet:
+        callers = _Callers(fleet)
+        faults = MixedFaults(fleet, SIDECARS, SEED)
+        with (
+            ThreadPoolExecutor(CALLERS) as quoters,
+            ThreadPoolExecutor(CALLERS) as completers,
+        ):
+            sent = [quoters.submit(callers.quote, n) for n in range(QUOTES)]
+            sent += [
+                completers.submit(callers.complete, n)
+                for n in range(COMPLETIONS)
+            ]
+            goals = range(
+                ANSWERS_PER_FAULT, QUOTES + COMPLETIONS, ANSWERS_PER_FAULT
+            )
+            faults.strike_at(lambda: callers.ended, goals, "ended requests")
+            for future in sent:
+                future.result()
+        replace_all(fleet, ENTRIES + SIDECARS)
+        _check_refusals(callers, executions(fleet, ENGINES + SERVICES))
+        _check_quotes(fleet, callers, faults.struck)
+        print(faults.struck)
+        counts = {
+            kind: (
+                len(found),
+                sum(r.get("not_run", False) for r in found),
+                collections.Counter(r["code"] for r in found),
+            )
+            for kind, found in callers.refusals_by_kind.items()
+        }
+        print(f"refusals, of them not run, by code: {counts}")
--- a/tests/test_requests_once.py
+++ b/tests/test_requests_once.py
@@ -12,6 +12,8 @@
 from tests.fleets import Caller, running_fleet, wait_for
 
 SLOW_SERVICE = ("--delay_s=2.0",)
+# How far away the deadline of a quote is.
+DEADLINE_S = 60.0
 
 
 def _executions(fleet: Fleet) -> dict[str, int]:
@@ -152,3 +154,34 @@
     assert (status, problem["code"]) == (502, "outcome_unknown"), problem
     assert again == (status, problem)
     assert executions[json.dumps({"load": 5})] == 1
+
+
+def test_quote_of_a_killed_service_stays_unknown() -> None:
+    with running_fleet(
+        entries=3, engines=0, services=1, service_flags=SLOW_SERVICE
+    ) as fleet:
+        caller = Caller(fleet)
+        # A sidecar that has just started refuses quotes for a moment.
+        caller.quote(fleet["entry-0"], {"load": 0}, key="q0")
+        first = _start(caller.quote, fleet["entry-0"], {"load": 6}, key="q6")
+        waiting = _start(caller.quote, fleet["entry-2"], {"load": 6}, key="q6")
+        _wait_executed(fleet, {"load": 6})
+        fleet["service-0"].kill()
+        # Known at once: long before the deadline, and with the service away.
+        wait_for(lambda: first and waiting, "the answers", DEADLINE_S / 2)
+        fleet.restart("service-0")
+        again = [
+            caller.quote(fleet[f"entry-{n}"], {"load": 6}, key="q6")
+            for n in range(3)
+        ]
+        fleet["entry-0"].kill()
+        fleet["service-0-sidecar"].kill()
+        fleet.restart("service-0-sidecar")
+        again.append(caller.quote(fleet["entry-1"], {"load": 6}, key="q6"))
+        executions = _executions(fleet)
+    status, problem = first[0]
+    assert (status, problem["code"]) == (502, "outcome_unknown"), problem
+    assert problem["not_run"] is False
+    assert all(answer == first[0] for answer in [*waiting, *again]), again
+    # The service counts anew, and has not run it again.
+    assert executions == {}
