--- a/plumvane/entry/running.py
+++ b/plumvane/entry/running.py
@@ -6,11 +6,12 @@
 import json
 from collections import deque
 
+import anyio
+
 from plumvane import hashing
 from plumvane.errors import LinkLostError, PlumvaneError, ProtocolError
 from plumvane.instances.directory import Instance
 from plumvane.peers.messages import Message, Outcome, TextPart
-from plumvane.wakeup import WakeUp
 
 __all__ = ["Answer", "Request", "Running"]
 
@@ -100,7 +101,7 @@
         self._parts: deque[str] = deque()
         self._answer: Answer | None = None
         self._error: PlumvaneError | None = None
-        self._changed = WakeUp()
+        self._changed = anyio.Event()
 
     @property
     def text(self) -> str:
@@ -158,6 +159,7 @@
                 return text
             if self._answer is not None or self._error is not None:
                 return None
+            self._changed = anyio.Event()
             await self._changed.wait()
 
     async def started(self) -> None:
@@ -169,6 +171,7 @@
         while not self._parts and self._answer is None:
             if self._error is not None:
                 raise self._error
+            self._changed = anyio.Event()
             await self._changed.wait()
 
     async def answer(self) -> Answer:
--- a/plumvane/peers/channel.py
+++ b/plumvane/peers/channel.py
@@ -5,8 +5,6 @@
 import anyio
 import zmq
 
-from plumvane.wakeup import WakeUp
-
 __all__ = ["Channel", "ConnectionMonitor"]
 
 # Frames taken from a socket before other tasks get a turn.
@@ -28,15 +26,15 @@
             socket: The socket; the channel closes it.
         """
         self._socket = socket
-        self._readable = WakeUp()
-        self._drained = WakeUp()
+        self._readable = anyio.Event()
+        self._drained = anyio.Event()
         self._turn = 0
 
     async def watch(self) -> None:
         """Wakes the receiver when the socket may be readable; runs always."""
         while not self._socket.closed:
             await anyio.wait_readable(self._socket.fileno())
-            self._drained.clear()
+            self._drained = anyio.Event()
             self._readable.set()
             await self._drained.wait()
 
@@ -64,7 +62,7 @@
             try:
                 return self._socket.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
-                self._readable.clear()
+                self._readable = anyio.Event()
                 self._drained.set()
             if self._has_frames():
                 continue
