--- a/tests/test_httppool.py
+++ b/tests/test_httppool.py
@@ -20,7 +20,7 @@
     b"HTTP/1.1 200 OK\r\nX-Name: Value\r\ntransfer-encoding: chunked\r\n\r\n"
     b"5\r\nhello\r\n1\r\n!\r\n0\r\n\r\n"
 )
-TAIL = b"\r\n1\r\n!\r\n0\r\n\r\n"
+TAIL = b"1\r\n!\r\n0\r\n\r\n"
 UNTIL_END = b"HTTP/1.1 200 OK\r\n\r\nall of it"
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + WHOLE
 
