--- a/plumvane/upstreams/engine.py
+++ b/plumvane/upstreams/engine.py
@@ -16,7 +16,7 @@
     UpstreamFailedError,
     UpstreamLostError,
 )
-from plumvane.httppool import NETWORK_ERRORS, HttpPool, Response
+from plumvane.httppool import NETWORK_ERRORS, HttpPool
 
 __all__ = ["EngineClient", "Token"]
 
@@ -85,7 +85,7 @@
                 f"{self._url}/v1/completions",
                 headers=[("content-type", "application/json")],
                 content=json.dumps(sent).encode(),
-                connect_timeout_s=CONNECT_TIMEOUT_S,
+                extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
             ) as response:
                 await _check_status(response)
                 last = 0.0
@@ -117,7 +117,7 @@
             return
 
 
-async def _check_status(response: Response) -> None:
+async def _check_status(response: httpcore.Response) -> None:
     if response.status == 200:
         return
     text = (await response.aread()).decode(errors="replace")[:500]
@@ -126,7 +126,7 @@
     raise UpstreamFailedError(f"The engine answered {response.status}: {text}")
 
 
-async def _lines(response: Response) -> AsyncIterator[list[bytes]]:
+async def _lines(response: httpcore.Response) -> AsyncIterator[list[bytes]]:
     """Yields the data of the whole events of each read."""
     rest = b""
     async for data in response.aiter_stream():
