--- a/plumvane/partitions/ownership.py
+++ b/plumvane/partitions/ownership.py
@@ -25,12 +25,13 @@
     LogCopy,
     PartitionLog,
 )
-from plumvane.partitions.placement import assign, successors
+from plumvane.partitions.moves import PartitionMoves
+from plumvane.partitions.owned import OwnedPartition
+from plumvane.partitions.placement import successors
 from plumvane.partitions.records import LogRecord
 from plumvane.partitions.segments import SegmentStore
 from plumvane.partitions.view import Owner, OwnerView, owner_key
 from plumvane.peers.link import LinkPool
-from plumvane.peers.messages import TakePartition
 from plumvane.store.base import Store
 
 __all__ = ["OwnedPartition", "Owner", "Ownership"]
@@ -44,37 +45,11 @@
 OUTAGE_GRACE_S = 3.0
 CHECK_S = 0.25
 COMPACT_S = 2.0
-REBALANCE_S = 2.0
-# An instance must be listed for this long before partitions move to it.
-STABLE_S = 5.0
-MOVE_TIMEOUT_S = 10.0
-MOVE_ATTEMPTS = 3
 DRAIN_TIMEOUT_S = 5.0
 
 RecordApplier = Callable[[int, list[LogRecord], PartitionLog], None]
 
 
-class OwnedPartition:
-    """A partition that this instance owns.
-
-    Attributes:
-        number: Number of the partition.
-        epoch: Epoch of this ownership.
-        log: Its log.
-        revision: Revision of this instance's owner record.
-        scope: Cancels the partition's tasks.
-    """
-
-    def __init__(
-        self, number: int, epoch: int, log: PartitionLog, revision: int
-    ) -> None:
-        self.number = number
-        self.epoch = epoch
-        self.log = log
-        self.revision = revision
-        self.scope = anyio.CancelScope()
-
-
 class Ownership:
     """Takes, keeps, moves and releases partitions for one instance.
 
@@ -116,7 +91,6 @@
         self._peers = peers
         self._on_taken = on_taken
         self._on_lost = on_lost
-        self._links = links
         self._retention_s = retention_s
         self._partitions = partitions
         self._lease = InstanceLease(store, name)
@@ -127,10 +101,18 @@
         )
         self._taking: set[int] = set()
         self._vacant_since: dict[int, float] = {}
-        self._listed_since: dict[str, float] = {}
         self._group: anyio.abc.TaskGroup | None = None
         self._needed = 0.0
         self._leaving = False
+        self._moves = PartitionMoves(
+            name,
+            partitions,
+            self._owned_by_partition,
+            peers=peers,
+            links=links,
+            drop=self._drop,
+            is_leaving=lambda: self._leaving,
+        )
 
     @property
     def address(self) -> str:
@@ -168,7 +150,7 @@
             self._group = group
             group.start_soon(self._keep_lease)
             group.start_soon(self._view.run)
-            group.start_soon(self._rebalance)
+            group.start_soon(self._moves.run)
             await self._take_over()
 
     async def take_from_owner(self, partition: int, epoch: int) -> None:
@@ -387,73 +369,9 @@
             if compaction.is_due():
                 await compaction.run()
 
-    async def _rebalance(self) -> None:
-        """Moves partitions to the instances that should have them."""
-        while True:
-            await anyio.sleep(REBALANCE_S * random.uniform(0.8, 1.2))
-            stable = self._stable_peers()
-            if self._leaving or self._links is None or not stable:
-                continue
-            wanted = assign(self._partitions, {*stable, self._name})
-            for partition in list(self._owned_by_partition.values()):
-                target = wanted[partition.number]
-                if target == self._name or target not in stable:
-                    continue
-                if not await self._move(partition, stable[target]):
-                    break
-
-    def _stable_peers(self) -> dict[str, str]:
-        """Returns the addresses of peers that were listed long enough."""
-        now = clock.monotonic()
-        peers = self._peers()
-        self._listed_since = {
-            name: self._listed_since.get(name, now) for name in peers
-        }
-        return {
-            name: address
-            for name, address in peers.items()
-            if now - self._listed_since[name] >= STABLE_S and name != self._name
-        }
-
-    async def _move(self, partition: OwnedPartition, address: str) -> bool:
-        """Asks another instance to take a partition over.
-
-        Returns:
-            Whether it has; if its answer was lost, this owner goes on until
-            a commit is refused or the watch names the new owner.
-        """
-        if self._links is None:
-            return False
-        try:
-            await self._links.call(
-                address,
-                TakePartition(partition.number, partition.epoch),
-                deadline=clock.monotonic() + MOVE_TIMEOUT_S,
-            )
-        except PlumvaneError as error:
-            events.log(
-                events.Event.MOVE_FAILED,
-                partition=partition.number,
-                error=error.detail,
-            )
-            return partition.number not in self._owned_by_partition
-        self._drop(partition)
-        events.log(
-            events.Event.PARTITION_MOVED,
-            partition=partition.number,
-            to=address,
-        )
-        return True
-
     async def _move_or_release(self, partition: OwnedPartition) -> None:
-        peers = {n: a for n, a in self._peers().items() if n != self._name}
-        order = successors(partition.number, self._partitions, peers)
-        for name in order[:MOVE_ATTEMPTS]:
-            if self._links is None:
-                break
-            if await self._move(partition, peers[name]):
-                return
-        await self._release(partition)
+        if not await self._moves.move_anywhere(partition):
+            await self._release(partition)
 
     async def _release(self, partition: OwnedPartition) -> None:
         with anyio.move_on_after(DRAIN_TIMEOUT_S):
--- a/tests/test_partitions_ownership.py
+++ b/tests/test_partitions_ownership.py
@@ -5,12 +5,14 @@
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
+from unittest import mock
 
 import anyio
 import msgspec
 
 from plumvane import clock
 from plumvane.errors import LinkLostError, NotOwnerError
+from plumvane.partitions import moves
 from plumvane.partitions import ownership as ownership_module
 from plumvane.partitions.ownership import Ownership
 from plumvane.partitions.records import RequestCompleted
@@ -284,27 +286,23 @@
             assert (after.name, after.epoch) == ("a", before.epoch)
             assert after.lease_id != before.lease_id
 
-    saved = ownership_module.successors
-    ownership_module.successors = lambda *words: ["b", "a"]
-    ownership_module.assign, assign = (
-        lambda partitions, names: {0: "a"},
-        ownership_module.assign,
-    )
-    try:
+    def prefer_b(*words: Any) -> list[str]:
+        return ["b", "a"]
+
+    with (
+        mock.patch.object(ownership_module, "successors", prefer_b),
+        mock.patch.object(moves, "assign", lambda number, names: {0: "a"}),
+    ):
         bounded(check)
-    finally:
-        ownership_module.successors = saved
-        ownership_module.assign = assign
 
 
 @contextlib.contextmanager
 def quick_rebalance() -> Any:
-    saved = ownership_module.STABLE_S, ownership_module.REBALANCE_S
-    ownership_module.STABLE_S = ownership_module.REBALANCE_S = 0.2
-    try:
+    with (
+        mock.patch.object(moves, "STABLE_S", 0.2),
+        mock.patch.object(moves, "REBALANCE_S", 0.2),
+    ):
         yield
-    finally:
-        ownership_module.STABLE_S, ownership_module.REBALANCE_S = saved
 
 
 def record_of(key: str) -> RequestCompleted:
@@ -377,10 +375,8 @@
                 await until(lambda: fleet.owners() == {0: "b"})
             assert fleet.keys["b"][0][: len(acknowledged)] == acknowledged
 
-    saved = ownership_module.assign
-    ownership_module.assign = lambda partitions, names: {0: "b"}
-    try:
-        with quick_rebalance():
-            bounded(check)
-    finally:
-        ownership_module.assign = saved
+    with (
+        mock.patch.object(moves, "assign", lambda number, names: {0: "b"}),
+        quick_rebalance(),
+    ):
+        bounded(check)
