Take the usual peak of online requests from mean and deviation

Cause: the limit of batch was set by the p99 of 300 samples of the online requests that run, which is set by the top three or four samples and jumps from window to window: with an even online load the limit went from 11 to 17 items, and both harm and idle places came from that. Ruled out, in trials of the gate before a model of the engine: the prefill of items that start (with none the step's p99 and the throughput are the same) and the prefill of items that resume (a queue of 512 items delays it); the sidecar's loop, whose lag is 1.1 ms at p99 with online alone and 2 to 3 ms with batch, at 14% and 20% of a core.

Change: peak = mean + 2.33 deviations of the same samples; idle as before with online requests in at most 1% of them.

First failure of the new test, on the tree without the change: `assert max(limits) - min(limits) <= 4` -> AssertionError. With IDLE_PART 0: `assert policy.batch_limit(0) == policy.limit()` -> AssertionError.

--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import abc
+import statistics
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from plumvane import clock
 from plumvane.fleet.document import Policies, Workload
@@ -47,7 +48,10 @@
 # Online requests that run at once are sampled this often, for this long.
 SAMPLE_S = 0.1
 SAMPLES = 300
-ONLINE_QUANTILE = 0.99
+# The usual peak lies this many deviations over the mean of the samples.
+PEAK_DEVIATIONS = 2.33
+# Part of the samples that may show online requests at an idle upstream.
+IDLE_PART = 0.01
 # Trust in a step during which the running requests changed.
 UNSETTLED_WEIGHT = 0.05
 # Places that stay free beside online requests when a batch item starts.
@@ -182,7 +186,7 @@
         self._most_run = float(START_LIMIT)
         self._most_seen = 0
         self._online: deque[int] = deque(maxlen=SAMPLES)
-        self._online_peak = 0
+        self._online_peak = 0.0
         self._sample_at = 0.0
         self._step_at = 0.0
 
@@ -247,8 +251,7 @@
             return
         self._sample_at = now + SAMPLE_S
         self._online.append(running)
-        ordered = sorted(self._online)
-        self._online_peak = ordered[int((len(ordered) - 1) * ONLINE_QUANTILE)]
+        self._online_peak = _usual_peak(self._online)
 
     def observe_step(self, seconds: float, running: int, settled: bool) -> None:
         """See base class."""
@@ -280,3 +283,15 @@
         explored = self._most_run * EXPLORE_FACTOR + EXPLORE_STEP
         number = min(self._model.running_within(step_s), explored, MAX_LIMIT)
         return max(MIN_LIMIT, int(number))
+
+
+def _usual_peak(samples: Collection[int]) -> float:
+    """Returns the number that online requests seldom exceed, or 0 if idle.
+
+    Mean and deviation use all samples, so they vary less from window to window
+    than the quantile of the same samples, which is set by the top few.
+    """
+    if sum(map(bool, samples)) <= IDLE_PART * len(samples):
+        return 0.0
+    mean = statistics.fmean(samples)
+    return mean + PEAK_DEVIATIONS * statistics.pstdev(samples, mean)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -10,6 +10,7 @@
 from plumvane.errors import DeadlineExceededError, OverloadedError
 from plumvane.fleet.document import Policies, Workload
 from plumvane.upstreams.admission import (
+    SAMPLES,
     START_AT_ONCE,
     START_LIMIT,
     STARTS_ALONE,
@@ -21,6 +22,8 @@
 
 BASE_S = 0.012
 SLOPE_S = 0.0006
+# Samples in a row that see the same online requests.
+STAY = 6
 
 
 def _work(*, online: bool, rank: int = 0) -> Work:
@@ -267,3 +270,29 @@
     assert policy.batch_interval_s(0, START_AT_ONCE + 1) == 0.0
     assert policy.batch_interval_s(0, START_AT_ONCE + 2) > 0.0
     assert policy.batch_interval_s(1, START_AT_ONCE + 1) > 0.0
+
+
+def test_batch_limit_stays_even_while_the_online_load_does() -> None:
+    policy = _trained(1.1)
+    source = random.Random(4)
+    limits = []
+    for _ in range(40):
+        for _ in range(SAMPLES // STAY):
+            # About as many as run where 12 a second stay for 0.6 s each.
+            running = sum(source.random() < 0.1 for _ in range(72))
+            for _ in range(STAY):
+                policy._sample_at = 0.0
+                policy.observe_online(running)
+        limits.append(policy.batch_limit(0))
+    assert max(limits) - min(limits) <= 4
+
+
+def test_upstream_counts_as_idle_with_hardly_an_online_request() -> None:
+    policy = _trained(1.1)
+    for running in [0] * (SAMPLES - 3) + [1] * 3:
+        policy._sample_at = 0.0
+        policy.observe_online(running)
+    assert policy.batch_limit(0) == policy.limit()
+    policy._sample_at = 0.0
+    policy.observe_online(1)
+    assert policy.batch_limit(0) < policy.limit()
