--- a/plumvane/upstreams/admission.py
+++ b/plumvane/upstreams/admission.py
@@ -41,7 +41,7 @@
 # that exceeds the target.
 ALONE_FACTOR = 2.0
 # Part of a step that is left to the prefill of items that start and resume.
-PREFILL_PART = 0.04
+PREFILL_PART = 0.05
 # The limit may exceed what has run before by this factor and number.
 EXPLORE_FACTOR = 1.25
 EXPLORE_STEP = 2
