--- a/bench/batch_order.py
+++ b/bench/batch_order.py
@@ -25,7 +25,7 @@
 from absl import app, flags
 
 from standins.launcher import MODEL, Fleet, Process
-from tests.batches import item_lines
+from tests.batches import engine_record, item_lines
 from tests.fleets import Caller, running_fleet
 
 __all__ = ["main"]
@@ -124,19 +124,34 @@
 def _capacity(fleet: Fleet, caller: Caller) -> float:
     """Returns the items a second of the second half of a long job.
 
-    The limit of admission adapts over the first half.
+    The limit of admission adapts over the first half. The engines count the
+    items, since the job learns of them a range at a time.
     """
     lines = item_lines(["warm-up"] * CAPACITY_ITEMS, max_tokens=_TOKENS.value)
-    _, job = caller.submit(fleet["entry-0"], lines, key="capacity")
-    marks: list[tuple[float, int]] = []
-    while not marks or marks[-1][1] < CAPACITY_ITEMS:
-        state = caller.job(fleet["entry-0"], job["id"])
-        marks.append((time.monotonic(), state["done"]))
+    caller.submit(fleet["entry-0"], lines, key="capacity")
+    half_at, half = _await_finished(fleet, CAPACITY_ITEMS // 2)
+    end_at, end = _await_finished(fleet, CAPACITY_ITEMS)
+    return (end - half) / (end_at - half_at)
+
+
+def _await_finished(fleet: Fleet, items: int) -> tuple[float, int]:
+    """Waits until the engines have done items; returns the time and how many.
+
+    Raises:
+        TimeoutError: They were not done in time.
+    """
+    give_up = time.monotonic() + TIMEOUT_S
+    while time.monotonic() < give_up:
+        finished = sum(
+            engine_record(fleet, f"engine-{number}")["counts"].get(
+                "finished_batch", 0
+            )
+            for number in range(_ENGINES.value)
+        )
+        if finished >= items:
+            return time.monotonic(), finished
         time.sleep(POLL_S)
-    started, first = next(
-        mark for mark in marks if mark[1] >= CAPACITY_ITEMS / 2
-    )
-    return (CAPACITY_ITEMS - first) / max(marks[-1][0] - started, POLL_S)
+    raise TimeoutError(f"{items} items were not done in {TIMEOUT_S} s.")
 
 
 def _run(fleet: Fleet, caller: Caller, jobs: list[_Job]) -> None:
