Foresee the shorter of jobs that are due together first

Cause: jobs due at the same time were foreseen in the order of their arrival.

Change: the forecast sorts by deadline, then by the items left.

Proof: test_jobs_handout.test_of_jobs_due_together_the_longer_one_is_set_aside; with the deadline alone it failed first with AssertionError at 'grant.job_id == "short"'. test_jobs_handout: 16 passed, 0 failed.

--- a/plumvane/jobs/order.py
+++ b/plumvane/jobs/order.py
@@ -95,7 +95,7 @@
         (job.accepted.deadline, job.to_run, job) for job in jobs
     ]
     all_demands.extend((d.deadline, d.items, None) for d in others)
-    all_demands.sort(key=lambda demand: demand[0])
+    all_demands.sort(key=lambda demand: demand[:2])
     landing: list[Job] = []
     set_aside: list[tuple[int, Job | None]] = []
     finish_by_id: dict[str, float] = {}
--- a/tests/test_jobs_handout.py
+++ b/tests/test_jobs_handout.py
@@ -69,6 +69,17 @@
     assert landing.expected_finish < landing.deadline
 
 
+def test_of_jobs_due_together_the_longer_one_is_set_aside() -> None:
+    jobs = [_job("long", 1100, 100.0), _job("short", 300, 100.0)]
+    jobs[1].accepted = msgspec.structs.replace(
+        jobs[1].accepted, deadline=jobs[0].accepted.deadline
+    )
+    grant = _pull(HandOut("owner"), jobs)
+    assert grant is not None and grant.job_id == "short"
+    finish = jobs[1].describe().expected_finish
+    assert finish is not None and finish < jobs[1].accepted.deadline
+
+
 def test_job_that_may_just_land_is_not_set_aside() -> None:
     jobs = [_job("tight", 110, 10.0), _job("ample", 500, 3600.0)]
     grant = _pull(HandOut("owner"), jobs)
