Move results of closed segments to chunks, with a reference left behind

Change: after compaction, the results of a closed segment go to a chunk on two bulk instances. Once both have acknowledged, one conditional write puts a ResultsMoved record (chunk, key hashes, newest time) in their place; then the owner drops the bodies and keeps eight bytes a key. A result is read from its chunk when asked for. A chunk out of reach answers bulk_unavailable with a time to come back, never "not found" and never a grant. With fewer than two bulk instances nothing moves. The keeper copies these chunks as it does jobs'. A result that ends a run whose start an older segment holds stays until the start has gone. The ledger's outcomes and its owner's interface are modules of their own now.

--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -22,6 +22,7 @@
 from plumvane.jobs.job import Job
 from plumvane.jobs.table import JobTable
 from plumvane.partitions.log import PartitionLog
+from plumvane.partitions.moving import ResultChunks, ResultMover
 from plumvane.partitions.records import LogRecord
 from plumvane.peers.link import LinkPool
 from plumvane.peers.messages import (
@@ -48,6 +49,7 @@
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.requests.ledger import OwnerState, RequestLedger
+from plumvane.requests.moved import ChunkBodies
 
 __all__ = ["PartitionHost"]
 
@@ -74,6 +76,7 @@
         store_is_down: Callable[[], bool],
         inheritance: ClaimInheritance,
         address: str,
+        chunks: ResultChunks,
     ) -> None:
         """Creates a host of no partition.
 
@@ -84,6 +87,7 @@
             store_is_down: Whether the store does not answer now.
             inheritance: Fetches the claims of a former owner's time.
             address: Peer address of this entry.
+            chunks: Client of the bulk instances.
         """
         self._current = current
         self._links = links
@@ -96,6 +100,8 @@
             lambda: float(current.document.retention_s),
         )
         self._control = LinkRunControl(links)
+        self._chunks = chunks
+        self._bodies = ChunkBodies(chunks)
         self._group: anyio.abc.TaskGroup | None = None
         self._ledgers_by_partition: dict[int, RequestLedger] = {}
         self._jobs_by_partition: dict[int, JobTable] = {}
@@ -140,8 +146,14 @@
     ) -> None:
         """Builds the state of a partition just taken from its records."""
         ledger = RequestLedger(
-            partition, log, self._state, self._control, self._spawn
+            partition,
+            log,
+            self._state,
+            self._control,
+            self._spawn,
+            self._bodies,
         )
+        log.mover = ResultMover(self._chunks, ledger.take_moved)
         jobs = JobTable(log, partition, log.epoch, may_promise=self._may_record)
         for record in records:
             ledger.apply(record)
@@ -163,7 +175,9 @@
         self._jobs_by_partition.pop(partition, None)
 
     def chunks(self) -> Iterator[ChunkRef]:
-        """Yields the references of all jobs of the partitions owned here."""
+        """Yields the references of all partitions owned here."""
+        for ledger in list(self._ledgers_by_partition.values()):
+            yield from ledger.chunks()
         for jobs in list(self._jobs_by_partition.values()):
             yield from jobs.chunks()
 
--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -85,6 +85,7 @@
             self._links,
             lambda: self._ownership.lapsed_owners(),
         )
+        self._chunks = ChunkClient(self._directory, self._links)
         self._host = PartitionHost(
             self._current,
             self._links,
@@ -92,6 +93,7 @@
             store_is_down=self._store.is_down,
             inheritance=self._inheritance,
             address=self._address,
+            chunks=self._chunks,
         )
         self._ownership = Ownership(
             self._store,
@@ -103,7 +105,6 @@
             links=self._links,
             retention_s=lambda: self._current.document.retention_s,
         )
-        self._chunks = ChunkClient(self._directory, self._links)
         self._keeper = ChunkKeeper(
             self._directory, self._links, self._chunks, self._host.chunks
         )
--- a/plumvane/entry/sidecars.py
+++ b/plumvane/entry/sidecars.py
@@ -28,7 +28,7 @@
     Outcome,
     Settle,
 )
-from plumvane.requests.ledger import unknown_outcome
+from plumvane.requests.outcomes import unknown_outcome
 from plumvane.routing.loads import UpstreamLoads
 
 __all__ = ["SidecarClient"]
--- a/plumvane/partitions/compaction.py
+++ b/plumvane/partitions/compaction.py
@@ -3,7 +3,8 @@
 Records that are still needed move towards newer segments, in their order, and
 are written there before their old segment leaves the log. A record that ends
 what an older record began is kept while the older one is stored, so no crash
-between two steps brings an ended run or job back.
+between two steps brings an ended run or job back. The other results of a
+segment that stays move to a chunk, if the log has a mover.
 """
 
 from __future__ import annotations
@@ -20,9 +21,13 @@
     StoreUnavailableError,
 )
 from plumvane.partitions.log import PartitionLog
-from plumvane.partitions.records import JobEnded, Segment
+from plumvane.partitions.records import JobEnded, ResultsMoved, Segment
 from plumvane.partitions.retention import Subject, is_opening, subject_of
-from plumvane.partitions.segments import decode_record, encoded_size
+from plumvane.partitions.segments import (
+    decode_record,
+    encode_record,
+    encoded_size,
+)
 
 __all__ = ["Compaction"]
 
@@ -150,6 +155,7 @@
         if not segment.kept:
             await self._remove(segment)
             return
+        await self._move_results(segment)
         if encoded_size(segment.kept) <= encoded_size(segment.stored) // 2:
             await self._rewrite(segment, segment.kept)
         for encoded in segment.stored:
@@ -157,6 +163,33 @@
             if is_opening(record):
                 self._earlier.add(subject_of(record))
 
+    async def _move_results(self, segment: _Loaded) -> None:
+        """Replaces a segment's results by a reference to their chunk.
+
+        Results that end what an older segment began stay. The reference is
+        written only once the chunk is safe, and the owner learns of it only
+        once it is written.
+        """
+        mover = self._log.mover
+        if mover is None:
+            return
+        for encoded in segment.kept:
+            record = decode_record(encoded)
+            if isinstance(record, ResultsMoved):
+                mover.note(record)
+        stored = await mover.store(
+            encoded
+            for encoded in segment.kept
+            if subject_of(decode_record(encoded)) not in self._earlier
+        )
+        if stored is None:
+            return
+        moved = set(stored.encoded)
+        segment.kept = [r for r in segment.kept if bytes(r) not in moved]
+        segment.kept.append(encode_record(stored.reference))
+        await self._rewrite(segment, segment.kept)
+        mover.finish(stored)
+
     async def _rewrite(
         self, target: _Loaded, records: list[msgspec.Raw]
     ) -> None:
--- a/plumvane/partitions/log.py
+++ b/plumvane/partitions/log.py
@@ -22,6 +22,7 @@
     ConflictError,
     NotOwnerError,
 )
+from plumvane.partitions.moving import ResultMover
 from plumvane.partitions.records import ClosedSegment, LogRecord, Segment
 from plumvane.partitions.retention import LiveRecords, without_orphans
 from plumvane.partitions.segments import (
@@ -112,6 +113,7 @@
         )
         self.segments = SegmentStore(store, partition)
         self.live = LiveRecords(retention_s)
+        self.mover: ResultMover | None = None
         self._partition = partition
         self._epoch = epoch
         self._number = 0
--- a/plumvane/partitions/records.py
+++ b/plumvane/partitions/records.py
@@ -17,6 +17,7 @@
     "RequestCompleted",
     "RequestReleased",
     "RequestStarted",
+    "ResultsMoved",
     "Segment",
 ]
 
@@ -75,6 +76,21 @@
     time: float
 
 
+class ResultsMoved(_Record, frozen=True, tag="rm"):
+    """Results of requests that bulk instances hold in the log's place.
+
+    Attributes:
+        chunk: The chunk; its items are records of completed requests.
+        key_hashes: Hashes of their keys, in the chunk's order, joined.
+        time: When the newest of them was committed, seconds since the Unix
+            epoch.
+    """
+
+    chunk: ChunkRef
+    key_hashes: bytes
+    time: float
+
+
 class JobAccepted(_Record, frozen=True, tag="ja"):
     """A batch job was accepted."""
 
@@ -123,6 +139,7 @@
     RequestStarted
     | RequestReleased
     | RequestCompleted
+    | ResultsMoved
     | JobAccepted
     | ItemsDone
     | ItemsFailed
--- a/plumvane/partitions/retention.py
+++ b/plumvane/partitions/retention.py
@@ -15,6 +15,7 @@
     RequestCompleted,
     RequestReleased,
     RequestStarted,
+    ResultsMoved,
 )
 
 __all__ = ["LiveRecords", "is_opening", "subject_of", "without_orphans"]
@@ -70,7 +71,7 @@
         elif isinstance(record, JobEnded):
             self._open_jobs_by_id.pop(record.job_id, None)
             self._ended_by_job[record.job_id] = record.time
-        else:
+        elif not isinstance(record, ResultsMoved):
             self._apply_progress(record)
 
     def is_live(self, record: LogRecord, now: float) -> bool:
@@ -85,7 +86,7 @@
             return run == record.request_id
         if isinstance(record, RequestReleased):
             return False
-        if isinstance(record, RequestCompleted):
+        if isinstance(record, RequestCompleted | ResultsMoved):
             return now < record.time + self._retention_s()
         if record.job_id in self._open_jobs_by_id:
             return True
@@ -124,6 +125,8 @@
     """Returns what a record is about."""
     if isinstance(record, RequestStarted | RequestReleased | RequestCompleted):
         return ("request", record.team, record.key)
+    if isinstance(record, ResultsMoved):
+        return ("moved", record.chunk.digest)
     return ("job", record.job_id)
 
 
--- a/plumvane/requests/ledger.py
+++ b/plumvane/requests/ledger.py
@@ -2,22 +2,17 @@
 
 from __future__ import annotations
 
-import abc
-import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 import anyio
 
 from plumvane import clock, events
 from plumvane.errors import (
-    BodyTooLargeError,
+    BulkUnavailableError,
     DeadlineExceededError,
     KeyReusedError,
     NotFoundError,
     NotOwnerError,
-    OutcomeUnknownError,
-    PlumvaneError,
-    RequestCancelledError,
     StoreUnavailableError,
     UpstreamUnavailableError,
 )
@@ -27,22 +22,29 @@
     RequestCompleted,
     RequestReleased,
     RequestStarted,
+    ResultsMoved,
 )
 from plumvane.peers.messages import (
+    ChunkRef,
     Claim,
     ClaimGranted,
     ClaimResult,
     Committed,
     Complete,
     EntryClaims,
-    Failure,
     Outcome,
-    Settled,
 )
 from plumvane.requests.claims import ClaimedRun, ClaimTable, RequestKey
+from plumvane.requests.control import OwnerState, RunControl
+from plumvane.requests.moved import ChunkBodies, MovedResults
+from plumvane.requests.outcomes import (
+    cancelled_outcome,
+    fitting_outcome,
+    unknown_outcome,
+)
 from plumvane.requests.results import ResultTable
 
-__all__ = ["OwnerState", "RequestLedger", "RunControl", "unknown_outcome"]
+__all__ = ["OwnerState", "RequestLedger", "RunControl"]
 
 # A claim that its entry has not renewed for this is orphaned.
 CLAIM_SILENCE_S = 4.0
@@ -52,47 +54,10 @@
 # How long a sidecar that runs an orphan is left before it is asked again.
 SETTLE_POLL_S = 0.5
 RETRY_AFTER_S = 2.0
-# A larger answer is replaced by an error, as the store would refuse it.
-MAX_RESULT_BYTES = 512 * 1024
 
 Spawn = Callable[..., None]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OwnerState:
-    """What the owner knows of its lease and of the store.
-
-    Attributes:
-        may_promise: Whether the owner's lease covers an answer now.
-        store_is_down: Whether the store does not answer now.
-        retention_s: How long results are kept, in seconds.
-    """
-
-    may_promise: Callable[[], bool]
-    store_is_down: Callable[[], bool]
-    retention_s: Callable[[], float]
-
-
-class RunControl(abc.ABC):
-    """Reaches the sidecars and entries that run a claimed request."""
-
-    @abc.abstractmethod
-    async def settle(self, run: ClaimedRun) -> Settled:
-        """Asks a run's sidecar what became of it, and forbids an unseen run.
-
-        Returns:
-            The sidecar's word; `unknown` if it is lost.
-        """
-
-    @abc.abstractmethod
-    async def stop(self, run: ClaimedRun) -> None:
-        """Tells a run's entry and sidecar that it was cancelled."""
-
-    @abc.abstractmethod
-    async def forget(self, run: ClaimedRun) -> None:
-        """Lets a run's sidecar forget its answer."""
-
-
 class RequestLedger:
     """Grants claims and keeps results; only the partition's owner has one."""
 
@@ -103,6 +68,7 @@
         state: OwnerState,
         control: RunControl,
         spawn: Spawn,
+        bodies: ChunkBodies | None = None,
     ) -> None:
         """Creates an empty ledger that grants no claim it cannot prove free.
 
@@ -112,6 +78,7 @@
             state: The owner's lease and store.
             control: Reaches the runs.
             spawn: Starts a task, as `TaskGroup.start_soon`.
+            bodies: Reads results that are in chunks.
         """
         self._partition = partition
         self._log = log
@@ -119,6 +86,7 @@
         self._control = control
         self._spawn = spawn
         self._results = ResultTable()
+        self._moved = MovedResults(bodies)
         self._claims = ClaimTable()
         self._inherited = anyio.Event()
         self._closed = False
@@ -131,24 +99,37 @@
         if isinstance(record, RequestCompleted):
             self._results.add_stored(record)
             self._claims.end((record.team, record.key))
+        elif isinstance(record, ResultsMoved):
+            self._moved.add(record)
         elif isinstance(record, RequestStarted):
             self._apply_started(record)
         elif isinstance(record, RequestReleased):
             self._claims.end((record.team, record.key), record.request_id)
 
+    def take_moved(
+        self, moved: ResultsMoved, results: Iterable[RequestCompleted]
+    ) -> None:
+        """Takes in that the log holds a reference in the place of results."""
+        self._moved.add(moved)
+        self._results.drop(results)
+
+    def chunks(self) -> Iterator[ChunkRef]:
+        """Yields the references of all chunks with results."""
+        return self._moved.chunks()
+
     def announce(self, announced: EntryClaims) -> None:
         """Takes in an entry's claims and results of the last owner's time.
 
         Idempotent runs only: the log has the others.
         """
         for message in announced.results:
-            if self._results.get((message.team, message.key)) is None:
+            if not self._may_have_result((message.team, message.key)):
                 self._put_result(message)
         for claim in announced.claims:
             key = (claim.team, claim.key)
             if self._claims.renew(claim.request_id) or not claim.idempotent:
                 continue
-            if self._results.get(key) is None and self._claims.get(key) is None:
+            if not self._may_have_result(key) and self._claims.get(key) is None:
                 self._claims.add(claim, clock.wall()).started.set()
 
     def finish_inheriting(self) -> None:
@@ -169,9 +150,9 @@
             await anyio.sleep(REAP_S)
             if self._state.may_promise() or self._state.store_is_down():
                 self.reap()
-            self._results.forget_before(
-                clock.wall() - self._state.retention_s()
-            )
+            oldest = clock.wall() - self._state.retention_s()
+            self._results.forget_before(oldest)
+            self._moved.forget_before(oldest)
 
     def reap(self) -> None:
         """Gives up the claims of entries that have gone silent."""
@@ -198,12 +179,13 @@
             DeadlineExceededError: The deadline passed while waiting.
             StoreUnavailableError: A non-idempotent run cannot be recorded.
             UpstreamUnavailableError: There is no sidecar for it.
+            BulkUnavailableError: Its result cannot be read now.
             NotOwnerError: Another instance took the partition.
         """
         key = (claim.team, claim.key)
         while True:
-            self._check_open()
-            if (found := self._results.get(key)) is not None:
+            found = await self._find_for_claim(key)
+            if found is not None:
                 _check_digest(key, found.digest, claim.digest)
                 return await self._claim_result(key, found)
             run = self._claims.get(key)
@@ -234,9 +216,8 @@
         Raises:
             NotOwnerError: Another instance took the partition.
         """
-        self._check_open()
         key = (message.team, message.key)
-        found = self._results.get(key)
+        found = await self._find(key)
         if found is None:
             found = self._put_result(message)
         result = await self._claim_result(key, found)
@@ -266,8 +247,7 @@
             NotOwnerError: Another instance took the partition.
         """
         await self._inherited.wait()
-        self._check_open()
-        found = self._results.get((team, key))
+        found = await self._find((team, key))
         if found is None:
             run = self._claims.get((team, key))
             if run is None:
@@ -283,11 +263,10 @@
             NotFoundError: The request is unknown, or still runs.
             NotOwnerError: Another instance took the partition.
         """
-        found = self._results.get((team, key))
+        found = await self._find((team, key))
         if found is None:
             await self._inherited.wait()
-            found = self._results.get((team, key))
-        self._check_open()
+            found = await self._find((team, key))
         if found is not None:
             return await self._claim_result((team, key), found)
         state = "unknown"
@@ -309,6 +288,27 @@
         )
         self._claims.add(claim, record.time).started.set()
 
+    async def _find(self, key: RequestKey) -> RequestCompleted | None:
+        """Returns the result of a key, from memory or from its chunk."""
+        self._check_open()
+        found = self._results.get(key)
+        if found is not None or not self._moved.may_have(key):
+            return found
+        since = clock.wall() - self._state.retention_s()
+        found = await self._moved.read(key, since)
+        self._check_open()
+        return found or self._results.get(key)
+
+    async def _find_for_claim(self, key: RequestKey) -> RequestCompleted | None:
+        try:
+            return await self._find(key)
+        except BulkUnavailableError as error:
+            error.not_run = True
+            raise
+
+    def _may_have_result(self, key: RequestKey) -> bool:
+        return self._results.get(key) is not None or self._moved.may_have(key)
+
     def _check_open(self) -> None:
         if self._closed or self._log.lost:
             raise NotOwnerError("Another instance owns the partition.")
@@ -386,20 +386,12 @@
             )
 
     def _put_result(self, message: Complete) -> RequestCompleted:
-        outcome = message.outcome
-        if len(outcome.body) > MAX_RESULT_BYTES:
-            outcome = _error_outcome(
-                BodyTooLargeError(
-                    f"The answer has {len(outcome.body)} bytes; "
-                    f"{MAX_RESULT_BYTES} can be kept."
-                )
-            )
         record = RequestCompleted(
             message.team,
             message.key,
             message.request_id,
             message.digest,
-            outcome,
+            fitting_outcome(message.outcome),
             clock.wall(),
         )
         key = (message.team, message.key)
@@ -454,25 +446,6 @@
             await self._control.forget(run)
 
 
-def unknown_outcome() -> Outcome:
-    """Returns the answer for a run that cannot be settled."""
-    return _error_outcome(
-        OutcomeUnknownError(
-            "The upstream was lost after the request was sent; it may have run."
-        )
-    )
-
-
-def cancelled_outcome() -> Outcome:
-    """Returns the answer for a request that was cancelled."""
-    return _error_outcome(RequestCancelledError("The request was cancelled."))
-
-
-def _error_outcome(error: PlumvaneError) -> Outcome:
-    failure = Failure(error.code, error.detail, error.remedy)
-    return Outcome(error.status, b"", error=failure)
-
-
 def _not_recorded() -> StoreUnavailableError:
     return StoreUnavailableError(
         "The store does not answer, so the run cannot be recorded.",
--- a/plumvane/requests/results.py
+++ b/plumvane/requests/results.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Iterable
 
 import anyio
 
@@ -47,8 +48,8 @@
             stored.set()
 
     def is_stored(self, key: RequestKey) -> bool:
-        """Returns whether the store holds the result of a key."""
-        return key in self._results_by_key and key not in self._stored_by_key
+        """Returns whether the store holds the result of a key that has one."""
+        return key not in self._stored_by_key
 
     async def stored(self, key: RequestKey) -> None:
         """Waits until the store holds the result of a key."""
@@ -61,6 +62,16 @@
         for stored in self._stored_by_key.values():
             stored.set()
 
+    def drop(self, results: Iterable[RequestCompleted]) -> None:
+        """Drops stored results that are kept elsewhere now."""
+        for record in results:
+            key = (record.team, record.key)
+            held = self._results_by_key.get(key)
+            if held is None or key in self._stored_by_key:
+                continue
+            if held.request_id == record.request_id:
+                del self._results_by_key[key]
+
     def forget_before(self, time: float) -> int:
         """Forgets stored results that were committed before a time.
 
--- /dev/null
+++ b/tests/chunks.py
@@ -0,0 +1,75 @@
+"""Bulk instances that live in a test's memory."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from plumvane.chunks.folder import digest_of
+from plumvane.errors import BulkUnavailableError
+from plumvane.partitions.log import PartitionLog
+from plumvane.partitions.moving import (
+    ResultMover,
+    decode_results,
+    key_hash,
+)
+from plumvane.partitions.records import (
+    LogRecord,
+    RequestCompleted,
+    ResultsMoved,
+)
+
+__all__ = ["MemoryChunks"]
+
+
+class MemoryChunks:
+    """Keeps chunks as `ChunkClient` does.
+
+    Attributes:
+        up: How many bulk instances are listed.
+        refuse: Whether they keep only one copy of what they are given.
+        data_by_digest: Chunks that are safe.
+        reads: How many chunks were read.
+    """
+
+    def __init__(self) -> None:
+        self.up = 2
+        self.refuse = False
+        self.data_by_digest: dict[str, bytes] = {}
+        self.reads = 0
+
+    def available(self) -> bool:
+        return self.up >= 2
+
+    async def store(self, data: bytes) -> tuple[str, tuple[str, ...]]:
+        if self.refuse:
+            raise BulkUnavailableError("1 of 2 bulk instances took the chunk.")
+        self.data_by_digest[digest_of(data)] = data
+        return digest_of(data), ("bulk-0", "bulk-1")
+
+    async def fetch(self, digest: str, addresses: Iterable[str]) -> bytes:
+        self.reads += 1
+        if not self.up or digest not in self.data_by_digest:
+            raise BulkUnavailableError(f"No bulk instance gave {digest}.")
+        return self.data_by_digest[digest]
+
+    def serve(self, log: PartitionLog) -> None:
+        """Lets a log whose owner has no memory move its results here."""
+        log.mover = ResultMover(self, lambda moved, results: None)
+
+    def read(self, moved: ResultsMoved) -> list[RequestCompleted]:
+        """Returns the results that a reference stands for."""
+        found = decode_results(self.data_by_digest[moved.chunk.digest])
+        hashes = [key_hash(record.team, record.key) for record in found]
+        assert moved.key_hashes == b"".join(hashes)
+        assert moved.chunk.items == len(found)
+        return found
+
+    def expand(self, records: list[LogRecord]) -> list[LogRecord]:
+        """Returns records with the results in the place of references."""
+        expanded: list[LogRecord] = []
+        for record in records:
+            if isinstance(record, ResultsMoved):
+                expanded.extend(self.read(record))
+            else:
+                expanded.append(record)
+        return expanded
--- a/tests/test_partitions_log.py
+++ b/tests/test_partitions_log.py
@@ -18,6 +18,7 @@
 from plumvane.peers.messages import Outcome
 from plumvane.store.base import MAX_VALUE_BYTES, Store
 from plumvane.store.memory import MemoryStore
+from tests.chunks import MemoryChunks
 from tests.faulty_store import Fault, FaultyStore
 
 OUTER_DEADLINE_S = 30.0
@@ -244,6 +245,52 @@
     bounded(check)
 
 
+def test_move_to_chunks_stopped_at_any_write_loses_nothing() -> None:
+    async def check() -> None:
+        for writes in range(7):
+            for fault in (Fault.CRASH, Fault.CRASH_AFTER, Fault.LOSE_ANSWER):
+                for refuse in (False, True):
+                    await move_until(writes, fault, refuse)
+
+    async def move_until(writes: int, fault: Fault, refuse: bool) -> None:
+        store = FaultyStore()
+        chunks = MemoryChunks()
+        chunks.refuse = refuse
+        keys = [f"k{number}" for number in range(5)]
+        with contextlib.suppress(BaseExceptionGroup):
+            async with owned_log(store, 1) as (log, _):
+                chunks.serve(log)
+                for key in keys:
+                    await log.commit(completed(key, size=100_000))
+                store.faults.extend([Fault.NONE] * writes + [fault])
+                await Compaction(log).run()
+        store.faults.clear()
+        found = await PartitionLog(store, 0, 99).recover()
+        kept = keys_of(chunks.expand(found))
+        assert list(dict.fromkeys(kept)) == keys, (writes, fault, refuse)
+
+    bounded(check)
+
+
+def test_moved_results_leave_only_a_reference_in_the_store() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        chunks = MemoryChunks()
+        async with owned_log(store, 1) as (log, _):
+            chunks.serve(log)
+            for number in range(9):
+                await log.commit(completed(f"k{number}", size=70_000))
+            assert await Compaction(log).run()
+        records = (await store.list("partitions/")).records
+        assert sum(len(record.value) for record in records) < 5_000
+        found = await PartitionLog(store, 0, 99).recover()
+        assert keys_of(found) == []
+        kept = keys_of(chunks.expand(found))
+        assert kept == [f"k{number}" for number in range(9)]
+
+    bounded(check)
+
+
 def test_log_holds_a_bounded_amount() -> None:
     async def check() -> None:
         store = MemoryStore()
--- /dev/null
+++ b/tests/test_results_moved.py
@@ -0,0 +1,261 @@
+"""Results that moved to chunks at bulk instances are read back."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+
+from plumvane import clock, hashing
+from plumvane.errors import (
+    BulkUnavailableError,
+    KeyReusedError,
+    NotFoundError,
+    PlumvaneError,
+)
+from plumvane.partitions.compaction import Compaction
+from plumvane.partitions.log import PartitionLog
+from plumvane.partitions.moving import ResultMover, key_hash
+from plumvane.partitions.records import ResultsMoved
+from plumvane.peers.messages import (
+    ChunkRef,
+    Claim,
+    ClaimGranted,
+    ClaimResult,
+    Complete,
+    Outcome,
+)
+from plumvane.requests.key_index import BUCKETS, KeyIndex
+from plumvane.requests.ledger import OwnerState, RequestLedger
+from plumvane.requests.moved import ChunkBodies
+from plumvane.store.memory import MemoryStore
+from standins.launcher import TEAM, Fleet
+from tests.batches import chunk_copies
+from tests.chunks import MemoryChunks
+from tests.fleets import Caller, running_fleet, wait_for
+from tests.test_ledger import _NoSidecar
+
+OUTER_DEADLINE_S = 30.0
+RETENTION_S = 1000.0
+BODY = b"x" * 70_000
+KEYS = [f"k{number}" for number in range(9)]
+BULKS = ("bulk-0", "bulk-1", "bulk-2")
+
+
+class _Owner:
+    """An owner whose closed segments move when a test says so."""
+
+    def __init__(
+        self, log: PartitionLog, ledger: RequestLedger, chunks: MemoryChunks
+    ) -> None:
+        self.log = log
+        self.ledger = ledger
+        log.mover = ResultMover(chunks, ledger.take_moved)
+
+    async def complete(self, key: str, body: bytes = BODY) -> None:
+        message = Complete(0, "t", key, f"r-{key}", b"d", Outcome(200, body))
+        assert (await self.ledger.complete(message)).durable
+
+    async def move_all(self) -> None:
+        for key in KEYS:
+            await self.complete(key, key.encode() + BODY)
+        assert await Compaction(self.log).run()
+
+
+@contextlib.asynccontextmanager
+async def _owned(
+    store: MemoryStore, chunks: MemoryChunks, epoch: int = 1
+) -> AsyncIterator[_Owner]:
+    log = PartitionLog(store, 0, epoch, retention_s=lambda: RETENTION_S)
+    records = await log.recover()
+    state = OwnerState(lambda: True, lambda: False, lambda: RETENTION_S)
+    async with anyio.create_task_group() as group:
+        group.start_soon(log.run)
+        ledger = RequestLedger(
+            0,
+            log,
+            state,
+            _NoSidecar(),
+            group.start_soon,
+            ChunkBodies(chunks),
+        )
+        for record in records:
+            ledger.apply(record)
+        ledger.finish_inheriting()
+        yield _Owner(log, ledger, chunks)
+        group.cancel_scope.cancel()
+
+
+def _claim(key: str, *, digest: bytes = b"d", idempotent: bool = True) -> Claim:
+    deadline = clock.wall() + 60.0
+    return Claim(0, "t", key, "new", digest, idempotent, deadline, "e", "s")
+
+
+async def _error_of(call: Awaitable[object]) -> PlumvaneError | None:
+    try:
+        await call
+    except PlumvaneError as error:
+        return error
+    return None
+
+
+def _run(test: Callable[[], Awaitable[None]]) -> None:
+    async def bounded() -> None:
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            await test()
+
+    anyio.run(bounded)
+
+
+def test_moved_results_leave_the_memory_and_are_read_back() -> None:
+    async def test() -> None:
+        store, chunks = MemoryStore(), MemoryChunks()
+        async with _owned(store, chunks) as owner:
+            await owner.move_all()
+            assert len(owner.ledger) == 0
+            await _check_all(owner)
+        async with _owned(store, chunks, 2) as owner:
+            assert len(owner.ledger) == 0
+            await _check_all(owner)
+
+    async def _check_all(owner: _Owner) -> None:
+        for key in KEYS:
+            found = await owner.ledger.lookup("t", key)
+            assert found.outcome.body == key.encode() + BODY and found.durable
+            again = await owner.ledger.claim(_claim(key))
+            assert isinstance(again, ClaimResult) and again == found
+            late = Complete(0, "t", key, "late", b"d", Outcome(200, b"other"))
+            assert (await owner.ledger.complete(late)).outcome == found.outcome
+            reused = await _error_of(
+                owner.ledger.claim(_claim(key, digest=b"other"))
+            )
+            assert isinstance(reused, KeyReusedError)
+        unknown = await _error_of(owner.ledger.lookup("t", "unknown"))
+        assert isinstance(unknown, NotFoundError)
+        fresh = await owner.ledger.claim(_claim("fresh"))
+        assert isinstance(fresh, ClaimGranted)
+
+    _run(test)
+
+
+def test_moved_result_out_of_reach_is_unavailable_and_runs_no_second_time() -> (
+    None
+):
+    async def test() -> None:
+        chunks = MemoryChunks()
+        async with _owned(MemoryStore(), chunks) as owner:
+            await owner.move_all()
+            chunks.up = 0
+            late = Complete(0, "t", "k0", "late", b"d", Outcome(200, b""))
+            for call in (
+                owner.ledger.claim(_claim("k0")),
+                owner.ledger.claim(_claim("k0", idempotent=False)),
+                owner.ledger.lookup("t", "k0"),
+                owner.ledger.cancel("t", "k0"),
+                owner.ledger.complete(late),
+            ):
+                error = await _error_of(call)
+                assert isinstance(error, BulkUnavailableError), error
+                assert error.retry_after_s
+            chunks.up = 1
+            found = await owner.ledger.lookup("t", "k0")
+            assert found.request_id == "r-k0"
+
+    _run(test)
+
+
+def test_nothing_moves_without_two_bulk_instances() -> None:
+    async def test() -> None:
+        for up, refuse in ((1, False), (2, True)):
+            chunks = MemoryChunks()
+            chunks.up, chunks.refuse = up, refuse
+            async with _owned(MemoryStore(), chunks) as owner:
+                await owner.move_all()
+                assert len(owner.ledger) == len(KEYS)
+                assert not list(owner.ledger.chunks())
+                chunks.up = 0
+                found = await owner.ledger.lookup("t", "k0")
+                assert found.outcome.body == b"k0" + BODY
+
+    _run(test)
+
+
+def test_index_finds_each_key_until_its_chunk_is_forgotten() -> None:
+    index = KeyIndex()
+    refs = [ChunkRef(f"digest-{n}", 0, 100, ("a", "b")) for n in range(50)]
+    for number, ref in enumerate(refs):
+        names = [f"{number}-{n}" for n in range(100)]
+        hashes = b"".join(key_hash("t", name) for name in names)
+        index.add(ResultsMoved(ref, hashes, float(number)))
+        index.add(ResultsMoved(ref, hashes, float(number)))
+    assert list(index.chunks()) == refs
+    for number, ref in enumerate(refs):
+        assert index.find(key_hash("t", f"{number}-7")) == [ref]
+    for _ in range(BUCKETS):
+        index.forget_before(25.0)
+    assert list(index.chunks()) == refs[25:]
+    assert index.find(key_hash("t", "24-7")) == []
+    assert index.find(key_hash("t", "25-7")) == [refs[25]]
+    entries = sum(len(bucket or b"") for bucket in index._buckets)
+    assert entries == 25 * 100 * 8
+
+
+def _keys_of_one_partition(count: int) -> tuple[int, list[str]]:
+    """Returns a partition and keys that belong to it."""
+    partition = hashing.partition_of(TEAM, "moved-0")
+    names = (f"moved-{number}" for number in range(count * 1000))
+    found = [n for n in names if hashing.partition_of(TEAM, n) == partition]
+    return partition, found[:count]
+
+
+def _owner_name(fleet: Fleet, partition: int) -> str:
+    key = f"owners/partition/{partition:04}"
+    status, value = fleet.call("GET", f"{fleet['store'].url}/keys/{key}")
+    return str(json.loads(value)["name"]) if status == 200 else ""
+
+
+def test_moved_results_outlive_their_owner_and_a_bulk_instance() -> None:
+    partition, keys = _keys_of_one_partition(12)
+    with running_fleet(entries=2, engines=0, services=1, bulks=3) as fleet:
+        caller = Caller(fleet)
+        answers = {
+            key: caller.quote(
+                fleet["entry-0"], {"load": key + "x" * 70_000}, key=key
+            )
+            for key in keys
+        }
+        assert {status for status, _ in answers.values()} == {200}
+        wait_for(lambda: chunk_copies(fleet, BULKS), "chunks of results")
+        copies = chunk_copies(fleet, BULKS)
+        holder = next(
+            bulk
+            for bulk in BULKS
+            if list(pathlib.Path(fleet.folder, f"{bulk}-data").glob("??/*"))
+        )
+        owner = _owner_name(fleet, partition)
+        other = "entry-1" if owner == "entry-0" else "entry-0"
+        fleet[owner].kill()
+        fleet.unlist_instance(owner)
+        fleet[holder].kill()
+        fleet.unlist_instance(holder)
+        again = {
+            key: caller.quote(
+                fleet[other], {"load": key + "x" * 70_000}, key=key
+            )
+            for key in keys
+        }
+        stored = {key: caller.result(fleet[other], key) for key in keys}
+        left = [bulk for bulk in BULKS if bulk != holder]
+
+        def copied() -> bool:
+            found = chunk_copies(fleet, left)
+            return all(found.get(digest) == 2 for digest in copies)
+
+        wait_for(copied, "two copies of each chunk", 120.0)
+        _, body = fleet.call("GET", f"{fleet['service-0'].url}/executions")
+    assert again == answers
+    assert stored == answers
+    assert set(json.loads(body)["by_body"].values()) == {1}
