--- a/plumvane/partitions/log.py
+++ b/plumvane/partitions/log.py
@@ -23,6 +23,7 @@
     NotOwnerError,
 )
 from plumvane.partitions.budget import CommitBudget
+from plumvane.partitions.moving import ResultMover
 from plumvane.partitions.records import ClosedSegment, LogRecord, Segment
 from plumvane.partitions.retention import LiveRecords, without_orphans
 from plumvane.partitions.segments import (
@@ -107,6 +108,7 @@
         self._budget = budget or CommitBudget(lambda: 1)
         self.segments = SegmentStore(store, partition)
         self.live = LiveRecords(retention_s)
+        self.mover: ResultMover | None = None
         self._partition = partition
         self._epoch = epoch
         self._number = 0
