Wake the idle batch worker when its sidecar leaves

A sidecar without batch items took up to a minute to stop: its pull loops sleep up to 60 s while nothing waits, and leaving did not wake them, so the drain waited for the end of the sleep. Ruled out by the sidecar's own log of its runs: in a stop of 7.9 s the last request had ended long before the pull loops, 7.7 s after the stop began, and none was unacknowledged.

Now leaving wakes the loops.

--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -133,6 +133,8 @@
     def leave(self) -> None:
         """Stops pulling and hands back what is not done."""
         self._leaving = True
+        # An idle loop may sleep for long.
+        self._wake()
         for run in self._runs:
             run.scope.cancel()
 
