End a drain at its deadline, and prove stops under kept connections

Cause: at the end of a drain's time the entry and the sidecar still waited for every run, so the deadline bounded nothing, against what the drain says of itself, and an entry with a drain of no time at all cut no request. Now the runs that are left at the deadline are cancelled; their callers are cut. A drain that ends in time is as before.

The new tests: eight callers keep a connection to each entry, half of them read streams of 300 tokens; all entries, sidecars and bulk instances stop one after the other, and one of each in an outage of the store of 4 s that begins with the stop. No request may fail, no stream may be cut, and all results are read back.

The steps that both modules share are in tests/stopping.py.

--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -157,16 +157,18 @@
                 group.start_soon(web.run)
                 group.start_soon(supervise, runner.renew_claims)
                 await stopping.wait()
-                await self._drain(runner, web)
+                if not await self._drain(runner, web):
+                    runs.cancel_scope.cancel()
             group.cancel_scope.cancel()
 
-    async def _drain(self, runner: RequestRunner, web: HttpServer) -> None:
+    async def _drain(self, runner: RequestRunner, web: HttpServer) -> bool:
         """Ends what runs, moves the partitions, then lets the answers out.
 
-        What has not ended by the drain's deadline is cut.
+        Returns:
+            Whether all has ended by the drain's deadline; the rest is cut.
         """
         self._leaving = True
-        with anyio.move_on_after(DRAIN_S):
+        with anyio.move_on_after(DRAIN_S) as limit:
             await anyio.sleep(UNREADY_S)
             while runner.active:
                 await anyio.sleep(DRAIN_POLL_S)
@@ -175,6 +177,7 @@
                 await self._documents.flush()
             web.stop()
             await web.stopped()
+        return not limit.cancelled_caught
 
     def _make_runner(self, group: anyio.abc.TaskGroup) -> RequestRunner:
         return RequestRunner(
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -90,18 +90,20 @@
                 )
                 dispatcher.register(self._member.server)
                 await stopping.wait()
-                await self._drain(batch_done)
+                if not await self._drain(batch_done):
+                    runs.cancel_scope.cancel()
             group.cancel_scope.cancel()
 
     async def _run_batch(self, batch: BatchWorker, done: anyio.Event) -> None:
         await batch.run()
         done.set()
 
-    async def _drain(self, batch_done: anyio.Event) -> None:
+    async def _drain(self, batch_done: anyio.Event) -> bool:
+        """Ends what runs; returns whether all of it has ended in time."""
         self._member.leaving = True
         if self._batch is not None:
             self._batch.leave()
-        with anyio.move_on_after(DRAIN_S):
+        with anyio.move_on_after(DRAIN_S) as limit:
             await self._member.leave()
             await batch_done.wait()
             while self._runs.active():
@@ -109,6 +111,7 @@
             with anyio.move_on_after(ACKNOWLEDGE_S):
                 while len(self._runs):
                     await anyio.sleep(DRAIN_POLL_S)
+        return not limit.cancelled_caught
 
     async def _follow_document(self) -> None:
         """Puts each new document in force."""
--- /dev/null
+++ b/tests/stopping.py
@@ -0,0 +1,39 @@
+"""Shared steps of the tests of planned stops."""
+
+from __future__ import annotations
+
+import json
+
+from standins.launcher import Fleet, Process
+from tests.fleets import OPERATOR, wait_for
+
+__all__ = ["instances_known", "restart"]
+
+
+def instances_known(fleet: Fleet, entry: Process) -> list[str]:
+    """Returns the instances that an entry knows, leaving ones too."""
+    answer = fleet.call(
+        "GET", f"{entry.url}/v1/fleet/instances", None, OPERATOR
+    )[1]
+    return [item["name"] for item in json.loads(answer)["instances"]]
+
+
+def restart(fleet: Fleet, process: Process) -> None:
+    """Stops an instance gracefully and puts it back in the fleet."""
+    assert process.terminate() == 0, process.name
+    fleet.unlist_instance(process.name)
+    others = [
+        other
+        for other in fleet.processes_by_name.values()
+        if other.role == "entry" and other is not process
+    ]
+    wait_for(
+        lambda: all(
+            process.name not in instances_known(fleet, other)
+            for other in others
+        ),
+        f"{process.name} is gone",
+    )
+    process.start()
+    fleet.list_instance(process)
+    fleet.wait_ready()
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -19,7 +19,8 @@
     item_lines,
     wait_completed,
 )
-from tests.fleets import OPERATOR, TEAM, Caller, running_fleet, wait_for
+from tests.fleets import TEAM, Caller, running_fleet, wait_for
+from tests.stopping import restart
 
 SEED = 20
 WORKERS = 6
@@ -120,35 +121,6 @@
     return []
 
 
-def instances_known(fleet: Fleet, entry: Process) -> list[str]:
-    """Returns the instances that an entry knows, leaving ones too."""
-    answer = fleet.call(
-        "GET", f"{entry.url}/v1/fleet/instances", None, OPERATOR
-    )[1]
-    return [item["name"] for item in json.loads(answer)["instances"]]
-
-
-def restart(fleet: Fleet, process: Process) -> None:
-    """Stops an instance gracefully and puts it back in the fleet."""
-    assert process.terminate() == 0, process.name
-    fleet.unlist_instance(process.name)
-    others = [
-        other
-        for other in fleet.processes_by_name.values()
-        if other.role == "entry" and other is not process
-    ]
-    wait_for(
-        lambda: all(
-            process.name not in instances_known(fleet, other)
-            for other in others
-        ),
-        f"{process.name} is gone",
-    )
-    process.start()
-    fleet.list_instance(process)
-    fleet.wait_ready()
-
-
 def test_rolling_stop_cuts_nothing() -> None:
     with running_fleet(entries=2, engines=2, bulks=2) as fleet:
         caller = Caller(fleet)
--- /dev/null
+++ b/tests/test_stopping_callers.py
@@ -0,0 +1,208 @@
+"""Planned stops under callers that keep connections and read streams."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import itertools
+import json
+import random
+import select
+import signal
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from standins.engine import expected_text
+from standins.launcher import MODEL, Fleet, Process
+from tests.fleets import TEAM, Caller, running_fleet, wait_for
+from tests.stopping import restart
+
+SEED = 21
+CALLERS = 8
+CALL_TIMEOUT_S = 60.0
+# Streams last some seconds, so each stop finds some under way.
+STREAM_TOKENS = 300
+CALL_TOKENS = 20
+OUTAGE_S = 4.0
+PREFIX = b"data: "
+
+
+class KeepingCallers:
+    """Callers that each keep one connection open to each entry.
+
+    Every second caller reads streams. A caller asks another entry if one
+    refuses a request as not run or is not there; nothing else may happen.
+
+    Attributes:
+        answered: Prompts, which are the keys too, that were answered whole.
+        failures: What went wrong with the others.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._entries = [
+            process
+            for process in fleet.processes_by_name.values()
+            if process.role == "entry"
+        ]
+        self._stopping = threading.Event()
+        self.answered: list[str] = []
+        self.failures: list[str] = []
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator[None]:
+        """Sends requests all the time."""
+        threads = [
+            threading.Thread(target=self._work, args=(number,))
+            for number in range(CALLERS)
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            self.wait_for_more()
+            yield
+            self.wait_for_more()
+        finally:
+            self._stopping.set()
+            for thread in threads:
+                thread.join()
+
+    def wait_for_more(self) -> None:
+        """Waits until each caller can have been answered once more."""
+        before = len(self.answered)
+        wait_for(
+            lambda: self.failures or len(self.answered) >= before + CALLERS,
+            "requests are answered",
+        )
+
+    def _work(self, number: int) -> None:
+        chance = random.Random(SEED + number)
+        connections = {
+            entry.name: http.client.HTTPConnection(
+                entry.host, entry.http_port, timeout=CALL_TIMEOUT_S
+            )
+            for entry in self._entries
+        }
+        send = _stream if number % 2 else _call
+        for count in itertools.count():
+            if self._stopping.is_set():
+                break
+            prompt = f"note-{number}-{count}"
+            failure = self._request(chance, connections, send, prompt)
+            if failure is None:
+                self.answered.append(prompt)
+            else:
+                self.failures.append(failure)
+        for connection in connections.values():
+            connection.close()
+
+    def _request(
+        self,
+        chance: random.Random,
+        connections: dict[str, http.client.HTTPConnection],
+        send: Callable[[http.client.HTTPConnection, str], str | None],
+        prompt: str,
+    ) -> str | None:
+        """Sends one request until it is taken; returns what went wrong."""
+        deadline = time.monotonic() + CALL_TIMEOUT_S
+        while time.monotonic() < deadline:
+            name, connection = chance.choice(list(connections.items()))
+            _close_if_ended(connection)
+            try:
+                return send(connection, prompt)
+            except _RefusedError:
+                continue
+            except ConnectionRefusedError:
+                connection.close()
+            except (OSError, ValueError, http.client.HTTPException) as error:
+                connection.close()
+                return f"{name} cut {prompt}: {error!r}"
+        return f"no entry took {prompt}"
+
+
+class _RefusedError(Exception):
+    """The entry refused the request as not run."""
+
+
+def _close_if_ended(connection: http.client.HTTPConnection) -> None:
+    """Closes a kept connection that the entry has ended, as pools do."""
+    kept = connection.sock
+    if kept is not None and select.select([kept], [], [], 0)[0]:
+        connection.close()
+
+
+def _post(
+    connection: http.client.HTTPConnection, fields: dict[str, Any]
+) -> http.client.HTTPResponse:
+    """Sends a completion; returns its response once it was taken."""
+    headers = {**TEAM, "idempotency-key": fields["prompt"]}
+    body = json.dumps({"model": MODEL, **fields})
+    connection.request("POST", "/v1/completions", body, headers)
+    response = connection.getresponse()
+    if response.status != 200:
+        problem = json.loads(response.read())
+        if response.status == 503 and problem.get("not_run"):
+            raise _RefusedError
+        raise ValueError(problem)
+    return response
+
+
+def _call(connection: http.client.HTTPConnection, prompt: str) -> str | None:
+    fields = {"prompt": prompt, "max_tokens": CALL_TOKENS}
+    answer = json.loads(_post(connection, fields).read())
+    if answer["choices"][0]["text"] != expected_text(prompt, CALL_TOKENS):
+        return f"another answer to {prompt}"
+    return None
+
+
+def _stream(connection: http.client.HTTPConnection, prompt: str) -> str | None:
+    fields = {"prompt": prompt, "max_tokens": STREAM_TOKENS, "stream": True}
+    lines = _post(connection, fields).read().split(b"\n")
+    events = [line[len(PREFIX) :] for line in lines if line.startswith(PREFIX)]
+    if events[-1:] != [b"[DONE]"]:
+        return f"the stream of {prompt} ended with {events[-1:]}"
+    pieces = [json.loads(event)["choices"][0]["text"] for event in events[:-1]]
+    if "".join(pieces) != expected_text(prompt, STREAM_TOKENS):
+        return f"another answer to {prompt}"
+    return None
+
+
+def _processes(fleet: Fleet, role: str) -> list[Process]:
+    return [p for p in fleet.processes_by_name.values() if p.role == role]
+
+
+def _check(fleet: Fleet, callers: KeepingCallers) -> None:
+    """Checks that nothing went wrong and that all results are stored."""
+    assert not callers.failures, callers.failures[:5]
+    for prompt in callers.answered:
+        status, answer = Caller(fleet).result(fleet["entry-1"], prompt)
+        assert status == 200, (prompt, answer)
+        text = expected_text(prompt, answer["usage"]["completion_tokens"])
+        assert answer["choices"][0]["text"] == text, prompt
+
+
+def test_rolling_stop_cuts_no_stream_and_no_kept_connection() -> None:
+    with running_fleet(entries=2, engines=2, bulks=2) as fleet:
+        callers = KeepingCallers(fleet)
+        with callers.running():
+            for role in ("entry", "sidecar", "bulk"):
+                for process in _processes(fleet, role):
+                    restart(fleet, process)
+        _check(fleet, callers)
+
+
+def test_stop_in_an_outage_of_the_store_cuts_nothing() -> None:
+    with running_fleet(entries=2, engines=2, bulks=2) as fleet:
+        callers = KeepingCallers(fleet)
+        with callers.running():
+            for role in ("entry", "sidecar", "bulk"):
+                process = _processes(fleet, role)[0]
+                fleet.store_faults(down=True)
+                process.signal(signal.SIGTERM)
+                end = time.monotonic() + OUTAGE_S
+                wait_for(lambda end=end: time.monotonic() > end, "the outage")
+                callers.wait_for_more()
+                fleet.store_faults(down=False)
+                restart(fleet, process)
+        _check(fleet, callers)
