--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -119,6 +119,8 @@
         self._leaving = True
         self._reports.is_leaving = True
         self._looking.cancel()
+        # An idle loop may sleep for long.
+        self._wake()
         for run in self._runs:
             run.scope.cancel()
 
--- a/tests/test_ledger_machine.py
+++ b/tests/test_ledger_machine.py
@@ -28,6 +28,7 @@
 from plumvane import clock
 from plumvane.errors import PlumvaneError, StoreUnavailableError
 from plumvane.partitions import budget, moving
+from plumvane.partitions import log as log_module
 from plumvane.partitions.compaction import Compaction
 from plumvane.partitions.log import PartitionLog
 from plumvane.partitions.moving import ResultMover
--- a/tests/test_sidecar_batch.py
+++ b/tests/test_sidecar_batch.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import types
 from collections.abc import AsyncIterator
 from typing import Any, cast
+from unittest import mock
 
 import anyio
 import msgspec
@@ -22,6 +24,7 @@
     RangeDone,
     RangeGrant,
 )
+from plumvane.sidecar import batch
 from plumvane.sidecar.batch import BatchWorker
 from plumvane.sidecar.items import LATE_ITEM_S
 from plumvane.sidecar.rate import ItemRate
@@ -33,6 +36,7 @@
 ITEMS = 400
 PLACES = 4
 OUTER_DEADLINE_S = 30.0
+LONG_S = 3600.0
 
 
 class _KnownRate(ItemRate):
@@ -175,3 +179,28 @@
         assert not lax._attempts_by_index and not lax._losses_by_index
 
     anyio.run(check)
+
+
+def _idle_worker() -> BatchWorker:
+    """Returns a worker without owners, which has nothing to pull."""
+    unused: Any = None
+    chunks: Any = types.SimpleNamespace(available=lambda: True)
+    reporter: Any = types.SimpleNamespace(owners=())
+    return BatchWorker("m", "a", unused, unused, unused, chunks, reporter)
+
+
+def test_idle_worker_ends_when_the_sidecar_leaves() -> None:
+    async def check() -> None:
+        worker = _idle_worker()
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(worker.run)
+                await anyio.wait_all_tasks_blocked()
+                worker.leave()
+
+    with (
+        mock.patch.object(batch, "IDLE_MIN_S", LONG_S),
+        mock.patch.object(batch, "IDLE_MAX_S", LONG_S),
+        mock.patch.object(batch, "BLOCKED_MAX_S", LONG_S),
+    ):
+        anyio.run(check)
