Count segments closed during a pass as new, and measure moved results

Cause: a pass that took long counted the segments closed meanwhile as compacted, so the next pass waited for twice as many.

Change: only segments that the pass saw count as compacted.

The test with real processes now waits until the log has shrunk: before, with references ignored at a takeover, it passed, since the owner was killed before the reference was written. Now it fails with that guard off (`assert again == answers`, AssertionError), and passes with it on.

--- /dev/null
+++ b/bench/moved_results.py
@@ -0,0 +1,190 @@
+"""Owner's memory and the store's bytes for each result, kept or moved.
+
+One partition's ledger runs in this process, its log in a store process; the
+chunks go to two folders. Each measurement waits until no compaction is due. Run
+with `python -m bench.moved_results`, and with
+`--nomove` for results that stay in the log. `--index_keys` measures the index
+of moved keys alone. Figures are JSON lines.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import os
+import pathlib
+import tempfile
+from collections.abc import Iterable
+
+import anyio
+from absl import app, flags
+
+from bench import usage
+from plumvane.chunks.folder import ChunkFolder, digest_of
+from plumvane.partitions.compaction import Compaction
+from plumvane.partitions.log import PartitionLog
+from plumvane.partitions.moving import KEY_HASH_BYTES, ResultMover
+from plumvane.partitions.records import ResultsMoved
+from plumvane.peers.messages import ChunkRef, Complete, Outcome, Settled
+from plumvane.requests.claims import ClaimedRun
+from plumvane.requests.key_index import KeyIndex
+from plumvane.requests.ledger import OwnerState, RequestLedger, RunControl
+from plumvane.requests.moved import ChunkBodies
+from plumvane.store.http import HttpStore
+from standins.launcher import Fleet
+
+__all__ = ["main"]
+
+_MOVE = flags.DEFINE_bool("move", True, "Whether results move to chunks.")
+_RESULTS = flags.DEFINE_multi_integer(
+    "results", [10_000, 30_000, 50_000], "Results kept at each measurement."
+)
+_BODY = flags.DEFINE_integer("body", 1000, "Bytes of a result's body.")
+
+_INDEX_KEYS = flags.DEFINE_multi_integer(
+    "index_keys", [], "Keys in the index alone at each measurement."
+)
+
+AT_ONCE = 500
+# Results of some 1.3 KB in a chunk of 150 to 200 KB.
+KEYS_PER_CHUNK = 130
+COMPACT_S = 0.2
+RETENTION_S = 86_400.0
+
+
+class _NoSidecar(RunControl):
+    async def settle(self, run: ClaimedRun) -> Settled:
+        return Settled("unknown")
+
+    async def stop(self, run: ClaimedRun) -> None:
+        return
+
+    async def forget(self, run: ClaimedRun) -> None:
+        return
+
+
+class _Folders:
+    """Two folders in the place of two bulk instances."""
+
+    def __init__(self, paths: list[pathlib.Path]) -> None:
+        self._folders = [ChunkFolder(path) for path in paths]
+
+    def available(self) -> bool:
+        return True
+
+    async def store(self, data: bytes) -> tuple[str, tuple[str, ...]]:
+        for folder in self._folders:
+            await folder.store(digest_of(data), data)
+        return digest_of(data), ("127.0.0.1:7001", "127.0.0.1:7002")
+
+    async def fetch(self, digest: str, addresses: Iterable[str]) -> bytes:
+        return await self._folders[0].fetch(digest)
+
+
+async def _compact(compaction: Compaction) -> None:
+    while True:
+        await anyio.sleep(COMPACT_S)
+        if compaction.is_due():
+            await compaction.run()
+
+
+async def _add(ledger: RequestLedger, first: int, count: int) -> None:
+    """Completes requests whose bodies are all different."""
+    async with anyio.create_task_group() as group:
+        for number in range(first, first + count):
+            body = os.urandom(_BODY.value)
+            key = f"caller-key-{number:012}"
+            message = Complete(
+                0, "intake", key, f"r0000-{number:024}", b"d" * 32,
+                Outcome(200, body),
+            )  # fmt: skip
+            group.start_soon(ledger.complete, message)
+
+
+async def _measure(store_url: str, folders: list[pathlib.Path]) -> None:
+    store = HttpStore(store_url)
+    chunks = _Folders(folders)
+    log = PartitionLog(store, 0, 1, retention_s=lambda: RETENTION_S)
+    await log.recover()
+    state = OwnerState(lambda: True, lambda: False, lambda: RETENTION_S)
+    async with anyio.create_task_group() as group:
+        ledger = RequestLedger(
+            0,
+            log,
+            state,
+            _NoSidecar(),
+            group.start_soon,
+            ChunkBodies(chunks),
+        )
+        if _MOVE.value:
+            log.mover = ResultMover(chunks, ledger.take_moved)
+        group.start_soon(log.run)
+        compaction = Compaction(log)
+        group.start_soon(_compact, compaction)
+        done = 0
+        for wanted in _RESULTS.value:
+            while done < wanted:
+                await _add(ledger, done, min(AT_ONCE, wanted - done))
+                done += AT_ONCE
+            while compaction.is_due():
+                await anyio.sleep(COMPACT_S)
+            await _print(store, ledger, wanted)
+        group.cancel_scope.cancel()
+
+
+async def _print(store: HttpStore, ledger: RequestLedger, wanted: int) -> None:
+    gc.collect()
+    resident_mb = usage.resident_mb(os.getpid())
+    stored = 0
+    for number in range(100_000):
+        key = f"partitions/0000/segments/{number:08}"
+        record = await store.get(key)
+        if record is not None:
+            stored += len(record.value)
+        elif number * 20 > wanted:
+            break
+    figures = {
+        "move": _MOVE.value,
+        "results": wanted,
+        "bodies_in_memory": len(ledger),
+        "resident_mb": round(resident_mb, 2),
+        "store_bytes": stored,
+        "chunks": sum(1 for _ in ledger.chunks()),
+    }
+    print(json.dumps(figures), flush=True)
+
+
+def _measure_index() -> None:
+    index = KeyIndex()
+    keys = 0
+    for wanted in _INDEX_KEYS.value:
+        while keys < wanted:
+            digest = os.urandom(32).hex()
+            ref = ChunkRef(digest, 0, KEYS_PER_CHUNK, ("bulk-0", "bulk-1"))
+            hashes = os.urandom(KEYS_PER_CHUNK * KEY_HASH_BYTES)
+            index.add(ResultsMoved(ref, hashes, 0.0))
+            keys += KEYS_PER_CHUNK
+        resident_mb = round(usage.resident_mb(os.getpid()), 2)
+        print(json.dumps({"keys": keys, "resident_mb": resident_mb}))
+
+
+def main(argv: list[str]) -> None:
+    """Prints the figures."""
+    del argv
+    if _INDEX_KEYS.value:
+        _measure_index()
+        return
+    with (
+        tempfile.TemporaryDirectory() as name,
+        Fleet(pathlib.Path(name)) as fleet,
+    ):
+        fleet.start_platform()
+        fleet.wait_started()
+        folders = [pathlib.Path(name, f"bulk-{n}") for n in range(2)]
+        for folder in folders:
+            folder.mkdir()
+        anyio.run(_measure, fleet["store"].url, folders)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/plumvane/partitions/compaction.py
+++ b/plumvane/partitions/compaction.py
@@ -85,13 +85,17 @@
             not answer or another owner has written.
         """
         before = len(self._log.closed_segments)
+        newest = max(self._log.closed_segments, default=0)
         try:
             await self._remove_strays()
             await self._end_jobs()
             await self._pass()
         except (ConflictError, NotOwnerError, StoreUnavailableError):
             return False
-        self._after_last = len(self._log.closed_segments)
+        # Segments that were closed during the pass count as new.
+        self._after_last = sum(
+            number <= newest for number in self._log.closed_segments
+        )
         events.log(
             events.Event.SEGMENTS_COMPACTED,
             partition=self._log.partition,
--- a/tests/test_results_moved.py
+++ b/tests/test_results_moved.py
@@ -217,6 +217,16 @@
     return str(json.loads(value)["name"]) if status == 200 else ""
 
 
+def _log_bytes(fleet: Fleet, partition: int) -> int:
+    """Returns the bytes of a partition's segments in the store."""
+    size = 0
+    for number in range(50):
+        key = f"partitions/{partition:04}/segments/{number:08}"
+        status, value = fleet.call("GET", f"{fleet['store'].url}/keys/{key}")
+        size += len(value) if status == 200 else 0
+    return size
+
+
 def test_moved_results_outlive_their_owner_and_a_bulk_instance() -> None:
     partition, keys = _keys_of_one_partition(12)
     with running_fleet(entries=2, engines=0, services=1, bulks=3) as fleet:
@@ -228,7 +238,8 @@
             for key in keys
         }
         assert {status for status, _ in answers.values()} == {200}
-        wait_for(lambda: chunk_copies(fleet, BULKS), "chunks of results")
+        most = len(keys) // 2 * 70_000
+        wait_for(lambda: _log_bytes(fleet, partition) < most, "the move")
         copies = chunk_copies(fleet, BULKS)
         holder = next(
             bulk
