--- a/tests/test_partitions_log.py
+++ b/tests/test_partitions_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
@@ -291,6 +292,36 @@
     bounded(check)
 
 
+def test_segments_closed_during_a_pass_make_the_next_one_due() -> None:
+    class BusyChunks(MemoryChunks):
+        """Lets the log grow by a pass's worth while the first chunk is kept."""
+
+        async def store(self, data: bytes) -> tuple[str, tuple[str, ...]]:
+            if not self.data_by_digest:
+                await fill(8)
+            return await super().store(data)
+
+    async def fill(count: int) -> None:
+        for _ in range(count):
+            await logs[0].commit(completed(f"k{next(numbers)}", size=70_000))
+
+    logs: list[PartitionLog] = []
+    numbers = itertools.count()
+
+    async def check() -> None:
+        async with owned_log(MemoryStore(), 1) as (log, _):
+            logs.append(log)
+            BusyChunks().serve(log)
+            compaction = Compaction(log)
+            await fill(8)
+            assert await compaction.run()
+            assert compaction.is_due()
+            assert await compaction.run()
+            assert not compaction.is_due()
+
+    bounded(check)
+
+
 def test_log_holds_a_bounded_amount() -> None:
     async def check() -> None:
         store = MemoryStore()
