Test that a result stays while the start of its run is stored

The log machine passes with this rule off, so the rule has a test of its own. First failure with the rule off: `assert start in found and keys_of(found) == ["a"]`, AssertionError.

--- a/tests/test_partitions_log.py
+++ b/tests/test_partitions_log.py
@@ -15,8 +15,13 @@
     LogCopy,
     PartitionLog,
 )
-from plumvane.partitions.records import LogRecord, RequestCompleted
-from plumvane.peers.messages import Outcome
+from plumvane.partitions.records import (
+    JobAccepted,
+    LogRecord,
+    RequestCompleted,
+    RequestStarted,
+)
+from plumvane.peers.messages import ChunkRef, Outcome
 from plumvane.store.base import MAX_VALUE_BYTES, Store
 from plumvane.store.memory import MemoryStore
 from tests.chunks import MemoryChunks
@@ -292,6 +297,27 @@
     bounded(check)
 
 
+def test_result_stays_while_the_start_of_its_run_is_stored() -> None:
+    async def check() -> None:
+        store = MemoryStore()
+        chunks = MemoryChunks()
+        start = RequestStarted("team", "a", "run-a", b"", 0.0, "sidecar")
+        chunk = ChunkRef("d" * 70_000, 0, 1, ())
+        job = JobAccepted("job", "team", b"", "m", (chunk,), 0.0, 0.0)
+        async with owned_log(store, 1) as (log, _):
+            chunks.serve(log)
+            await log.commit(start)
+            await log.commit(job)
+            await log.commit(completed("a", size=240_000))
+            await log.commit(completed("b", size=240_000))
+            assert await Compaction(log).run()
+        found = await PartitionLog(store, 0, 99).recover()
+        assert start in found and keys_of(found) == ["a"]
+        assert keys_of(chunks.expand(found)) == ["a", "b"]
+
+    bounded(check)
+
+
 def test_segments_closed_during_a_pass_make_the_next_one_due() -> None:
     class BusyChunks(MemoryChunks):
         """Lets the log grow by a pass's worth while the first chunk is kept."""
