--- a/plumvane/entry/main.py
+++ b/plumvane/entry/main.py
@@ -116,7 +116,9 @@
         self._order_leases = OrderLeases(
             self._store,
             self._current,
-            lambda model: len(self._directory.live("sidecar", model)),
+            lambda model: {
+                i.address for i in self._directory.live("sidecar", model)
+            },
         )
         self._server.handle(OrderLease, self._lease_orders)
         self._server.handle(PlanLoad, self._plan_load)
--- a/plumvane/peers/messages/orders.py
+++ b/plumvane/peers/messages/orders.py
@@ -15,12 +15,16 @@
         holder: Incarnation of the sidecar.
         fence: Fencing number of the lease to renew; 0 for a new one.
         loaded: Version that the engine has been ordered to load.
+        model: Model of the engine.
+        address: Peer address of the sidecar.
     """
 
     upstream: str
     holder: str
     fence: int
     loaded: str
+    model: str = ""
+    address: str = ""
 
 
 class OrderLeaseGranted(Message, frozen=True, tag="orderleaseok"):
--- a/plumvane/sidecar/main.py
+++ b/plumvane/sidecar/main.py
@@ -56,6 +56,7 @@
             self._orders = OrderSender(
                 self._serves,
                 settings.upstream.url,
+                self._member.address,
                 self._member.current,
                 self._member.links,
                 self._entry_addresses,
--- a/plumvane/upstreams/order_leases.py
+++ b/plumvane/upstreams/order_leases.py
@@ -14,7 +14,7 @@
 )
 from plumvane.fleet.current import CurrentDocument
 from plumvane.peers.messages import OrderLease, OrderLeaseGranted, PlanLoad
-from plumvane.store.base import ABSENT, Store
+from plumvane.store.base import ABSENT, Store, list_pages
 from plumvane.upstreams.orders import ORDER_TIMEOUT_S
 
 __all__ = ["OrderLeases"]
@@ -27,6 +27,9 @@
 PREFIX = "orders/upstreams/"
 LOADS_KEY = "orders/loads"
 MAX_CHANGES = 10_000
+# Sidecars of one engine that its lease remembers.
+MAX_ADDRESSES = 8
+PAGE_RECORDS = 500
 
 
 class _LeaseRecord(msgspec.Struct, frozen=True):
@@ -37,12 +40,17 @@
         holder: Incarnation of the sidecar.
         deadline: End of the lease, seconds since the Unix epoch.
         loaded: Version that the engine was last ordered to load.
+        model: Model of the engine.
+        addresses: Peer addresses of its sidecars that had the lease, the
+            last holder's last.
     """
 
     fence: int
     holder: str
     deadline: float
     loaded: str = ""
+    model: str = ""
+    addresses: tuple[str, ...] = ()
 
 
 class _Change(msgspec.Struct, frozen=True):
@@ -66,18 +74,18 @@
         self,
         store: Store,
         current: CurrentDocument,
-        copies: Callable[[str], int],
+        sidecars: Callable[[str], set[str]],
     ) -> None:
         """Creates the service.
 
         Args:
             store: The platform's store.
             current: Fleet document in force.
-            copies: Returns how many live upstreams a model has.
+            sidecars: Returns the addresses of a model's live sidecars.
         """
         self._store = store
         self._current = current
-        self._copies = copies
+        self._sidecars = sidecars
 
     async def lease(self, message: OrderLease) -> OrderLeaseGranted:
         """Grants or renews the lease for orders to an engine.
@@ -91,9 +99,11 @@
         now = clock.wall()
         send_after = 0.0
         fence, loaded = 1, ""
+        addresses: tuple[str, ...] = ()
         if found is not None:
             old = msgspec.json.decode(found.value, type=_LeaseRecord)
             fence, loaded = old.fence, old.loaded
+            addresses = old.addresses
             is_own = (old.holder, old.fence) == (message.holder, message.fence)
             if is_own and now < old.deadline:
                 loaded = message.loaded
@@ -102,7 +112,15 @@
             else:
                 fence += 1
                 send_after = old.deadline + ORDER_TIMEOUT_S + CLOCK_MARGIN_S
-        record = _LeaseRecord(fence, message.holder, now + LEASE_TTL_S, loaded)
+        others = [a for a in addresses if a != message.address]
+        record = _LeaseRecord(
+            fence,
+            message.holder,
+            now + LEASE_TTL_S,
+            loaded,
+            message.model,
+            (*others, message.address)[-MAX_ADDRESSES:],
+        )
         await self._write(
             key,
             msgspec.json.encode(record),
@@ -125,7 +143,7 @@
         now = clock.wall()
         self._check_rate(loads, now)
         if message.in_use:
-            self._check_copies(loads, message, now)
+            await self._check_copies(loads, message, now)
         kept = [c for c in loads.changes if now - c.time < CHANGE_S]
         last = loads.changes[-1:]
         planned = _Change(message.upstream, message.model, now)
@@ -141,7 +159,7 @@
         if loads.changes and now < loads.changes[-1].time + interval_s:
             raise OverloadedError("The weight store's rate is used up.")
 
-    def _check_copies(
+    async def _check_copies(
         self, loads: _Loads, message: PlanLoad, now: float
     ) -> None:
         changing = {
@@ -151,11 +169,28 @@
             and change.upstream != message.upstream
             and now - change.time < CHANGE_S
         }
-        if self._copies(message.model) - len(changing) - 1 < 1:
+        copies = await self._live_upstreams(message.model)
+        if not copies - changing - {message.upstream}:
             raise OverloadedError(
                 f"This is the last copy of {message.model!r} in use."
             )
 
+    async def _live_upstreams(self, model: str) -> set[str]:
+        """Returns the engines with a version loaded and a live sidecar.
+
+        A live sidecar that has had no lease is not counted: it may stand at
+        an engine that has another one.
+        """
+        live = self._sidecars(model)
+        found = set()
+        async for page in list_pages(self._store, PREFIX, PAGE_RECORDS):
+            for record in page:
+                lease = msgspec.json.decode(record.value, type=_LeaseRecord)
+                is_live = lease.model == model and live & set(lease.addresses)
+                if is_live and lease.loaded:
+                    found.add(record.key.removeprefix(PREFIX))
+        return found
+
     async def _write(self, key: str, value: bytes, expected: int) -> None:
         """Writes by compare-and-swap; settles a lost answer by reading."""
         try:
--- a/plumvane/upstreams/orders.py
+++ b/plumvane/upstreams/orders.py
@@ -39,6 +39,7 @@
         self,
         model: str,
         url: str,
+        address: str,
         current: CurrentDocument,
         links: LinkPool,
         entries: Callable[[], list[str]],
@@ -48,12 +49,14 @@
         Args:
             model: Model behind the engine.
             url: Base URL of the engine; its address names it in the leases.
+            address: Peer address of this sidecar.
             current: Fleet document in force.
             links: Connections to the entries.
             entries: Returns the peer addresses of the entries.
         """
         self._model = model
         self._url = url.rstrip("/")
+        self._address = address
         self._upstream = self._url.rpartition("//")[2]
         self._current = current
         self._links = links
@@ -64,12 +67,14 @@
         self._lease_deadline = 0.0
         self._send_after = 0.0
         self._loaded = ""
+        # Whether the store holds what is loaded.
+        self._is_told = True
 
     async def run(self) -> None:
         """Brings the engine to the document's version; runs always."""
         while True:
             wanted = self._wanted()
-            if wanted and wanted != self._loaded:
+            if wanted and not (wanted == self._loaded and self._is_told):
                 try:
                     await self._load(wanted)
                 except PlumvaneError as error:
@@ -105,13 +110,21 @@
         )
         await self._send({"action": "load", "version": version})
         self._loaded = version
+        self._is_told = False
         await self._obtain_lease()
 
     async def _obtain_lease(self) -> None:
         """Renews the lease and tells what the engine has loaded."""
         sent = clock.monotonic()
         reply = await self._call(
-            OrderLease(self._upstream, self._holder, self._fence, self._loaded)
+            OrderLease(
+                self._upstream,
+                self._holder,
+                self._fence,
+                self._loaded,
+                self._model,
+                self._address,
+            )
         )
         if not isinstance(reply, OrderLeaseGranted):
             raise PlumvaneError("The entry's reply is not understood.")
@@ -121,6 +134,7 @@
             if self._checks_orders():
                 self._send_after = 0.0
         self._fence = reply.fence
+        self._is_told = True
         self._lease_deadline = sent + reply.ttl_s - LEASE_MARGIN_S
 
     def _checks_orders(self) -> bool:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -47,6 +47,9 @@
 _LOAD_LAG_S = flags.DEFINE_float(
     "load_lag_s", 1.0, "Seconds that the load report lags."
 )
+_FIRST_ORDER_DELAY_S = flags.DEFINE_float(
+    "first_order_delay_s", 0.0, "Seconds by which the first order is late."
+)
 
 _FAILING = flags.DEFINE_bool("failing", False, "Answer 500 to each request.")
 
@@ -120,6 +123,7 @@
         checks_fencing: bool = False,
         load_lag_s: float = 1.0,
         failing: bool = False,
+        first_order_delay_s: float = 0.0,
     ) -> None:
         """Creates an idle engine.
 
@@ -128,8 +132,10 @@
             checks_fencing: Whether orders with an old number are refused.
             load_lag_s: Seconds that the load report lags.
             failing: Whether each request is answered by an error.
+            first_order_delay_s: Seconds by which the first order is late.
         """
         self._failing = failing
+        self._order_delay_s = first_order_delay_s
         self._model = model
         self._checks_fencing = checks_fencing
         self._load_lag_s = load_lag_s
@@ -205,6 +211,8 @@
     async def order(self, http: Request) -> Response:
         """Takes an order; records it, and refuses an old number if told."""
         order = await http.json()
+        delay_s, self._order_delay_s = self._order_delay_s, 0.0
+        await anyio.sleep(delay_s)
         fence = int(order["fence"])
         if self._checks_fencing and fence < self._fence:
             return JSONResponse({"error": "fenced"}, status_code=409)
@@ -336,6 +344,7 @@
         checks_fencing=_CHECKS_FENCING.value,
         load_lag_s=_LOAD_LAG_S.value,
         failing=_FAILING.value,
+        first_order_delay_s=_FIRST_ORDER_DELAY_S.value,
     )
 
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -47,6 +47,24 @@
     )
 
 
+def add_copy(fleet: Fleet) -> None:
+    """Has the store name another engine of the model, which changes nothing.
+
+    Without it the version of the only engine is not changed.
+    """
+    lease = {
+        "fence": 1,
+        "holder": "",
+        "deadline": 0.0,
+        "loaded": "v0",
+        "model": MODEL,
+        "addresses": [fleet["engine-0-sidecar"].peer_address],
+    }
+    url = f"{fleet['store'].url}/keys/orders/upstreams/another"
+    status, _ = fleet.call("PUT", url, lease)
+    assert status == 200, status
+
+
 def planned_times(fleet: Fleet) -> list[float]:
     """Returns when loads were planned, by the store's record of them."""
     url = f"{fleet['store'].url}/keys/orders/loads"
@@ -63,6 +81,7 @@
 
 def check_two_sidecars(fleet: Fleet, *, checks: bool) -> None:
     """Freezes the engine's sidecar, starts another, and wakes the first."""
+    add_copy(fleet)
     revision = apply(fleet, "v1", 1, checks=checks)
     wait_for(lambda: versions(fleet, "engine-0") == ["v1"], "v1 is ordered")
     older = fleet["engine-0-sidecar"]
@@ -91,6 +110,8 @@
         revision = apply(fleet, "v1", 1)
         wait_for(lambda: versions(fleet, "engine-0") == ["v1"], "v1 is ordered")
         apply(fleet, "v2", revision)
+        # The store keeps a plan for half a minute only.
+        planned = set(planned_times(fleet))
         log = fleet["engine-0-sidecar"].log
         wait_for(lambda: b"last copy" in log.read_bytes(), "the load waits")
         assert versions(fleet, "engine-0") == ["v1"]
@@ -98,12 +119,21 @@
             fleet.start_engine(f"engine-{number}")
         fleet.wait_started()
         engines = [f"engine-{number}" for number in range(3)]
-        wait_for(
-            lambda: all(versions(fleet, e)[-1:] == ["v2"] for e in engines),
-            "all have v2",
-        )
-        planned = planned_times(fleet)
-        ordered = sum(len(versions(fleet, engine)) for engine in engines)
-        assert len(planned) >= ordered == 4
-        gaps = [b - a for a, b in zip(planned, planned[1:], strict=False)]
+
+        def all_have_v2() -> bool:
+            planned.update(planned_times(fleet))
+            return all(versions(fleet, e)[-1:] == ["v2"] for e in engines)
+
+        wait_for(all_have_v2, "all have v2")
+        planned.update(planned_times(fleet))
+        times = [
+            [order["time"] for order in engine_record(fleet, engine)["orders"]]
+            for engine in engines
+        ]
+        assert sum(len(of_one) for of_one in times) == 4, times
+        # The copy in use changes last.
+        assert times[0][-1] == max(max(of_one) for of_one in times), times
+        assert len(planned) >= 4, planned
+        ordered = sorted(planned)
+        gaps = [b - a for a, b in zip(ordered, ordered[1:], strict=False)]
         assert min(gaps) >= LOAD_INTERVAL_S, gaps
