--- a/tests/test_httppool.py
+++ b/tests/test_httppool.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import ssl
 from collections.abc import Awaitable, Callable
 
 import anyio
 import anyio.abc
 import httpcore
+import trustme
+from anyio.streams.tls import TLSListener, TLSStream
 
 from plumvane.httppool import HttpPool
 from standins.launcher import free_port
@@ -152,3 +155,36 @@
             raise AssertionError(f"no {error.__name__}")
 
     anyio.run(check)
+
+
+def test_https_checks_the_certificate() -> None:
+    async def check() -> None:
+        authority = trustme.CA()
+        theirs = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        authority.issue_cert(HOST).configure_cert(theirs)
+        ours = ssl.create_default_context()
+        authority.configure_trust(ours)
+        tcp = await anyio.create_tcp_listener(local_host=HOST)
+        port = tcp.extra(anyio.abc.SocketAttribute.local_port)
+        listener = TLSListener(tcp, theirs, standard_compatible=False)
+        url = f"https://{HOST}:{port}/"
+
+        async def serve(stream: TLSStream) -> None:
+            async with stream:
+                await stream.receive()
+                await stream.send(WHOLE)
+
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, serve)
+                answer = await HttpPool(ours).request("GET", url)
+                assert answer.content == b"ok"
+                try:
+                    await HttpPool().request("GET", url)
+                except httpcore.ConnectError:
+                    group.cancel_scope.cancel()
+                else:
+                    raise AssertionError("a false certificate was taken")
+        await listener.aclose()
+
+    anyio.run(check)
