Remove chunks that nobody refers to, and forget jobs past their retention

Cause: nothing removed a chunk, and since results move to chunks the disks of the bulk instances filled by what the store used to drop. Ended jobs stayed in their owner's table, and so in its list of references, until a takeover. Ruled out: a message that frees a chunk, as a late owner could send it for what another one still holds. Change: the owners' questions for missing copies, which come all the time, are the references. The job table drops ended jobs that the log no longer needs. First failures with the guards off: references not noted, assert await chunks.remove_unreferenced(2000.0) == 1; a silence ignored, assert asked.unreferenced_before() is None; nothing forgotten, assert ids == ['young', 'running']. test_chunks_folder, test_jobs_table: 13 passed, 0 failed.

--- a/plumvane/bulk/main.py
+++ b/plumvane/bulk/main.py
@@ -4,8 +4,10 @@
 
 import anyio
 
+from plumvane import events
 from plumvane.chunks.client import ChunkClient
 from plumvane.chunks.folder import ChunkFolder
+from plumvane.chunks.references import References
 from plumvane.member import Member
 from plumvane.peers.messages import (
     ChunkData,
@@ -40,6 +42,7 @@
         """
         self._member = Member(settings, "bulk")
         self._folder = ChunkFolder(settings.data.folder)
+        self._references = References()
         self._chunks = ChunkClient(self._member.directory, self._member.links)
         server = self._member.server
         server.handle(StoreChunk, self._store)
@@ -60,8 +63,17 @@
     async def _scrub(self) -> None:
         while True:
             await self._folder.scrub()
+            await self._remove_unreferenced()
             await anyio.sleep(SCRUB_S)
 
+    async def _remove_unreferenced(self) -> None:
+        before = self._references.unreferenced_before()
+        if before is None:
+            return
+        removed = await self._folder.remove_unreferenced(before)
+        if removed:
+            events.log(events.Event.CHUNKS_REMOVED, chunks=removed)
+
     async def _store(self, call: Call, message: StoreChunk) -> Message:
         await self._folder.store(message.digest, message.data)
         return ChunkStored(message.digest)
@@ -70,6 +82,7 @@
         return ChunkData(await self._folder.fetch(message.digest))
 
     async def _find(self, call: Call, message: FindChunks) -> Message:
+        self._references.note_asked()
         return ChunksFound(await self._folder.find(message.digests))
 
     async def _copy(self, call: Call, message: CopyChunk) -> Message:
--- a/plumvane/chunks/folder.py
+++ b/plumvane/chunks/folder.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import secrets
+import threading
 from collections.abc import Iterable
 
 import anyio
@@ -24,6 +25,8 @@
 SCRUB_BYTES_PER_S = 8 * 1024 * 1024
 # A partial file of this age is left over from a crash.
 STALE_S = 600.0
+# The time of a chunk's last reference is kept to this, as its file's time.
+REFERENCE_S = 3600.0
 
 
 def digest_of(data: bytes) -> str:
@@ -41,6 +44,8 @@
             folder: Data folder; it must exist.
         """
         self._folder = folder
+        # Nobody refers to a chunk anew while it is being removed.
+        self._lock = threading.Lock()
 
     async def store(self, digest: str, data: bytes) -> None:
         """Writes a chunk and forces it to the disk.
@@ -72,9 +77,21 @@
         return data
 
     async def find(self, digests: Iterable[str]) -> tuple[str, ...]:
-        """Returns those of some chunks that are here."""
+        """Returns those of some chunks that are here, as referred to now."""
         paths = [(digest, self._path(digest)) for digest in digests]
-        return await anyio.to_thread.run_sync(_existing, paths)
+        return await anyio.to_thread.run_sync(self._existing, paths)
+
+    async def remove_unreferenced(self, before: float) -> int:
+        """Removes chunks that nobody has referred to for long.
+
+        Args:
+            before: When they were last referred to at the latest, seconds
+                since the Unix epoch.
+
+        Returns:
+            How many were removed.
+        """
+        return await anyio.to_thread.run_sync(self._remove_before, before)
 
     async def scrub(self) -> None:
         """Reads every chunk once, slowly, and removes damaged ones.
@@ -98,8 +115,33 @@
             self._folder.glob("??/.*")
         )
 
+    def _existing(
+        self, paths: list[tuple[str, pathlib.Path]]
+    ) -> tuple[str, ...]:
+        return tuple(digest for digest, path in paths if self._refer(path))
+
+    def _refer(self, path: pathlib.Path) -> bool:
+        """Notes that a chunk is referred to; returns whether it is here."""
+        with self._lock:
+            try:
+                if path.stat().st_mtime < clock.wall() - REFERENCE_S:
+                    os.utime(path)
+            except FileNotFoundError:
+                return False
+        return True
+
+    def _remove_before(self, before: float) -> int:
+        removed = 0
+        for path in self._folder.glob("??/*"):
+            with self._lock:
+                if _is_chunk(path) and path.stat().st_mtime < before:
+                    path.unlink()
+                    removed += 1
+        return removed
+
     def _write(self, path: pathlib.Path, digest: str, data: bytes) -> None:
-        if _read_whole(path, digest) is None:
+        is_here = self._refer(path)
+        if not is_here or _read_whole(path, digest) is None:
             path.parent.mkdir(exist_ok=True)
             partial = path.with_name(f".{digest}.{secrets.token_hex(4)}")
             with open(partial, "wb") as file:
@@ -131,8 +173,8 @@
     return data
 
 
-def _existing(paths: list[tuple[str, pathlib.Path]]) -> tuple[str, ...]:
-    return tuple(digest for digest, path in paths if path.exists())
+def _is_chunk(path: pathlib.Path) -> bool:
+    return len(path.name) == 64 and path.is_file()
 
 
 def _remove_stale(path: pathlib.Path) -> None:
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -56,6 +56,7 @@
     CHUNK_COPIED = (9001, "A missing copy of a chunk was made again.")
     CHUNK_DAMAGED = (9002, "A chunk on the disk is damaged and not used.")
     CHUNK_MISSING = (9003, "No live bulk instance holds a chunk.")
+    CHUNKS_REMOVED = (9004, "Chunks that nobody refers to were removed.")
 
     @property
     def number(self) -> int:
--- a/plumvane/jobs/table.py
+++ b/plumvane/jobs/table.py
@@ -67,12 +67,10 @@
             if record.job_id not in self._jobs_by_id:
                 job = Job(record, self._partition, self._epoch)
                 self._jobs_by_id[record.job_id] = job
-        elif isinstance(record, ItemsDone):
-            self._jobs_by_id[record.job_id].apply_done(record.results)
-        elif isinstance(record, ItemsFailed):
-            self._jobs_by_id[record.job_id].apply_failed(record.items)
-        elif isinstance(record, JobCancelled):
-            self._jobs_by_id[record.job_id].apply_cancelled()
+        elif isinstance(record, ItemsDone | ItemsFailed | JobCancelled):
+            found = self._jobs_by_id.get(record.job_id)
+            if found is not None:
+                _apply_progress(found, record)
 
     def start(self) -> None:
         """Lets the jobs run on; called once all records are applied."""
@@ -160,8 +158,9 @@
         return wanted
 
     async def expire(self) -> None:
-        """Takes lapsed claims of all jobs back."""
+        """Takes lapsed claims back, and forgets jobs past their retention."""
         now = clock.wall()
+        self._forget_expired(now)
         for job_id, job in list(self._jobs_by_id.items()):
             failed = job.expire(now)
             if failed:
@@ -176,6 +175,13 @@
             if failed:
                 await self._give_up(job_id, failed)
 
+    def _forget_expired(self, now: float) -> None:
+        """Forgets ended jobs whose records the log no longer needs."""
+        for job_id, job in list(self._jobs_by_id.items()):
+            is_needed = self._log.live.is_live(job.accepted, now)
+            if job.state != "running" and not is_needed:
+                del self._jobs_by_id[job_id]
+
     async def _commit_results(self, record: ItemsDone) -> None:
         """Commits results once, however often they are reported."""
         digest = record.results.digest
@@ -247,3 +253,14 @@
         if job is None or job.accepted.team != team:
             raise NotFoundError(f"There is no job {job_id!r}.")
         return job
+
+
+def _apply_progress(
+    job: Job, record: ItemsDone | ItemsFailed | JobCancelled
+) -> None:
+    if isinstance(record, ItemsDone):
+        job.apply_done(record.results)
+    elif isinstance(record, ItemsFailed):
+        job.apply_failed(record.items)
+    else:
+        job.apply_cancelled()
--- a/tests/test_chunks_folder.py
+++ b/tests/test_chunks_folder.py
@@ -5,10 +5,18 @@
 import os
 import pathlib
 import tempfile
+from unittest import mock
 
 import anyio
 
+from plumvane import clock
 from plumvane.chunks.folder import STALE_S, ChunkFolder, digest_of
+from plumvane.chunks.references import (
+    SETTLED_S,
+    SILENCE_S,
+    UNREFERENCED_S,
+    References,
+)
 from plumvane.errors import BadRequestError, BulkUnavailableError, NotFoundError
 
 DATA = b"some results" * 100
@@ -78,3 +86,41 @@
 
     with tempfile.TemporaryDirectory() as folder:
         anyio.run(check, pathlib.Path(folder))
+
+
+def test_only_chunks_unreferenced_for_long_are_removed() -> None:
+    async def check(folder: pathlib.Path) -> None:
+        chunks = ChunkFolder(folder)
+        contents = (b"asked for", b"written again", b"young", b"forgotten")
+        digests = [digest_of(data) for data in contents]
+        for digest, data in zip(digests, contents, strict=True):
+            await chunks.store(digest, data)
+        for digest in digests:
+            if digest != digests[2]:
+                os.utime(folder / digest[:2] / digest, (0, 1000.0))
+        assert await chunks.find(digests[:1]) == (digests[0],)
+        await chunks.store(digests[1], contents[1])
+        assert await chunks.remove_unreferenced(2000.0) == 1
+        assert await chunks.find(digests) == tuple(digests[:3])
+
+    with tempfile.TemporaryDirectory() as folder:
+        anyio.run(check, pathlib.Path(folder))
+
+
+def test_nothing_is_removed_before_the_owners_have_asked_for_all() -> None:
+    now = [1000.0]
+    with mock.patch.object(clock, "monotonic", lambda: now[0]):
+        asked = References()
+        assert asked.unreferenced_before() is None
+        for _ in range(int(SETTLED_S / 10)):
+            asked.note_asked()
+            assert asked.unreferenced_before() is None
+            now[0] += 10
+        before = asked.unreferenced_before()
+        assert before is not None
+        assert before <= clock.wall() - UNREFERENCED_S
+        # A silence of all owners starts the time anew.
+        now[0] += SILENCE_S + 1
+        assert asked.unreferenced_before() is None
+        asked.note_asked()
+        assert asked.unreferenced_before() is None
--- a/tests/test_jobs_table.py
+++ b/tests/test_jobs_table.py
@@ -8,11 +8,12 @@
 
 import anyio
 
+from plumvane import clock
 from plumvane.errors import KeyReusedError, StoreUnavailableError
 from plumvane.jobs.job import Job
 from plumvane.jobs.table import JobTable
-from plumvane.partitions.log import PartitionLog
-from plumvane.partitions.records import JobAccepted
+from plumvane.partitions.log import DEFAULT_RETENTION_S, PartitionLog
+from plumvane.partitions.records import ItemsDone, JobAccepted, JobEnded
 from plumvane.peers.messages import FailedItem, RangeGrant, SubmitJob
 from plumvane.store.memory import MemoryStore
 from tests.jobs import accepted, done, ref
@@ -181,3 +182,22 @@
         assert not await table.report(done(grant, finished=False))
         assert not await table.report(done(grant, ref(0, 8)))
         assert _job(table).describe().done == 8
+
+
+def test_ended_job_is_forgotten_after_its_retention() -> None:
+    async def check() -> None:
+        async with _owned(MemoryStore()) as table:
+            for job_id in ("old", "young", "running"):
+                await table.submit(_submit(accepted(job_id, 10)))
+            for job_id in ("old", "young"):
+                await table._commit(ItemsDone(job_id, ref(0, 10)))
+            await table.expire()
+            assert len(table.jobs()) == 3
+            past = clock.wall() - DEFAULT_RETENTION_S - 1
+            await table._commit(JobEnded("old", past))
+            await table._commit(JobEnded("young", clock.wall()))
+            await table.expire()
+            ids = [job.accepted.job_id for job in table.jobs()]
+            assert ids == ["young", "running"]
+
+    anyio.run(check)
