Serve teams at the gate in the order of the hand-out, and start them level

A team's start level was reckoned from its own owner only, so a team whose job was at another owner caught up all that the first one had had. And the gate ordered the items of all ranges of a class by their jobs' deadlines, so the team whose job was due earlier always went first there. Ruled out: the weights of the hand-out; at one owner it gives 600 and 200 of 800 items (test_teams_share_by_weight_while_no_job_is_urgent). Change: the views of the other owners count in the start level; items of a range that is not urgent have the time of the hand-out as their place. Proofs: assert 9 <= granted.count('two') <= 10 with the views ignored; assert [...] == ['second'] * waiting with the deadline as the place.

--- a/plumvane/jobs/handout.py
+++ b/plumvane/jobs/handout.py
@@ -154,9 +154,8 @@
         """
         now = clock.wall()
         views = self._views(model, now)
-        service_by_team = collections.Counter(self._service_by_team)
-        for view in views:
-            service_by_team.update(view.service_by_team)
+        service_by_team = self._service_elsewhere(model)
+        service_by_team.update(self._service_by_team)
         teams = {job.accepted.team for job in running}
         teams.update(team for view in views for team in view.service_by_team)
         foreseen = forecast(
@@ -271,15 +270,31 @@
         return min(message.items, max(MIN_RANGE_ITEMS, most))
 
     def _admit_teams(self, model: str, teams: set[str]) -> None:
-        """Starts teams that had no job at the service of the others."""
+        """Starts teams that had no job at the service of the others.
+
+        What other owners have handed out for a team counts, so that it does
+        not matter at which of them its job is.
+        """
         before = self._teams_by_model.get(model, set())
-        staying = teams & before
-        start = min((self._service_by_team[t] for t in staying), default=0.0)
-        for team in teams - before:
-            self._service_by_team[team] = max(
-                start, self._service_by_team[team]
-            )
         self._teams_by_model[model] = teams
+        if teams <= before:
+            return
+        elsewhere = self._service_elsewhere(model)
+        served = [
+            self._service_by_team[team] + elsewhere[team]
+            for team in (teams & before) | elsewhere.keys()
+        ]
+        start = min(served, default=0.0)
+        for team in teams - before:
+            own = self._service_by_team[team]
+            self._service_by_team[team] = max(own, start - elsewhere[team])
+
+    def _service_elsewhere(self, model: str) -> collections.Counter[str]:
+        """Returns what other owners handed out, by team."""
+        found: collections.Counter[str] = collections.Counter()
+        for view in self._views(model, clock.wall()):
+            found.update(view.service_by_team)
+        return found
 
 
 def _running(jobs: Sequence[Job], model: str) -> list[Job]:
--- a/plumvane/sidecar/items.py
+++ b/plumvane/sidecar/items.py
@@ -25,7 +25,7 @@
 
 # Marks batch work for the engine's own records.
 BATCH_METADATA = {"kind": "batch"}
-# An item waits at the gate for this after its job's deadline.
+# An item waits at the gate for this after its place there.
 LATE_ITEM_S = 30 * 86_400.0
 # An engine that gives no token for this is taken as lost.
 SILENT_ENGINE_S = 60.0
@@ -91,12 +91,13 @@
         tokens = 0
         attempt = 0
         while True:
-            # Keeps the order of the jobs at the gate: one that was set
-            # aside does not go first by its earlier deadline.
+            # Keeps the owners' order at the gate: a job that was set aside,
+            # or whose team has had its share, does not go first by its
+            # earlier deadline.
             work = Work(
                 online=False,
                 rank=run.grant.urgency,
-                deadline=run.grant.job_deadline + LATE_ITEM_S,
+                deadline=run.place + LATE_ITEM_S,
             )
             with run.queueing() as queueing:
                 await self._gate.enter(work)
--- a/plumvane/sidecar/ranges.py
+++ b/plumvane/sidecar/ranges.py
@@ -8,7 +8,7 @@
 import anyio
 
 from plumvane import clock
-from plumvane.peers.messages import ChunkRef, FailedItem, RangeGrant
+from plumvane.peers.messages import ChunkRef, FailedItem, RangeGrant, Urgency
 
 __all__ = ["RangeRun"]
 
@@ -19,6 +19,9 @@
     Attributes:
         owner: Peer address of the partition's owner.
         grant: The grant.
+        place: Place of its items at the gate, seconds since the Unix epoch: the
+            job's deadline if it is urgent, else when the range was handed out,
+            since the owners hand out by the teams' shares.
         scope: Cancels the items.
         saving: Held while results are stored and reported.
         failed: Items that failed in this attempt.
@@ -39,6 +42,9 @@
         """
         self.owner = owner
         self.grant = grant
+        self.place = clock.wall()
+        if grant.urgency is Urgency.URGENT:
+            self.place = grant.job_deadline
         self.scope = anyio.CancelScope()
         self.saving = anyio.Lock()
         self.failed: list[FailedItem] = []
--- a/tests/test_jobs_handout.py
+++ b/tests/test_jobs_handout.py
@@ -154,6 +154,36 @@
     assert granted.count("one") == granted.count("two") == 5
 
 
+def test_team_that_comes_later_at_another_owner_does_not_catch_up() -> None:
+    first = _job("one", 10_000, 86_400.0, team="depot")
+    owners = {"a": HandOut("a"), "b": HandOut("b")}
+    for _ in range(50):
+        _pull(owners["a"], [first], items=10)
+    second = _job("two", 10_000, 86_400.0, team="other")
+    jobs_by_owner = {"a": [first], "b": [second]}
+    views: dict[str, OwnerView] = {}
+    granted: list[str] = []
+    for turn in range(20):
+        offers = {}
+        for name, hand_out in owners.items():
+            if turn == 0 and name == "b":
+                continue
+            others = tuple(v for owner, v in views.items() if owner != name)
+            message = OfferWork("model", "sidecar", "first", RATE, others)
+            offers[name] = hand_out.offer(
+                message, jobs_by_owner[name], "least_slack"
+            )
+        views = {name: offer.view for name, offer in offers.items()}
+        name = min(offers, key=lambda n: (offers[n].urgency, offers[n].key))
+        others = tuple(v for owner, v in views.items() if owner != name)
+        grant = _pull(
+            owners[name], jobs_by_owner[name], items=10, others=others
+        )
+        assert grant is not None
+        granted.append(grant.job_id)
+    assert 9 <= granted.count("two") <= 10
+
+
 def test_ranges_shrink_towards_the_end_and_the_deadline() -> None:
     sizes = {}
     for name, items, due_s in (
--- a/tests/test_sidecar_batch.py
+++ b/tests/test_sidecar_batch.py
@@ -63,9 +63,12 @@
         self._hand_out = HandOut("owner")
         self._gate = Gate(Fixed(Policies(fixed_concurrency=PLACES)))
 
-    def submit(self, job_id: str, items: int, due_s: float) -> Job:
+    def submit(
+        self, job_id: str, items: int, due_s: float, team: str = "team"
+    ) -> Job:
         """Adds a job."""
-        record = accepted(job_id, items, deadline=clock.wall() + due_s)
+        deadline = clock.wall() + due_s
+        record = accepted(job_id, items, deadline=deadline, team=team)
         self.jobs.append(Job(record, 0, 1))
         return self.jobs[-1]
 
@@ -124,6 +127,10 @@
         due = job.accepted.deadline + LATE_ITEM_S
         return sum(place[1] == due for place in self._gate._batch_queue)
 
+    def all_queued(self) -> int:
+        """Returns how many items wait at the gate."""
+        return len(self._gate._batch_queue)
+
     def worker(self) -> BatchWorker:
         """Returns the worker of a sidecar whose engine has few places."""
         fleet = cast(Any, self)
@@ -181,6 +188,33 @@
     anyio.run(check)
 
 
+def test_teams_take_turns_at_the_gate_as_their_ranges_were_handed_out() -> None:
+    async def check() -> None:
+        fleet = _Fleet()
+        first = fleet.submit("first", ITEMS, 80_000.0, "depot")
+        second = fleet.submit("second", ITEMS, 86_400.0, "other")
+        worker = fleet.worker()
+        worker._rate = _KnownRate()
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(worker.run)
+                await _until(lambda: first.claims and second.claims)
+                done, waiting = first.claims[0].items, second.claims[0].items
+                fleet.end(done)
+                # The next range of the first team, which is due earlier.
+                await _until(lambda: first.remaining == ITEMS - done)
+                await _until(lambda: first.claims)
+                queued = waiting - PLACES + first.claims[0].items
+                await _until(lambda: fleet.all_queued() == queued)
+                fleet.end(waiting - PLACES)
+                await _until(lambda: len(fleet.started) == done + waiting)
+                worker.leave()
+                fleet.end(PLACES)
+        assert [job for job, _ in fleet.started[done:]] == ["second"] * waiting
+
+    anyio.run(check)
+
+
 def _idle_worker() -> BatchWorker:
     """Returns a worker without owners, which has nothing to pull."""
     unused: Any = None
