--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -15,6 +15,7 @@
     START_LIMIT,
     STARTS_ALONE,
     Adaptive,
+    Admission,
     make_admission,
 )
 from plumvane.upstreams.gate import Gate, Work
@@ -203,19 +204,23 @@
     raise AssertionError("not refused")
 
 
-def test_batch_half_fills_an_unknown_engine_at_once() -> None:
-    async def admitted_at_once() -> int:
-        gate = Gate(make_admission(Policies(admission="adaptive")))
-        works = [_work(online=False) for _ in range(2 * START_LIMIT)]
-        async with anyio.create_task_group() as group:
-            for work in works:
-                group.start_soon(gate.enter, work)
-            await anyio.wait_all_tasks_blocked()
-            admitted = sum(work.admitted.is_set() for work in works)
-            group.cancel_scope.cancel()
-        return admitted
+async def _admitted_at_once(policy: Admission, items: int) -> int:
+    """Returns how many of some batch items start without a pause."""
+    gate = Gate(policy)
+    works = [_work(online=False) for _ in range(items)]
+    async with anyio.create_task_group() as group:
+        for work in works:
+            group.start_soon(gate.enter, work)
+        await anyio.wait_all_tasks_blocked()
+        admitted = sum(work.admitted.is_set() for work in works)
+        group.cancel_scope.cancel()
+    return admitted
+
 
-    assert anyio.run(admitted_at_once) == START_AT_ONCE
+def test_batch_half_fills_an_unknown_engine_at_once() -> None:
+    policy = make_admission(Policies(admission="adaptive"))
+    admitted = anyio.run(_admitted_at_once, policy, 2 * START_LIMIT)
+    assert admitted == START_AT_ONCE
 
 
 def test_lower_limit_preempts_no_batch_item_without_online_requests() -> None:
@@ -250,18 +255,9 @@
 
 
 def test_batch_alone_starts_several_items_a_step() -> None:
-    async def admitted_at_once() -> int:
-        gate = Gate(_trained(1.1, base_s=10.0, slope_s=0.1))
-        works = [_work(online=False) for _ in range(2 * STARTS_ALONE)]
-        async with anyio.create_task_group() as group:
-            for work in works:
-                group.start_soon(gate.enter, work)
-            await anyio.wait_all_tasks_blocked()
-            admitted = sum(work.admitted.is_set() for work in works)
-            group.cancel_scope.cancel()
-        return admitted
-
-    assert anyio.run(admitted_at_once) == STARTS_ALONE
+    policy = _trained(1.1, base_s=10.0, slope_s=0.1)
+    admitted = anyio.run(_admitted_at_once, policy, 2 * STARTS_ALONE)
+    assert admitted == STARTS_ALONE
 
 
 def test_unknown_engine_refills_what_ran_before_without_a_pause() -> None:
