Wake a few busy sidecars for urgent work instead of asking from each

Cause: each sidecar whose ranges all ran asked all owners every 2 s whether a range should be handed back. That grows with the fleet: 1,800 sidecars would put some 700 questions a second, each with a forecast, to each of 16 owners. Change: while a job that goes by its deadline waits first, its owner wakes up to eight busy sidecars of the model every 2 s; each asks all owners as before. By itself a sidecar asks once a minute. A wake-up during the pause between two looks is kept; the tests of handed back ranges failed with TimeoutError until it was. Proof: test_few_of_many_busy_sidecars_are_told_of_urgent_work fails with nobody chosen and with all chosen.

--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -269,14 +269,20 @@
         ]
 
     async def wake_sidecars(self) -> None:
-        """Tells idle sidecars of waiting items; runs always."""
+        """Tells sidecars of waiting items; runs always.
+
+        All idle ones, and a few busy ones where the items are urgent.
+        """
         while True:
             await anyio.sleep(WAKE_S)
-            idle = self._hand_out.take_idle(self.all_jobs())
-            if not idle:
+            jobs = self.all_jobs()
+            batch_order = self._current.document.policies.batch_order
+            chosen = self._hand_out.take_idle(jobs)
+            chosen += self._hand_out.take_busy(jobs, batch_order)
+            if not chosen:
                 continue
             async with anyio.create_task_group() as group:
-                for address in idle:
+                for address in chosen:
                     group.start_soon(self._wake, address)
 
     async def _wake(self, address: str) -> None:
--- a/plumvane/jobs/handout.py
+++ b/plumvane/jobs/handout.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import random
 from collections.abc import Mapping, Sequence
 
 import msgspec
@@ -32,6 +33,9 @@
 WORKER_FRESH_S = 180.0
 # What another owner told is forgotten after this.
 VIEW_FRESH_S = 90.0
+# How often, and how many, busy sidecars are told of urgent work that waits.
+URGENT_S = 2.0
+URGENT_WORKERS = 8
 # Jobs of which an owner tells the others.
 MAX_DEMANDS = 64
 # A range holds at most this part of the sidecar's share in what waits.
@@ -75,6 +79,7 @@
         self._workers_by_address: dict[str, _Worker] = {}
         self._service_by_team: dict[str, float] = collections.defaultdict(float)
         self._teams_by_model: dict[str, set[str]] = {}
+        self._urgent_at_by_model: dict[str, float] = {}
         self._views_by_owner: dict[
             tuple[str, str], tuple[float, OwnerView]
         ] = {}
@@ -193,6 +198,37 @@
             self._workers_by_address[address].is_idle = False
         return found
 
+    def take_busy(self, jobs: Sequence[Job], batch_order: str) -> list[str]:
+        """Returns sidecars to ask whether they hand a range back.
+
+        A few for each model whose first waiting job takes ranges back, every
+        few seconds, so that their number does not grow with the fleet.
+
+        Args:
+            jobs: All jobs of the owner.
+            batch_order: Name of the order policy.
+        """
+        now = clock.monotonic()
+        found: list[str] = []
+        for model in {job.accepted.model for job in jobs if job.has_waiting}:
+            if now < self._urgent_at_by_model.get(model, 0.0):
+                continue
+            self._urgent_at_by_model[model] = now + URGENT_S
+            running = _running(jobs, model)
+            ranked = self._ranked(running, model, batch_order)
+            if ranked and ranked[0].takes_back:
+                found.extend(self._some_busy(model))
+        return found
+
+    def _some_busy(self, model: str) -> list[str]:
+        self._workers(model, clock.wall())
+        busy = [
+            address
+            for address, worker in self._workers_by_address.items()
+            if worker.model == model and not worker.is_idle
+        ]
+        return random.sample(busy, min(URGENT_WORKERS, len(busy)))
+
     def _ranked(
         self, running: Sequence[Job], model: str, batch_order: str
     ) -> list[Ranked]:
--- a/plumvane/sidecar/batch.py
+++ b/plumvane/sidecar/batch.py
@@ -48,8 +48,9 @@
 # Unsaved results at which no further item is started.
 MAX_UNSAVED_BYTES = 8 * 1024 * 1024
 IDLE_MIN_S = 0.1
-# While all ranges run, owners are asked this often for more urgent work.
-LOOK_S = 2.0
+# While all ranges run, owners are asked for more urgent work when one of them
+# wakes the sidecar; this is for a lost message.
+LOOK_S = 60.0
 LOOK_MIN_S = 0.25
 # A range that ends within this is not handed back.
 SOON_S = 1.0
@@ -136,10 +137,12 @@
     async def _look_loop(self) -> None:
         """Hands a range back if much more urgent work waits."""
         with self._looking:
+            woken = self._woken
             while True:
                 await anyio.sleep(LOOK_MIN_S)
                 with anyio.move_on_after(LOOK_S * random.uniform(0.5, 1.0)):
-                    await self._woken.wait()
+                    await woken.wait()
+                woken = self._woken
                 if self._least_urgent() is not None:
                     await self._look()
 
--- a/tests/test_jobs_handout.py
+++ b/tests/test_jobs_handout.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from plumvane import clock
-from plumvane.jobs.handout import HandOut
+from plumvane.jobs.handout import URGENT_WORKERS, HandOut
 from plumvane.jobs.job import Job
 from plumvane.peers.messages import (
     JobDemand,
@@ -184,6 +184,24 @@
     assert 9 <= granted.count("two") <= 10
 
 
+def test_few_of_many_busy_sidecars_are_told_of_urgent_work() -> None:
+    lax = _job("lax", 10_000, 86_400.0)
+    hand_out = HandOut("owner")
+    for number in range(50):
+        message = PullWork("model", f"sidecar-{number}", 10, "first", RATE)
+        assert hand_out.pull(message, [lax], "least_slack", SHARES)
+    assert hand_out.take_busy([lax], "fifo") == []
+    hand_out = HandOut("owner")
+    for number in range(50):
+        message = PullWork("model", f"sidecar-{number}", 10, "first", RATE)
+        assert hand_out.pull(message, [lax], "least_slack", SHARES)
+    jobs = [lax, _job("urgent", 100, 60.0)]
+    chosen = hand_out.take_busy(jobs, "least_slack")
+    assert len(set(chosen)) == URGENT_WORKERS
+    # Not again before the time.
+    assert hand_out.take_busy(jobs, "least_slack") == []
+
+
 def test_ranges_shrink_towards_the_end_and_the_deadline() -> None:
     sizes = {}
     for name, items, due_s in (
--- a/tests/test_sidecar_batch.py
+++ b/tests/test_sidecar_batch.py
@@ -23,6 +23,7 @@
     PullWork,
     RangeDone,
     RangeGrant,
+    WorkWaiting,
 )
 from plumvane.sidecar import batch
 from plumvane.sidecar.batch import BatchWorker
@@ -117,6 +118,11 @@
     async def cancel(self, request_id: str) -> None:
         """Ends a stream."""
 
+    async def wake_busy(self, worker: BatchWorker) -> None:
+        """Wakes the sidecar if the owner would."""
+        for _ in self._hand_out.take_busy(self.jobs, "least_slack"):
+            await worker.wake(cast(Any, None), WorkWaiting())
+
     def end(self, items: int) -> None:
         """Lets items that run end."""
         for _ in range(items):
@@ -155,6 +161,7 @@
                 late = fleet.submit("late", ITEMS, 0.001)
                 await _until(lambda: late.claims)
                 landing = fleet.submit("landing", PLACES, 86_400.0)
+                await fleet.wake_busy(worker)
                 await _until(lambda: fleet.queued(landing) == landing.items)
                 fleet.started.clear()
                 fleet.end(PLACES + landing.items)
@@ -176,6 +183,7 @@
                 group.start_soon(worker.run)
                 await _until(lambda: len(fleet.started) == PLACES)
                 urgent = fleet.submit("urgent", 2, 3600.0)
+                await fleet.wake_busy(worker)
                 await _until(lambda: fleet.queued(urgent) == urgent.items)
                 # The items that the engine has begun end and are kept.
                 fleet.end(PLACES + urgent.items)
