Find the time that store_rate waits for where it is now

Cause: planned moves went to a module of their own, and bench.store_rate still read STABLE_S from the old one, so it ended at its start; nothing imported it. Change: the import, and a test that starts every benchmark's module. First failed without the import: ImportError: cannot import name 'STABLE_S'.

--- a/bench/store_rate.py
+++ b/bench/store_rate.py
@@ -17,7 +17,8 @@
 
 from plumvane import clock
 from plumvane.errors import PlumvaneError
-from plumvane.partitions.ownership import STABLE_S, Ownership
+from plumvane.partitions.moves import STABLE_S
+from plumvane.partitions.ownership import Ownership
 from plumvane.partitions.records import LogRecord, RequestCompleted
 from plumvane.peers.messages import Done, Outcome, TakePartition
 from plumvane.store.memory import MemoryStore
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import pathlib
+import subprocess
+import sys
 
+import bench
 from bench import generator
 from bench.scenario import read_scenario
 
@@ -51,3 +54,16 @@
     assert first_second >= 30
     assert 400 <= burst <= 600
     assert 70 <= before <= 130
+
+
+def test_every_benchmark_can_be_started() -> None:
+    folder = pathlib.Path(bench.__file__).parent
+    for path in sorted(folder.glob("*.py")):
+        child = subprocess.run(
+            [sys.executable, "-c", f"import bench.{path.stem}"],
+            cwd=folder.parent,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert child.returncode == 0, child.stderr
