--- /dev/null
+++ b/plumvane/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs in the platform's store."""
--- /dev/null
+++ b/plumvane/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""What a process believes of the fleet, read from the platform's store."""
--- /dev/null
+++ b/plumvane/discovery/mirror.py
@@ -0,0 +1,129 @@
+"""Copy of the keys below a prefix of the store, kept current by watches."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+
+from plumvane import clock, events
+from plumvane.errors import HistoryLostError, PlumvaneError
+from plumvane.store.base import Record, Store
+
+__all__ = ["Mirror"]
+
+# Time of one watch, in seconds; a connection that went silent is also found
+# by its probes.
+WATCH_S = 10.0
+# Pause after a call that failed, in seconds: refused calls are charged too.
+RETRY_S = 0.25
+
+
+class Mirror:
+    """Follows the keys below a prefix.
+
+    Changes are passed on in the order of their revisions. A key that was
+    deleted while the history was not seen is passed on as deleted.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        on_change: Callable[[Record], None],
+        *,
+        pause_s: float = 0.0,
+    ) -> None:
+        """Creates an empty copy.
+
+        Args:
+            store: The store.
+            prefix: Prefix of the keys.
+            on_change: Told each changed or deleted record.
+            pause_s: Seconds between a change and the next watch, so that
+                frequent changes are read together.
+        """
+        self.records_by_key: dict[str, Record] = {}
+        self.loaded = anyio.Event()
+        self.is_failing = True
+        # Monotonic time of the last call that failed or lost history.
+        self.disturbed_at = float("-inf")
+        self._store = store
+        self._prefix = prefix
+        self._on_change = on_change
+        self._pause_s = pause_s
+        self._revision: int | None = None
+
+    async def run(self) -> None:
+        """Follows the prefix until it is cancelled."""
+        while True:
+            try:
+                await self._step()
+            except HistoryLostError as error:
+                self._revision = None
+                self.disturbed_at = clock.monotonic()
+                events.log(
+                    events.Event.HISTORY_LOST,
+                    prefix=self._prefix,
+                    error=error.detail,
+                )
+            except PlumvaneError as error:
+                self._take_failure(error)
+                await anyio.sleep(RETRY_S)
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            await self._load()
+        else:
+            await self._watch(self._revision)
+
+    async def _load(self) -> None:
+        found = await self._store.list(self._prefix)
+        self._take_success()
+        keys = {record.key for record in found.records}
+        gone = [key for key in self.records_by_key if key not in keys]
+        for key in gone:
+            self._take(Record(key, b"", found.revision, deleted=True))
+        for record in found.records:
+            self._take(record)
+        self._revision = found.revision
+        self.loaded.set()
+
+    async def _watch(self, revision: int) -> None:
+        found = await self._store.watch(
+            self._prefix, revision, deadline=clock.monotonic() + WATCH_S
+        )
+        self._take_success()
+        for record in found.records:
+            self._take(record)
+        self._revision = max(revision, found.revision)
+        if found.records:
+            await anyio.sleep(self._pause_s)
+
+    def _take(self, record: Record) -> None:
+        known = self.records_by_key.get(record.key)
+        if known is not None and known.revision >= record.revision:
+            return
+        if record.deleted:
+            if self.records_by_key.pop(record.key, None) is None:
+                return
+        else:
+            self.records_by_key[record.key] = record
+        self._on_change(record)
+
+    def _take_success(self) -> None:
+        if self.is_failing:
+            self.disturbed_at = clock.monotonic()
+            events.log(events.Event.VIEW_CURRENT, prefix=self._prefix)
+        self.is_failing = False
+
+    def _take_failure(self, error: PlumvaneError) -> None:
+        self.disturbed_at = clock.monotonic()
+        if not self.is_failing:
+            events.log(
+                events.Event.VIEW_STALE,
+                prefix=self._prefix,
+                revision=self._revision,
+                error=error.detail,
+            )
+        self.is_failing = True
--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -34,6 +34,7 @@
     "UpstreamFailedError",
     "UpstreamLostError",
     "UpstreamUnavailableError",
+    "WrongUpstreamError",
     "error_from_code",
 ]
 
@@ -271,6 +272,13 @@
     default_remedy = "Retry after a while; the upstream may be restarting."
 
 
+class WrongUpstreamError(UpstreamUnavailableError):
+    """Another upstream answers at the address; the request has not run."""
+
+    code = "wrong_upstream"
+    default_remedy = "Send the request to another upstream of the service."
+
+
 class RequestCancelledError(PlumvaneError):
     """The request was cancelled before it completed."""
 
--- /dev/null
+++ b/plumvane/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The program plumvane-gateway: serves callers without sidecars."""
--- /dev/null
+++ b/plumvane/gateway/app.py
@@ -0,0 +1,220 @@
+"""ASGI application of the gateway: requests, batch calls, refusals."""
+
+from __future__ import annotations
+
+from urllib.parse import parse_qs
+
+import anyio
+
+from plumvane import clock, events
+from plumvane.discovery.view import FleetView
+from plumvane.errors import (
+    LeavingError,
+    NotFoundError,
+    PlumvaneError,
+    StoreUnavailableError,
+)
+from plumvane.gateway.exchange import (
+    CallerLeftError,
+    Exchange,
+    Message,
+    Receive,
+    Send,
+)
+from plumvane.gateway.forwarder import BrokenAnswerError, Forwarder
+from plumvane.gateway.jobs import JobCalls
+from plumvane.platform import names
+from plumvane.serving.routes import Kind, Route, RouteTable
+
+__all__ = ["GatewayApp", "ReadyApp"]
+
+RETRY_AFTER_S = 0.5
+# Statuses that promise that a request has not run.
+NOT_RUN_STATUSES = frozenset({429, 503})
+
+
+class GatewayApp:
+    """Serves callers."""
+
+    def __init__(
+        self, view: FleetView, forwarder: Forwarder, jobs: JobCalls
+    ) -> None:
+        """Creates the application.
+
+        Args:
+            view: Routes and upstreams in force.
+            forwarder: Serves requests that upstreams run.
+            jobs: Serves batch calls.
+        """
+        self.is_leaving = False
+        self._view = view
+        self._forwarder = forwarder
+        self._jobs = jobs
+
+    async def __call__(
+        self, scope: Message, receive: Receive, send: Send
+    ) -> None:
+        """Serves one request."""
+        if scope["type"] != "http":
+            return
+        received = clock.monotonic()
+        exchange = Exchange(scope, receive, send, self.is_leaving)
+        try:
+            await self._serve(exchange, received)
+        except CallerLeftError:
+            self._log_cancelled(exchange, received)
+
+    async def _serve(self, exchange: Exchange, received: float) -> None:
+        try:
+            routes = self._known_routes()
+            body = await exchange.read_body(routes.max_body_bytes)
+            await self._serve_unless_left(exchange, body, received)
+        except PlumvaneError as error:
+            await self._answer_error(exchange, error, received)
+
+    async def _serve_unless_left(
+        self, exchange: Exchange, body: bytes, received: float
+    ) -> None:
+        """Serves the request and stops once its caller has left."""
+        failure: Exception | None = None
+        has_ended = False
+
+        async def stop_when_left() -> None:
+            await exchange.wait_left()
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(stop_when_left)
+            try:
+                await self._dispatch(exchange, body, received)
+            except (PlumvaneError, BrokenAnswerError) as error:
+                failure = error
+            has_ended = True
+            group.cancel_scope.cancel()
+        if not has_ended:
+            raise CallerLeftError
+        if failure is not None:
+            raise failure
+        events.log(
+            events.Event.REQUEST_ANSWERED,
+            request=exchange.request.request_id,
+            status=exchange.status,
+            took_s=round(clock.monotonic() - received, 3),
+        )
+
+    async def _dispatch(
+        self, exchange: Exchange, body: bytes, received: float
+    ) -> None:
+        request = exchange.request
+        if request.path.startswith(names.JOB_PATH_PREFIX):
+            job_id = request.path.removeprefix(names.JOB_PATH_PREFIX)
+            if request.method == "DELETE":
+                await self._jobs.end(exchange, job_id)
+            else:
+                await self._jobs.read(exchange, job_id, self._after(exchange))
+            return
+        if request.path.startswith(names.ITEM_PATH_PREFIX):
+            job_id = request.path.removeprefix(names.ITEM_PATH_PREFIX)
+            item_id = self._argument(exchange, "id")
+            await self._jobs.read_item(exchange, job_id, item_id)
+            return
+        route = self._route(exchange)
+        if route.kind is Kind.BATCH:
+            await self._jobs.submit(exchange, route, body, received)
+        else:
+            await self._forwarder.forward(exchange, route, body, received)
+
+    def _known_routes(self) -> RouteTable:
+        if self._view.routes is None:
+            raise LeavingError(
+                "This instance has no configuration yet.",
+                not_run=True,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return self._view.routes
+
+    def _route(self, exchange: Exchange) -> Route:
+        request = exchange.request
+        found = self._known_routes().match(request.host, request.path)
+        if found is not None:
+            return found
+        if self._view.operator_keys.is_failing:
+            raise StoreUnavailableError(
+                "The route is unknown, and the configuration may be old.",
+                not_run=True,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        raise NotFoundError("No route matches the host and path.")
+
+    def _after(self, exchange: Exchange) -> int:
+        try:
+            return max(0, int(self._argument(exchange, "after") or 0))
+        except ValueError:
+            return 0
+
+    @staticmethod
+    def _argument(exchange: Exchange, name: str) -> str:
+        found = parse_qs(exchange.query.decode("latin-1"))
+        return found.get(name, [""])[0]
+
+    async def _answer_error(
+        self, exchange: Exchange, error: PlumvaneError, received: float
+    ) -> None:
+        status = error.status
+        if error.not_run and status not in NOT_RUN_STATUSES:
+            status = 503
+        if not error.not_run and status in NOT_RUN_STATUSES:
+            status = 502
+        refused = status in NOT_RUN_STATUSES
+        kind = events.Event.REQUEST_FAILED
+        if refused:
+            kind = events.Event.REQUEST_REFUSED
+        events.log(
+            kind,
+            request=exchange.request.request_id,
+            path=exchange.request.path,
+            status=status,
+            error=str(error),
+            after_s=round(clock.monotonic() - received, 3),
+            retry_after_s=error.retry_after_s,
+        )
+        headers = [(b"content-type", b"text/plain")]
+        if refused and error.retry_after_s is not None:
+            retry_after = f"{error.retry_after_s:.2f}".encode()
+            headers.append((b"retry-after", retry_after))
+        await exchange.answer(status, error.detail.encode(), headers)
+
+    def _log_cancelled(self, exchange: Exchange, received: float) -> None:
+        events.log(
+            events.Event.REQUEST_CANCELLED,
+            request=exchange.request.request_id,
+            after_s=round(clock.monotonic() - received, 3),
+            had_started=exchange.has_started,
+        )
+
+
+class ReadyApp:
+    """Tells the platform's balancer whether to send connections."""
+
+    def __init__(self, view: FleetView) -> None:
+        """Creates the application.
+
+        Args:
+            view: Routes and upstreams in force.
+        """
+        self.is_leaving = False
+        self._view = view
+
+    async def __call__(
+        self, scope: Message, receive: Receive, send: Send
+    ) -> None:
+        """Serves one question."""
+        if scope["type"] != "http":
+            return
+        exchange = Exchange(scope, receive, send, is_closing=False)
+        if exchange.request.path != names.READY_PATH:
+            await exchange.answer(404)
+        elif self.is_leaving or not self._view.is_known():
+            await exchange.answer(503)
+        else:
+            await exchange.answer(200)
--- /dev/null
+++ b/plumvane/gateway/exchange.py
@@ -0,0 +1,110 @@
+"""One caller's HTTP exchange, over ASGI."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+from plumvane.errors import BodyTooLargeError
+from plumvane.platform.requests import CallerRequest, decode_request
+
+__all__ = ["CallerLeftError", "Exchange"]
+
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+
+class CallerLeftError(Exception):
+    """The caller closed its connection before its request was whole."""
+
+
+class Exchange:
+    """Reads one request and sends its answer."""
+
+    def __init__(
+        self, scope: Message, receive: Receive, send: Send, is_closing: bool
+    ) -> None:
+        """Creates the exchange.
+
+        Args:
+            scope: ASGI scope of the request.
+            receive: ASGI's receive.
+            send: ASGI's send.
+            is_closing: Whether the connection closes after the answer.
+        """
+        self.request: CallerRequest = decode_request(
+            scope["method"],
+            scope["raw_path"],
+            scope["query_string"],
+            list(scope["headers"]),
+        )
+        self.query: bytes = scope["query_string"]
+        self.has_started = False
+        self.status = 0
+        self._receive = receive
+        self._send = send
+        self._is_closing = is_closing
+
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Reads the request's body.
+
+        Raises:
+            BodyTooLargeError: It is over the limit.
+            CallerLeftError: The caller left.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise CallerLeftError
+            part = message.get("body", b"")
+            size += len(part)
+            if size > max_bytes:
+                raise BodyTooLargeError(f"The body is over {max_bytes} bytes.")
+            parts.append(part)
+            if not message.get("more_body"):
+                return b"".join(parts)
+
+    async def wait_left(self) -> None:
+        """Returns once the caller has closed its connection."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def start(
+        self, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Sends the head of the answer."""
+        self.has_started = True
+        self.status = status
+        if self._is_closing:
+            headers = [*headers, (b"connection", b"close")]
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+
+    async def send_part(self, body: bytes) -> None:
+        """Sends a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": body, "more_body": True}
+        )
+
+    async def finish(self, body: bytes = b"") -> None:
+        """Sends the last part of the body."""
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def answer(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: list[tuple[bytes, bytes]] | None = None,
+    ) -> None:
+        """Sends a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [*(headers or []), length])
+        await self.finish(body)
--- /dev/null
+++ b/plumvane/gateway/jobs.py
@@ -0,0 +1,207 @@
+"""Batch calls of callers: submit, read, body of an item, end."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import anyio
+
+from plumvane import clock, events
+from plumvane.batch.jobstore import JobStore
+from plumvane.errors import (
+    ConflictError,
+    HistoryLostError,
+    NotFoundError,
+    StoreUnavailableError,
+)
+from plumvane.gateway.exchange import Exchange
+from plumvane.platform.jobs import decode_submission, encode_results
+from plumvane.serving.jobs import ItemResult, Job
+from plumvane.serving.routes import Route
+
+__all__ = ["JobCalls"]
+
+# Time that a call is tried again while the store does not answer, in seconds;
+# callers turn to another instance afterwards.
+STORE_PATIENCE_S = 1.2
+STORE_RETRY_S = 0.2
+RETRY_AFTER_S = 0.5
+# Longest wait of a read for a result, in seconds.
+MAX_WAIT_S = 1.0
+# Largest answer to a read, in bytes of text.
+READ_BYTES = 800_000
+# Jobs whose results are kept in memory, those read last.
+CACHED_JOBS = 64
+JSON_HEADERS = [(b"content-type", b"application/json")]
+
+
+@dataclasses.dataclass(slots=True)
+class _KnownJob:
+    """What this instance has read of a job.
+
+    Attributes:
+        total: Number of its items.
+        results_by_position: Results; their positions never change.
+        revision: Revision up to which results are known.
+    """
+
+    total: int
+    results_by_position: dict[int, ItemResult]
+    revision: int
+
+    def is_complete(self) -> bool:
+        """Returns whether all results are known."""
+        return len(self.results_by_position) >= self.total
+
+
+class JobCalls:
+    """Serves batch calls from the store, by any instance alike."""
+
+    def __init__(self, jobs: JobStore) -> None:
+        """Creates the calls.
+
+        Args:
+            jobs: The jobs in the store.
+        """
+        self._jobs = jobs
+        self._known_by_id: collections.OrderedDict[str, _KnownJob] = (
+            collections.OrderedDict()
+        )
+
+    async def submit(
+        self, exchange: Exchange, route: Route, body: bytes, received: float
+    ) -> None:
+        """Accepts a job; its answer follows the store's.
+
+        Raises:
+            InvalidJsonError: The body is not a job.
+            StoreUnavailableError: The job may be kept only if this is not
+                marked as not run.
+        """
+        request = exchange.request
+        submission = decode_submission(request.request_id, request.host, body)
+        is_new = True
+        is_uncertain = False
+        while True:
+            try:
+                await self._jobs.accept(
+                    submission.job_id, submission.host, submission.items, route
+                )
+                break
+            except ConflictError:
+                is_new = False
+                break
+            except StoreUnavailableError as error:
+                is_uncertain = is_uncertain or not error.not_run
+                if clock.monotonic() - received > STORE_PATIENCE_S:
+                    raise StoreUnavailableError(
+                        error.detail,
+                        not_run=not is_uncertain,
+                        retry_after_s=RETRY_AFTER_S,
+                    ) from error
+                await anyio.sleep(STORE_RETRY_S)
+        events.log(
+            events.Event.JOB_ACCEPTED,
+            job=submission.job_id,
+            items=len(submission.items),
+            is_new=is_new,
+            was_uncertain=is_uncertain,
+            took_s=round(clock.monotonic() - received, 3),
+        )
+        await exchange.answer(202)
+
+    async def read(
+        self, exchange: Exchange, job_id: str, position: int
+    ) -> None:
+        """Answers with the results from a position on.
+
+        Raises:
+            NotFoundError: No such job exists.
+            StoreUnavailableError: It is not certain what is listed.
+        """
+        wait_s = min(exchange.request.wait_s, MAX_WAIT_S)
+        known = await self._known_with(
+            job_id, position, clock.monotonic() + wait_s
+        )
+        results: list[ItemResult] = []
+        size = 0
+        while found := known.results_by_position.get(position + len(results)):
+            size += len(found.text)
+            if results and size > READ_BYTES:
+                break
+            results.append(found)
+        body = encode_results(known.total, position, results)
+        await exchange.answer(200, body, JSON_HEADERS)
+
+    async def read_item(
+        self, exchange: Exchange, job_id: str, item_id: str
+    ) -> None:
+        """Answers with the body of an item.
+
+        Raises:
+            NotFoundError: No such item exists.
+            StoreUnavailableError: No answer of the store.
+        """
+        job, _ = await self._jobs.head(job_id)
+        if item_id not in job.item_ids:
+            raise NotFoundError(f"Job {job_id} has no item {item_id}.")
+        chunk = job.chunk_by_item[job.item_ids.index(item_id)]
+        items = await self._jobs.items(job, chunk)
+        body = next(item.body for item in items if item.item_id == item_id)
+        await exchange.answer(
+            200, body, [(b"content-type", b"application/octet-stream")]
+        )
+
+    async def end(self, exchange: Exchange, job_id: str) -> None:
+        """Ends a job.
+
+        Raises:
+            NotFoundError: No such job exists.
+            StoreUnavailableError: No answer of the store.
+        """
+        was_open = await self._jobs.end(job_id)
+        events.log(events.Event.JOB_ENDED, job=job_id, was_open=was_open)
+        await exchange.answer(200)
+
+    async def _known_with(
+        self, job_id: str, position: int, deadline: float
+    ) -> _KnownJob:
+        """Returns a job once it has a result at a position, or in time."""
+        known = self._known_by_id.get(job_id)
+        if known is None:
+            known = await self._load(job_id)
+        while position not in known.results_by_position:
+            if known.is_complete():
+                break
+            try:
+                found, revision = await self._jobs.later_results(
+                    job_id, known.revision, deadline=deadline
+                )
+            except HistoryLostError:
+                known = await self._load(job_id)
+                continue
+            known.results_by_position.update(found)
+            known.revision = max(known.revision, revision)
+            if clock.monotonic() >= deadline:
+                break
+        return known
+
+    async def _load(self, job_id: str) -> _KnownJob:
+        job, _ = await self._jobs.head(job_id)
+        results, revision = await self._jobs.results(job_id)
+        return self._keep(job, results, revision)
+
+    def _keep(
+        self, job: Job, results: dict[int, ItemResult], revision: int
+    ) -> _KnownJob:
+        known = self._known_by_id.get(job.job_id)
+        if known is None:
+            known = _KnownJob(len(job.item_ids), {}, revision)
+            self._known_by_id[job.job_id] = known
+        known.results_by_position.update(results)
+        known.revision = max(known.revision, revision)
+        self._known_by_id.move_to_end(job.job_id)
+        while len(self._known_by_id) > CACHED_JOBS:
+            self._known_by_id.popitem(last=False)
+        return known
--- /dev/null
+++ b/plumvane/gateway/main.py
@@ -0,0 +1,65 @@
+"""Entry point of plumvane-gateway."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+
+from plumvane import process, web
+from plumvane.batch.jobstore import JobStore
+from plumvane.discovery.view import FleetView
+from plumvane.gateway.app import GatewayApp, ReadyApp
+from plumvane.gateway.forwarder import Forwarder
+from plumvane.gateway.jobs import JobCalls
+from plumvane.platform.store import PlatformStore
+from plumvane.relay.caller import UpstreamCaller
+from plumvane.settings import GatewaySettings
+
+__all__ = ["run"]
+
+# Time for which connections are still taken after SIGTERM, in seconds: the
+# balancer asks once a second and takes an instance out after two misses.
+LISTEN_ON_S = 2.4
+
+
+def run() -> None:
+    """Runs the program."""
+    process.run_program(GatewaySettings, serve)
+
+
+async def serve(settings: GatewaySettings, stopping: anyio.Event) -> None:
+    """Serves callers until the event is set, then drains.
+
+    Args:
+        settings: Checked settings.
+        stopping: Set when the process is to stop.
+    """
+    rng = random.Random()
+    store = PlatformStore(settings.store.url)
+    view = FleetView(store, settings.process.data_centre, rng)
+    forwarder = Forwarder(view, UpstreamCaller(), rng)
+    app = GatewayApp(view, forwarder, JobCalls(JobStore(store)))
+    ready = ReadyApp(view)
+    callers, balancer = settings.callers, settings.balancer
+    server = web.HttpServer(
+        app, web.bind(callers.address.host, callers.address.port)
+    )
+    ready_server = web.HttpServer(
+        ready, web.bind(balancer.address.host, balancer.address.port)
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(view.run)
+        group.start_soon(server.run)
+        group.start_soon(ready_server.run)
+        await stopping.wait()
+        ready.is_leaving = True
+        await anyio.sleep(LISTEN_ON_S)
+        app.is_leaving = True
+        server.stop()
+        await server.stopped()
+        group.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    run()
--- a/plumvane/httppool.py
+++ b/plumvane/httppool.py
@@ -8,18 +8,33 @@
 from __future__ import annotations
 
 import contextlib
+import socket
 import ssl
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable, Sequence
 from typing import Any
 
 import anyio
 import httpcore
 
-__all__ = ["NETWORK_ERRORS", "HttpPool"]
+__all__ = ["NETWORK_ERRORS", "PROBED_SOCKET_OPTIONS", "HttpPool"]
+
+Headers = Sequence[tuple[str, str]] | Sequence[tuple[bytes, bytes]]
 
 # Shorter than servers usually keep an idle connection.
 KEEPALIVE_S = 4.0
 
+#: Socket options that end a connection whose other side is silent: after
+#: 1.5 s with unacknowledged bytes, or three probes without an answer, so well
+#: within the time for which the platform's rules wait for a machine.
+PROBED_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1500),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
+
 #: What a call raises if the other side is lost or misbehaves.
 NETWORK_ERRORS = (
     httpcore.NetworkError,
@@ -31,13 +46,19 @@
 class HttpPool:
     """Sends HTTP/1.1 requests over connections that it keeps."""
 
-    def __init__(self, ssl_context: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        ssl_context: ssl.SSLContext | None = None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION] = (),
+    ) -> None:
         """Creates an empty pool.
 
         Args:
             ssl_context: How the servers of https URLs are checked.
+            socket_options: Options of the connections' sockets.
         """
         self._ssl_context = ssl_context
+        self._socket_options = tuple(socket_options)
         self._idle_by_origin: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
 
     async def aclose(self) -> None:
@@ -49,9 +70,9 @@
     async def request(
         self,
         method: str,
-        url: str,
+        url: str | httpcore.URL,
         *,
-        headers: list[tuple[str, str]] | None = None,
+        headers: Headers | None = None,
         content: bytes = b"",
         extensions: dict[str, Any] | None = None,
     ) -> httpcore.Response:
@@ -79,18 +100,31 @@
     async def stream(
         self,
         method: str,
-        url: str,
+        url: str | httpcore.URL,
         *,
-        headers: list[tuple[str, str]] | None = None,
+        headers: Headers | None = None,
         content: bytes = b"",
         extensions: dict[str, Any] | None = None,
+        is_fresh: bool = False,
     ) -> AsyncIterator[httpcore.Response]:
         """Sends a request and yields the answer before its body is read.
 
-        See `request` for the arguments and errors.
+        See `request` for the other arguments and the errors.
+
+        Args:
+            method: HTTP method.
+            url: Absolute URL.
+            headers: Headers beside those that HTTP needs.
+            content: Body.
+            extensions: httpcore's extensions, such as `timeout`.
+            is_fresh: Whether the request gets a new connection.
         """
-        target = httpcore.URL(url)
-        connection = await self._take(target.origin)
+        target = url if isinstance(url, httpcore.URL) else httpcore.URL(url)
+        if is_fresh:
+            connection = self._connection(target.origin)
+        else:
+            connection = await self._take(target.origin)
+        is_reusable = False
         try:
             async with connection.stream(
                 method,
@@ -100,8 +134,14 @@
                 extensions=extensions or {},
             ) as response:
                 yield response
+            is_reusable = True
         finally:
-            await self._give_back(target.origin, connection)
+            # After an error the other side may still send what belongs to
+            # this request.
+            if is_reusable:
+                await self._give_back(target.origin, connection)
+            else:
+                await _close(connection)
 
     async def _take(
         self, origin: httpcore.Origin
@@ -112,10 +152,16 @@
             if connection.is_available() and not connection.has_expired():
                 return connection
             await connection.aclose()
+        return self._connection(origin)
+
+    def _connection(
+        self, origin: httpcore.Origin
+    ) -> httpcore.AsyncHTTPConnection:
         return httpcore.AsyncHTTPConnection(
             origin=origin,
             ssl_context=self._ssl_context,
             keepalive_expiry=KEEPALIVE_S,
+            socket_options=self._socket_options,
         )
 
     async def _give_back(
@@ -124,5 +170,9 @@
         if connection.is_idle() and not connection.is_closed():
             self._idle_by_origin.setdefault(str(origin), []).append(connection)
             return
-        with anyio.CancelScope(shield=True):
-            await connection.aclose()
+        await _close(connection)
+
+
+async def _close(connection: httpcore.AsyncHTTPConnection) -> None:
+    with anyio.CancelScope(shield=True):
+        await connection.aclose()
--- /dev/null
+++ b/plumvane/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its names, formats and calls."""
--- a/plumvane/process.py
+++ b/plumvane/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import os
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -21,13 +22,15 @@
 RESTART_S = 0.5
 
 _SETTINGS = flags.DEFINE_string(
-    "settings", None, "Path of the INI file with the process's settings."
+    "settings",
+    os.environ.get("PLUMVANE_SETTINGS"),
+    "Path of the INI file with the process's settings.",
 )
 _CHECK = flags.DEFINE_bool(
     "check", False, "Only check the settings, then exit."
 )
 
-S = TypeVar("S", bound=settings.CommonSettings)
+S = TypeVar("S", bound=settings.ProgramSettings)
 # Serves until the event is set, then drains and returns.
 Serve = Callable[[S, anyio.Event], Awaitable[None]]
 
--- /dev/null
+++ b/plumvane/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to upstreams: one attempt, and the events of streams."""
--- /dev/null
+++ b/plumvane/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, upstreams and batch jobs without I/O: the policy of serving."""
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -18,9 +18,11 @@
     "BulkSettings",
     "CommonSettings",
     "EntrySettings",
+    "GatewaySettings",
     "KeysSection",
     "ProcessSection",
     "SidecarSettings",
+    "WorkerSettings",
     "load",
 ]
 
@@ -89,18 +91,26 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
-class ProcessSection(_Section):
-    """Section [process]: what every process has.
+class InstanceSection(_Section):
+    """Section [process]: what every program has.
 
     Attributes:
         name: Name of the instance, unique in the fleet.
         data_centre: Data centre that the instance stands in.
-        peer_address: Where other plumvane processes reach this one.
-        listen_address: Where it listens for them, if that differs.
     """
 
     name: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9.-]*$")
     data_centre: str = pydantic.Field(min_length=1)
+
+
+class ProcessSection(InstanceSection):
+    """Section [process] of a program with peers.
+
+    Attributes:
+        peer_address: Where other plumvane processes reach this one.
+        listen_address: Where it listens for them, if that differs.
+    """
+
     peer_address: Address
     listen_address: Address | None = None
 
@@ -193,19 +203,29 @@
     allowed_folder: pydantic.DirectoryPath
 
 
-class CommonSettings(_Section):
-    """Sections that every process has.
+class ProgramSettings(_Section):
+    """Sections that every program has.
 
     Attributes:
         process: Section [process].
-        platform: Section [platform].
         metrics: Section [metrics]; without it only entries keep metrics.
+    """
+
+    process: InstanceSection
+    metrics: MetricsSection | None = None
+
+
+class CommonSettings(ProgramSettings):
+    """Sections of programs with peers.
+
+    Attributes:
+        process: Section [process].
+        platform: Section [platform].
         keys: Section [keys]; without it peers need no key.
     """
 
     process: ProcessSection
     platform: PlatformSection
-    metrics: MetricsSection | None = None
     keys: KeysSection | None = None
 
 
@@ -246,7 +266,50 @@
     data: DataSection
 
 
-S = TypeVar("S", bound=CommonSettings)
+class StoreSection(_Section):
+    """Section [store]: the platform's store.
+
+    Attributes:
+        url: Base URL of the store.
+    """
+
+    url: Url
+
+
+class AddressSection(_Section):
+    """A section that names where the process listens.
+
+    Attributes:
+        address: IP number and port.
+    """
+
+    address: Address
+
+
+class WorkerSettings(ProgramSettings):
+    """Settings of plumvane-worker.
+
+    Attributes:
+        store: Section [store].
+    """
+
+    store: StoreSection
+
+
+class GatewaySettings(WorkerSettings):
+    """Settings of plumvane-gateway.
+
+    Attributes:
+        callers: Section [callers]: where callers' connections arrive.
+        balancer: Section [balancer]: where the platform's balancer asks
+            whether the instance is ready.
+    """
+
+    callers: AddressSection
+    balancer: AddressSection
+
+
+S = TypeVar("S", bound=ProgramSettings)
 
 
 def load(path: str, model: type[S]) -> S:
--- a/plumvane/store/base.py
+++ b/plumvane/store/base.py
@@ -4,20 +4,25 @@
 
 import abc
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping, Sequence
 
 __all__ = [
     "ABSENT",
+    "MAX_TRANSACTION_ENTRIES",
     "MAX_VALUE_BYTES",
     "Lease",
     "Record",
     "Store",
+    "TransactionalStore",
     "WatchResult",
+    "Write",
     "list_pages",
 ]
 
 # Expected revision of a key that must not exist yet.
 ABSENT = 0
+# Most writes and conditions of one transaction, the platform's limit.
+MAX_TRANSACTION_ENTRIES = 32
 # The platform's limit on one value.
 MAX_VALUE_BYTES = 1_000_000
 
@@ -66,6 +71,21 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Write:
+    """A write of a transaction.
+
+    Attributes:
+        key: The key.
+        value: The new value; None deletes the key.
+        lease_id: Lease whose end deletes the key, if any.
+    """
+
+    key: str
+    value: bytes | None
+    lease_id: str | None = None
+
+
 class Store(abc.ABC):
     """A store with compare-and-swap by revision, leases and watches.
 
@@ -172,6 +192,32 @@
         """Ends a lease and deletes the keys that hang on it."""
 
 
+class TransactionalStore(Store):
+    """A store that also takes several writes under one condition."""
+
+    @abc.abstractmethod
+    async def transact(
+        self, writes: Sequence[Write], *, expected_by_key: Mapping[str, int]
+    ) -> int:
+        """Applies all writes if all keys stand at the expected revisions.
+
+        Args:
+            writes: The writes; at most `MAX_TRANSACTION_ENTRIES` together
+                with the expected revisions.
+            expected_by_key: Revisions that must still stand, `ABSENT` for
+                keys that must not exist.
+
+        Returns:
+            The revision of the written keys.
+
+        Raises:
+            ConflictError: A key stands at another revision; nothing was done.
+            NotFoundError: A lease has lapsed; nothing was done.
+            StoreUnavailableError: No answer; all or nothing may have
+                happened. `not_run` says that it is certain that nothing did.
+        """
+
+
 async def list_pages(
     store: Store, prefix: str, limit: int, *, after_key: str = ""
 ) -> AsyncIterator[tuple[Record, ...]]:
--- a/plumvane/store/memory.py
+++ b/plumvane/store/memory.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import itertools
+from collections.abc import Mapping, Sequence
 
 import anyio
 
@@ -19,8 +20,9 @@
     MAX_VALUE_BYTES,
     Lease,
     Record,
-    Store,
+    TransactionalStore,
     WatchResult,
+    Write,
 )
 
 __all__ = ["MemoryStore"]
@@ -41,7 +43,7 @@
     keys: set[str]
 
 
-class MemoryStore(Store):
+class MemoryStore(TransactionalStore):
     """Keeps records, leases and watches in dictionaries."""
 
     def __init__(self) -> None:
@@ -83,27 +85,29 @@
     ) -> int:
         """See base class."""
         self.expire_leases()
-        if len(value) > MAX_VALUE_BYTES:
-            raise BodyTooLargeError(
-                f"{key} has {len(value)} bytes; {MAX_VALUE_BYTES} are allowed."
-            )
-        if lease_id is not None and lease_id not in self._leases_by_id:
-            raise NotFoundError(f"Lease {lease_id} has lapsed.")
+        write = Write(key, value, lease_id)
+        self._check_write(write)
         self._check_revision(key, expected_revision)
-        self._detach(key)
-        if lease_id is not None:
-            self._leases_by_id[lease_id].keys.add(key)
-            self._lease_by_key[key] = lease_id
-        return self._write(key, value, deleted=False)
+        return self._apply(write)
 
     async def delete(self, key: str, *, expected_revision: int | None) -> None:
         """See base class."""
         self.expire_leases()
         self._check_revision(key, expected_revision)
-        self._detach(key)
-        record = self._records_by_key.get(key)
-        if record is not None and not record.deleted:
-            self._write(key, b"", deleted=True)
+        self._apply(Write(key, None))
+
+    async def transact(
+        self, writes: Sequence[Write], *, expected_by_key: Mapping[str, int]
+    ) -> int:
+        """See base class."""
+        self.expire_leases()
+        for write in writes:
+            self._check_write(write)
+        for key, expected in expected_by_key.items():
+            self._check_revision(key, expected)
+        for write in writes:
+            self._apply(write)
+        return self._revision
 
     async def watch(
         self, prefix: str, after_revision: int, *, deadline: float
@@ -160,6 +164,28 @@
         self._changed.set()
         self._changed = anyio.Event()
 
+    def _check_write(self, write: Write) -> None:
+        if write.value is not None and len(write.value) > MAX_VALUE_BYTES:
+            raise BodyTooLargeError(
+                f"{write.key} has {len(write.value)} bytes; "
+                f"{MAX_VALUE_BYTES} are allowed."
+            )
+        lease_id = write.lease_id
+        if lease_id is not None and lease_id not in self._leases_by_id:
+            raise NotFoundError(f"Lease {lease_id} has lapsed.")
+
+    def _apply(self, write: Write) -> int:
+        self._detach(write.key)
+        if write.value is None:
+            record = self._records_by_key.get(write.key)
+            if record is None or record.deleted:
+                return self._revision
+            return self._write(write.key, b"", deleted=True)
+        if write.lease_id is not None:
+            self._leases_by_id[write.lease_id].keys.add(write.key)
+            self._lease_by_key[write.key] = write.lease_id
+        return self._write(write.key, write.value, deleted=False)
+
     def _check_revision(self, key: str, expected: int | None) -> None:
         if expected is None:
             return
--- /dev/null
+++ b/plumvane/worker/items.py
@@ -0,0 +1,150 @@
+"""Runs items of batch jobs at upstreams."""
+
+from __future__ import annotations
+
+import anyio
+
+from plumvane import clock, events
+from plumvane.discovery.view import FleetView
+from plumvane.errors import (
+    PlumvaneError,
+    UpstreamFailedError,
+    UpstreamLostError,
+    UpstreamUnavailableError,
+    WrongUpstreamError,
+)
+from plumvane.platform.requests import item_headers
+from plumvane.relay.caller import Attempt, Reply, UpstreamCaller
+from plumvane.relay.events import EventReader
+from plumvane.serving.upstreams import Upstream
+from plumvane.worker.owned import ItemRun, OwnedJob
+
+__all__ = ["ItemRunner"]
+
+# Longest silence of a running item before it goes on elsewhere, in seconds;
+# items may wait in an upstream's queue for as long.
+ITEM_GAP_S = 2.0
+# Pause of an item after a run that broke off or was refused, in seconds.
+RETRY_S = 0.2
+# Status of an item that can never be done.
+IMPOSSIBLE = 422
+
+
+class ItemRunner:
+    """Runs one item at one upstream and takes its progress in."""
+
+    def __init__(self, view: FleetView, caller: UpstreamCaller) -> None:
+        """Creates the runner.
+
+        Args:
+            view: Routes and upstreams in force.
+            caller: Sends to upstreams.
+        """
+        self._view = view
+        self._caller = caller
+
+    async def run(
+        self, owned: OwnedJob, run: ItemRun, upstream: Upstream
+    ) -> None:
+        """Runs an item until it has an outcome, breaks off or is stopped."""
+        run.upstream_id = upstream.upstream_id
+        run.is_stopping = False
+        run.started = clock.monotonic()
+        upstream.batch_in_flight += 1
+        try:
+            with anyio.CancelScope() as scope:
+                run.scope = scope
+                await self._run_once(owned, run, upstream)
+            if scope.cancelled_caught:
+                self._log(events.Event.ITEM_STOPPED, owned, run)
+        except PlumvaneError as error:
+            run.retry_at = clock.monotonic() + RETRY_S
+            self._log(events.Event.ITEM_BROKEN, owned, run, error=str(error))
+            self._take_error(upstream, error)
+        finally:
+            upstream.batch_in_flight -= 1
+            run.scope = None
+            run.upstream_id = ""
+
+    async def _run_once(
+        self, owned: OwnedJob, run: ItemRun, upstream: Upstream
+    ) -> None:
+        item = run.item
+        attempt = Attempt(
+            request_id=item.item_id,
+            method="POST",
+            target=item.path.encode("latin-1"),
+            headers=item_headers(owned.job.host, item.item_id, item.headers),
+            body=item.body,
+            deadline=None,
+            last_event_id=run.last_event_id,
+            is_idempotent=True,
+            gap_s=ITEM_GAP_S,
+        )
+        self._log(events.Event.ITEM_STARTED, owned, run)
+        async with self._caller.send(upstream, attempt) as reply:
+            upstream.succeed()
+            if reply.status == 200:
+                await self._read_events(run, reply)
+                owned.complete(run)
+            else:
+                self._take_failure(owned, run, reply)
+
+    async def _read_events(self, run: ItemRun, reply: Reply) -> None:
+        reader = EventReader(run.last_event_id)
+        async for part in reply.parts():
+            for event in reader.feed(part):
+                if event.event_id is None:
+                    continue
+                run.texts.append(event.data)
+                run.last_event_id = event.event_id
+        reader.finish()
+
+    def _take_failure(
+        self, owned: OwnedJob, run: ItemRun, reply: Reply
+    ) -> None:
+        is_last = reply.status == IMPOSSIBLE
+        if reply.status == 500:
+            is_last = owned.job.add_failure(run.item.item_id)
+            owned.has_unsaved_failures = True
+        if not is_last:
+            raise UpstreamFailedError(
+                f"The upstream answered the item with {reply.status}."
+            )
+        owned.give_up(run)
+        self._log(
+            events.Event.ITEM_GIVEN_UP,
+            owned,
+            run,
+            status=reply.status,
+            failures=owned.job.failures_by_id.get(run.item.item_id, 0),
+        )
+
+    def _take_error(self, upstream: Upstream, error: PlumvaneError) -> None:
+        if isinstance(error, WrongUpstreamError):
+            self._view.upstreams.remove(upstream.upstream_id)
+        elif isinstance(error, (UpstreamUnavailableError, UpstreamLostError)):
+            now = clock.monotonic()
+            until = upstream.fail(now)
+            events.log(
+                events.Event.UPSTREAM_EJECTED,
+                upstream=upstream.upstream_id,
+                for_s=round(until - now, 2),
+                error=error.detail,
+            )
+
+    def _log(
+        self,
+        event: events.Event,
+        owned: OwnedJob,
+        run: ItemRun,
+        **fields: object,
+    ) -> None:
+        events.log(
+            event,
+            job=owned.job.job_id,
+            item=run.item.item_id,
+            upstream=run.upstream_id,
+            last_event=run.last_event_id,
+            **fields,
+        )
--- /dev/null
+++ b/plumvane/worker/main.py
@@ -0,0 +1,48 @@
+"""Entry point of plumvane-worker."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+
+from plumvane import process
+from plumvane.discovery.view import FleetView
+from plumvane.platform.store import PlatformStore
+from plumvane.settings import WorkerSettings
+from plumvane.worker.worker import Worker
+
+__all__ = ["run"]
+
+# Longest time for handing jobs over after SIGTERM, in seconds; the platform
+# kills the process after eight.
+LEAVE_S = 5.0
+
+
+def run() -> None:
+    """Runs the program."""
+    process.run_program(WorkerSettings, serve)
+
+
+async def serve(settings: WorkerSettings, stopping: anyio.Event) -> None:
+    """Runs batch jobs until the event is set, then hands them over.
+
+    Args:
+        settings: Checked settings.
+        stopping: Set when the process is to stop.
+    """
+    rng = random.Random()
+    store = PlatformStore(settings.store.url)
+    view = FleetView(store, settings.process.data_centre, rng)
+    worker = Worker(settings.process.name, store, view, rng)
+    async with anyio.create_task_group() as group:
+        group.start_soon(view.run)
+        group.start_soon(worker.run)
+        await stopping.wait()
+        with anyio.move_on_after(LEAVE_S):
+            await worker.leave()
+        group.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/plumvane/worker/owned.py
@@ -0,0 +1,102 @@
+"""A batch job that this worker runs."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import anyio
+
+from plumvane.serving.jobs import Item, ItemResult, Job
+
+__all__ = ["ItemRun", "OwnedJob"]
+
+
+@dataclasses.dataclass(slots=True)
+class ItemRun:
+    """An item and how far it is.
+
+    Attributes:
+        item: The item.
+        texts: Data of the events that it has.
+        last_event_id: Number of the last of them, or None.
+        upstream_id: Upstream that runs it now, or empty.
+        scope: Cancels its run.
+        is_stopping: Whether its run was told to give way.
+        started: Monotonic time in seconds at which its run started.
+        is_done: Whether it has an outcome.
+        retry_at: Monotonic time in seconds before which it does not start.
+    """
+
+    item: Item
+    texts: list[str] = dataclasses.field(default_factory=list)
+    last_event_id: int | None = None
+    upstream_id: str = ""
+    scope: anyio.CancelScope | None = None
+    is_stopping: bool = False
+    started: float = 0.0
+    is_done: bool = False
+    retry_at: float = 0.0
+
+
+class OwnedJob:
+    """A job's head as this worker last wrote or read it, and its runs."""
+
+    def __init__(self, job: Job, revision: int, items: list[Item]) -> None:
+        """Takes a job over.
+
+        Args:
+            job: Its head.
+            revision: Revision of the head.
+            items: All its items.
+        """
+        self.job = job
+        self.revision = revision
+        self.outcomes: list[ItemResult] = []
+        self.has_unsaved_failures = False
+        unlisted = set(job.unlisted_ids())
+        self.runs_by_id = {
+            item.item_id: ItemRun(item)
+            for item in items
+            if item.item_id in unlisted
+        }
+
+    def waiting(self, now: float) -> list[ItemRun]:
+        """Returns the items that could start, those with progress first."""
+        if self.job.is_ended:
+            return []
+        found = [
+            run
+            for run in self.runs_by_id.values()
+            if not run.is_done and run.scope is None and run.retry_at <= now
+        ]
+        return sorted(found, key=lambda run: -len(run.texts))
+
+    def running(self) -> list[ItemRun]:
+        """Returns the items that run."""
+        return [
+            run for run in self.runs_by_id.values() if run.scope is not None
+        ]
+
+    def complete(self, run: ItemRun) -> None:
+        """Takes the whole text of an item in."""
+        run.is_done = True
+        text = "\n".join(run.texts)
+        self.outcomes.append(ItemResult(run.item.item_id, True, text))
+
+    def give_up(self, run: ItemRun) -> None:
+        """Gives an item up."""
+        run.is_done = True
+        self.outcomes.append(ItemResult(run.item.item_id, False, ""))
+
+    def take_head(self, job: Job, revision: int) -> None:
+        """Takes a newer head in, as written by another process."""
+        if revision <= self.revision:
+            return
+        self.job = job
+        self.revision = revision
+        for item_id in job.listed_ids:
+            run = self.runs_by_id.pop(item_id, None)
+            if run is not None and run.scope is not None:
+                run.scope.cancel()
+        listed = set(job.listed_ids)
+        self.outcomes = [o for o in self.outcomes if o.item_id not in listed]
--- /dev/null
+++ b/plumvane/worker/worker.py
@@ -0,0 +1,458 @@
+"""Claims batch jobs, paces their items and commits their results."""
+
+from __future__ import annotations
+
+import random
+import secrets
+
+import anyio
+import anyio.abc
+
+from plumvane import clock, events
+from plumvane.batch.jobstore import (
+    JOB_PREFIX,
+    LIVE_PREFIX,
+    WORKER_PREFIX,
+    Commit,
+    JobStore,
+)
+from plumvane.discovery.mirror import Mirror
+from plumvane.discovery.view import FleetView
+from plumvane.errors import (
+    ConflictError,
+    NotFoundError,
+    PlumvaneError,
+    StoreUnavailableError,
+)
+from plumvane.relay.caller import UpstreamCaller
+from plumvane.relay.reports import ReportReader
+from plumvane.serving.assignment import chosen_worker
+from plumvane.serving.jobs import Item, ItemResult, Job
+from plumvane.serving.pacing import Place, plan
+from plumvane.serving.upstreams import Upstream
+from plumvane.store.base import (
+    MAX_TRANSACTION_ENTRIES,
+    Record,
+    TransactionalStore,
+)
+from plumvane.worker.items import ItemRunner
+from plumvane.worker.owned import ItemRun, OwnedJob
+
+__all__ = ["Worker"]
+
+# Time after which a silent worker's jobs go to others, in seconds; jobs are
+# due in 18 s.
+LEASE_TTL_S = 3.0
+RENEW_S = 1.0
+# Pause between two readings of changed jobs, in seconds.
+JOB_PAUSE_S = 0.3
+# How often items are started and stopped, in seconds: online requests wait
+# for a slot at most so long.
+PACE_S = 0.1
+# How long results are gathered for one transaction, in seconds.
+COMMIT_S = 0.25
+STORE_RETRY_S = 0.3
+
+
+class Worker:
+    """Runs the batch jobs that fall to this instance."""
+
+    def __init__(
+        self,
+        name: str,
+        store: TransactionalStore,
+        view: FleetView,
+        rng: random.Random,
+    ) -> None:
+        """Creates the worker.
+
+        Args:
+            name: Name of the instance.
+            store: The platform's store.
+            view: Routes and upstreams in force.
+            rng: Spreads retries.
+        """
+        self._name = name
+        self._incarnation = f"{name}/{secrets.token_hex(4)}"
+        self._store = store
+        self._jobs = JobStore(store)
+        self._view = view
+        self._rng = rng
+        self._live = Mirror(
+            store, LIVE_PREFIX, self._take_change, pause_s=JOB_PAUSE_S
+        )
+        self._runner = ItemRunner(view, UpstreamCaller())
+        self._reports = ReportReader()
+        self._incarnations_by_name: dict[str, str] = {}
+        self._heads_by_id: dict[str, tuple[Job, int]] = {}
+        self._owned_by_id: dict[str, OwnedJob] = {}
+        self._claiming_ids: set[str] = set()
+        self._is_leaving = False
+        self._lease_id: str | None = None
+
+    async def run(self) -> None:
+        """Works until it is cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._live.run)
+            group.start_soon(self._keep_registered)
+            group.start_soon(self._claim_jobs, group)
+            group.start_soon(self._pace, group)
+            group.start_soon(self._commit_results)
+
+    async def leave(self) -> None:
+        """Stops all items and hands the jobs to other workers."""
+        self._is_leaving = True
+        for owned in self._owned_by_id.values():
+            for run in owned.running():
+                self._stop(run)
+        for owned in list(self._owned_by_id.values()):
+            await self._release(owned)
+        if self._lease_id is not None:
+            await self._store.revoke_lease(self._lease_id)
+
+    async def _release(self, owned: OwnedJob) -> None:
+        owned.job.owner = ""
+        try:
+            await self._commit([owned])
+        except PlumvaneError as error:
+            events.log(
+                events.Event.COMMIT_DELAYED,
+                job=owned.job.job_id,
+                error=str(error),
+            )
+        self._drop(owned, "this worker leaves")
+
+    # Registration
+
+    async def _keep_registered(self) -> None:
+        while not self._is_leaving:
+            try:
+                await self._register_or_renew()
+                await anyio.sleep(RENEW_S)
+            except NotFoundError as error:
+                self._lease_id = None
+                events.log(events.Event.LEASE_LOST, error=error.detail)
+            except PlumvaneError:
+                await anyio.sleep(STORE_RETRY_S)
+
+    async def _register_or_renew(self) -> None:
+        is_listed = (
+            self._incarnations_by_name.get(self._name) == self._incarnation
+        )
+        if self._lease_id is not None and is_listed:
+            await self._store.renew_lease(self._lease_id)
+            return
+        if self._lease_id is None:
+            lease = await self._store.grant_lease(LEASE_TTL_S)
+            self._lease_id = lease.lease_id
+        await self._store.put(
+            WORKER_PREFIX + self._name,
+            self._incarnation.encode(),
+            expected_revision=None,
+            lease_id=self._lease_id,
+        )
+
+    # Heads and workers
+
+    def _take_change(self, record: Record) -> None:
+        if record.key.startswith(WORKER_PREFIX):
+            self._take_worker(record)
+        elif record.key.startswith(JOB_PREFIX):
+            self._take_head(record)
+
+    def _take_worker(self, record: Record) -> None:
+        name = record.key.removeprefix(WORKER_PREFIX)
+        if record.deleted:
+            self._incarnations_by_name.pop(name, None)
+        else:
+            self._incarnations_by_name[name] = record.value.decode()
+
+    def _take_head(self, record: Record) -> None:
+        job_id = record.key.removeprefix(JOB_PREFIX)
+        if record.deleted:
+            self._heads_by_id.pop(job_id, None)
+            return
+        job = Job.decode(record.value)
+        if job.is_open():
+            self._heads_by_id[job_id] = (job, record.revision)
+        else:
+            self._heads_by_id.pop(job_id, None)
+        owned = self._owned_by_id.get(job_id)
+        if owned is not None and record.revision > owned.revision:
+            owned.take_head(job, record.revision)
+            if not job.is_open():
+                self._drop(owned, "the job is not open")
+            elif job.owner != self._incarnation:
+                self._drop(owned, f"{job.owner or 'nobody'} owns it")
+
+    def _drop(self, owned: OwnedJob, reason: str) -> None:
+        self._owned_by_id.pop(owned.job.job_id, None)
+        for run in owned.running():
+            self._stop(run)
+        events.log(
+            events.Event.JOB_RELEASED,
+            job=owned.job.job_id,
+            revision=owned.revision,
+            reason=reason,
+        )
+
+    @staticmethod
+    def _stop(run: ItemRun) -> None:
+        run.is_stopping = True
+        if run.scope is not None:
+            run.scope.cancel()
+
+    # Claims
+
+    async def _claim_jobs(self, group: anyio.abc.TaskGroup) -> None:
+        await self._live.loaded.wait()
+        while not self._is_leaving:
+            for job_id in list(self._heads_by_id):
+                if self._should_claim(job_id):
+                    self._claiming_ids.add(job_id)
+                    group.start_soon(self._claim, job_id)
+            await anyio.sleep(PACE_S)
+
+    def _should_claim(self, job_id: str) -> bool:
+        if job_id in self._owned_by_id or job_id in self._claiming_ids:
+            return False
+        job, _ = self._heads_by_id[job_id]
+        if job.owner in self._incarnations_by_name.values():
+            return False
+        chosen = chosen_worker(job_id, self._incarnations_by_name)
+        return chosen == self._name
+
+    async def _claim(self, job_id: str) -> None:
+        try:
+            job, revision = self._heads_by_id[job_id]
+            before = job.owner
+            job = Job.decode(job.encode())
+            job.owner = self._incarnation
+            revision = await self._jobs.commit([Commit(job, revision, {})])
+            items = await self._items(job)
+            self._owned_by_id[job_id] = OwnedJob(job, revision, items)
+            events.log(
+                events.Event.JOB_CLAIMED,
+                job=job_id,
+                revision=revision,
+                owner_before=before,
+                listed=len(job.listed_ids),
+                items=len(job.item_ids),
+                age_s=round(clock.wall() - job.submitted_ms / 1000, 2),
+            )
+        except ConflictError:
+            await self._reload_head(job_id)
+        except PlumvaneError as error:
+            events.log(
+                events.Event.COMMIT_DELAYED, job=job_id, error=str(error)
+            )
+            await anyio.sleep(STORE_RETRY_S)
+            await self._reload_head(job_id)
+        finally:
+            self._claiming_ids.discard(job_id)
+
+    async def _reload_head(self, job_id: str) -> None:
+        """Reads a head whose state is not certain."""
+        try:
+            job, revision = await self._jobs.head(job_id)
+        except NotFoundError:
+            self._heads_by_id.pop(job_id, None)
+            return
+        except StoreUnavailableError:
+            return
+        if not job.is_open():
+            self._heads_by_id.pop(job_id, None)
+            return
+        if job.owner == self._incarnation and job_id not in self._owned_by_id:
+            # The claim was written though its answer was lost.
+            job.owner = ""
+        self._heads_by_id[job_id] = (job, revision)
+
+    async def _items(self, job: Job) -> list[Item]:
+        items: list[Item] = []
+        for chunk in sorted(set(job.chunk_by_item)):
+            items.extend(await self._jobs.items(job, chunk))
+        return items
+
+    # Pacing
+
+    async def _pace(self, group: anyio.abc.TaskGroup) -> None:
+        while True:
+            await anyio.sleep(PACE_S)
+            if not self._owned_by_id or not self._view.is_known():
+                continue
+            for service in self._services():
+                await self._pace_service(service, group)
+
+    def _services(self) -> set[str]:
+        found = set()
+        for owned in self._owned_by_id.values():
+            service = self._service(owned)
+            if service is not None:
+                found.add(service)
+        return found
+
+    def _service(self, owned: OwnedJob) -> str | None:
+        """Returns the service of a job's route, or None if it has none."""
+        run = next(iter(owned.runs_by_id.values()), None)
+        if run is None or self._view.routes is None:
+            return None
+        route = self._view.routes.match(owned.job.host, run.item.path)
+        return route.choose_service(self._rng) if route is not None else None
+
+    async def _pace_service(
+        self, service: str, group: anyio.abc.TaskGroup
+    ) -> None:
+        now = clock.monotonic()
+        upstreams = {
+            u.upstream_id: u
+            for u in self._view.upstreams.ready(service)
+            if not u.is_ejected(now)
+        }
+        await self._reports.read(list(upstreams.values()))
+        now = clock.monotonic()
+        waiting = self._waiting(service, now)
+        places = [self._place(u, now) for u in upstreams.values()]
+        todo = plan(places, len(waiting), len(self._incarnations_by_name))
+        for upstream_id, count in todo.stops_by_id.items():
+            self._stop_newest(upstream_id, count)
+        for (owned, run), upstream_id in zip(
+            waiting, todo.starts, strict=False
+        ):
+            run.scope = anyio.CancelScope()
+            group.start_soon(
+                self._runner.run, owned, run, upstreams[upstream_id]
+            )
+
+    def _waiting(
+        self, service: str, now: float
+    ) -> list[tuple[OwnedJob, ItemRun]]:
+        """Returns the items that could start, the job due first first."""
+        if self._is_leaving:
+            return []
+        jobs = sorted(
+            self._owned_by_id.values(), key=lambda owned: owned.job.due_ms
+        )
+        return [
+            (owned, run)
+            for owned in jobs
+            if self._service(owned) == service
+            for run in owned.waiting(now)
+        ]
+
+    def _place(self, upstream: Upstream, now: float) -> Place:
+        return Place(
+            upstream_id=upstream.upstream_id,
+            slots=upstream.slots,
+            load=upstream.estimated_load(now),
+            waiting=upstream.waiting(now),
+            own_items=len(self._running_at(upstream.upstream_id)),
+        )
+
+    def _running_at(self, upstream_id: str) -> list[ItemRun]:
+        return [
+            run
+            for owned in self._owned_by_id.values()
+            for run in owned.running()
+            if run.upstream_id == upstream_id and not run.is_stopping
+        ]
+
+    def _stop_newest(self, upstream_id: str, count: int) -> None:
+        runs = self._running_at(upstream_id)
+        runs.sort(key=lambda run: run.started, reverse=True)
+        for run in runs[:count]:
+            self._stop(run)
+
+    # Commits
+
+    async def _commit_results(self) -> None:
+        while True:
+            await anyio.sleep(COMMIT_S)
+            changed = [
+                owned
+                for owned in self._owned_by_id.values()
+                if owned.outcomes or owned.has_unsaved_failures
+            ]
+            for owned in changed:
+                await self._commit_or_reload(owned)
+
+    async def _commit_or_reload(self, owned: OwnedJob) -> None:
+        try:
+            await self._commit([owned])
+        except ConflictError:
+            events.log(
+                events.Event.COMMIT_CONFLICT,
+                job=owned.job.job_id,
+                revision=owned.revision,
+            )
+            await self._reload_owned(owned)
+        except PlumvaneError as error:
+            events.log(
+                events.Event.COMMIT_DELAYED,
+                job=owned.job.job_id,
+                outcomes=len(owned.outcomes),
+                error=str(error),
+            )
+            await anyio.sleep(STORE_RETRY_S)
+            await self._reload_owned(owned)
+        if not owned.job.is_open():
+            self._drop(owned, "the job is not open")
+
+    async def _commit(self, changed: list[OwnedJob]) -> None:
+        """Writes jobs' new results; on errors nothing is taken in here."""
+        commits: list[Commit] = []
+        taken_by_id: dict[str, list[ItemResult]] = {}
+        room = MAX_TRANSACTION_ENTRIES
+        for owned in changed:
+            job = Job.decode(owned.job.encode())
+            results: dict[int, ItemResult] = {}
+            taken = owned.outcomes[: room - 2]
+            for result in taken:
+                position = job.list_result(result.item_id)
+                if position is not None:
+                    results[position] = result
+            commits.append(Commit(job, owned.revision, results))
+            taken_by_id[job.job_id] = taken
+            room -= commits[-1].entries
+        revision = await self._jobs.commit(commits)
+        for owned, commit in zip(changed, commits, strict=True):
+            self._take_commit(owned, commit, revision, taken_by_id)
+
+    def _take_commit(
+        self,
+        owned: OwnedJob,
+        commit: Commit,
+        revision: int,
+        taken_by_id: dict[str, list[ItemResult]],
+    ) -> None:
+        job_id = commit.job.job_id
+        taken = {result.item_id for result in taken_by_id[job_id]}
+        owned.job = commit.job
+        owned.revision = revision
+        owned.has_unsaved_failures = False
+        owned.outcomes = [o for o in owned.outcomes if o.item_id not in taken]
+        for item_id in taken:
+            owned.runs_by_id.pop(item_id, None)
+        for position, result in commit.results_by_position.items():
+            events.log(
+                events.Event.ITEM_LISTED,
+                job=job_id,
+                item=result.item_id,
+                position=position,
+                completed=result.is_completed,
+                revision=revision,
+            )
+
+    async def _reload_owned(self, owned: OwnedJob) -> None:
+        """Reads the head again after a write whose outcome is not certain."""
+        job_id = owned.job.job_id
+        try:
+            job, revision = await self._jobs.head(job_id)
+        except PlumvaneError as error:
+            events.log(
+                events.Event.COMMIT_DELAYED, job=job_id, error=str(error)
+            )
+            return
+        owned.take_head(job, revision)
+        if job.owner != self._incarnation:
+            self._drop(owned, f"{job.owner or 'nobody'} owns it")
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -81,6 +81,11 @@
             caller.complete(fleet[f"entry-{n % 2}"], f"note {n}")[0]
             for n in range(20)
         ]
+        # Reports of allowed peers reach the entry some time after its start.
+        wait_for(
+            lambda: revisions(fleet, fleet["entry-0"])["engine-0-sidecar"] == 1,
+            "the entry has a report of the sidecar",
+        )
         found = revisions(fleet, fleet["entry-0"])
         log = outsider.log.read_text(encoding="utf-8")
     assert found["outsider"] is None
