Keep missing upstreams only until two seconds after an outage of the store

Ruled out: a late watch (the other gateways took the removal 2 ms after it). Only outages of 1 s or more count now, and the time to come back runs from the store's return.

--- a/plumvane/discovery/mirror.py
+++ b/plumvane/discovery/mirror.py
@@ -15,6 +15,9 @@
 # Time of one watch, in seconds; a connection that went silent is also found
 # by its probes.
 WATCH_S = 10.0
+# Time without an answer after which entries may have lapsed, in seconds; a
+# connection that is reset is followed by a success well within it.
+OUTAGE_S = 1.0
 # Pause after a call that failed, in seconds: refused calls are charged too.
 RETRY_S = 0.25
 
@@ -46,8 +49,9 @@
         self.records_by_key: dict[str, Record] = {}
         self.loaded = anyio.Event()
         self.is_failing = True
-        # Monotonic time of the last call that failed or lost history.
-        self.disturbed_at = float("-inf")
+        # Monotonic time at which the store was back after an outage.
+        self.returned_at = float("-inf")
+        self._failing_since = clock.monotonic()
         self._store = store
         self._prefix = prefix
         self._on_change = on_change
@@ -61,7 +65,6 @@
                 await self._step()
             except HistoryLostError as error:
                 self._revision = None
-                self.disturbed_at = clock.monotonic()
                 events.log(
                     events.Event.HISTORY_LOST,
                     prefix=self._prefix,
@@ -113,13 +116,20 @@
 
     def _take_success(self) -> None:
         if self.is_failing:
-            self.disturbed_at = clock.monotonic()
-            events.log(events.Event.VIEW_CURRENT, prefix=self._prefix)
+            now = clock.monotonic()
+            down_s = now - self._failing_since
+            if down_s >= OUTAGE_S:
+                self.returned_at = now
+            events.log(
+                events.Event.VIEW_CURRENT,
+                prefix=self._prefix,
+                down_s=round(down_s, 2),
+            )
         self.is_failing = False
 
     def _take_failure(self, error: PlumvaneError) -> None:
-        self.disturbed_at = clock.monotonic()
         if not self.is_failing:
+            self._failing_since = clock.monotonic()
             events.log(
                 events.Event.VIEW_STALE,
                 prefix=self._prefix,
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -19,14 +19,12 @@
 
 __all__ = ["FleetView"]
 
-# Pause between two readings of the upstreams' entries, in seconds. Their
-# heartbeats change them all the time; a drain must be known within 2 s.
-UPSTREAM_PAUSE_S = 0.8
-# How long an entry that went while the store was unsteady may take to come
-# back, in seconds: about two by the platform's word.
-RETURN_S = 2.5
-# How long after a failed call the store counts as unsteady, in seconds.
-UNSTEADY_S = 4.0
+# Pause between two readings of the upstreams' entries, in seconds; a drain
+# must be known within 2 s.
+UPSTREAM_PAUSE_S = 0.2
+# How long after an outage of the store an entry that lapsed in it may take to
+# come back, in seconds: about two by the platform's word.
+RETURN_S = 2.3
 CHECK_S = 0.25
 
 
@@ -145,8 +143,9 @@
 
     def _take_removal(self, upstream_id: str) -> None:
         now = clock.monotonic()
-        if now - self._entries.disturbed_at < UNSTEADY_S:
-            self.upstreams.keep_until(upstream_id, now + RETURN_S)
+        return_deadline = self._entries.returned_at + RETURN_S
+        if now < return_deadline:
+            self.upstreams.keep_until(upstream_id, return_deadline)
             return
         gone = self.upstreams.remove(upstream_id)
         if gone is not None:
