Call a request that an upstream has at its deadline failed, not refused

Cause: an attempt counted as sent only once it had failed, so a request whose deadline passed in the middle of its first attempt was answered 429, which says that it has not run. The test failed first; nine more tests of the gateway's retries, resumption and refusals need no network.

--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -126,17 +126,18 @@
             upstream = self._choose(route, service, progress)
             attempt = self._attempt(exchange, route, body, deadline, progress)
             self._log_routed(exchange, route, upstream, progress)
+            progress.sent_ids.add(upstream.upstream_id)
             try:
                 await self._try_one(
                     exchange, route, upstream, attempt, progress
                 )
                 return
             except (OverloadedError, UpstreamUnavailableError) as error:
+                progress.sent_ids.discard(upstream.upstream_id)
                 progress.refused_ids.add(upstream.upstream_id)
                 self._take_refusal(upstream, error)
                 progress.error = error
             except UpstreamLostError as error:
-                progress.sent_ids.add(upstream.upstream_id)
                 self._eject(upstream, error)
                 progress.error = error
                 self._check_repeatable(exchange, route, progress, error)
