Send idempotent requests elsewhere when an upstream stays silent

Ruled out: ejection alone, which only helps later requests. Resumable streams now go on elsewhere after 1 s of silence, idempotent calls after three times their target, if there is an attempt and an upstream left.

--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -26,9 +26,12 @@
 
 __all__ = ["BrokenAnswerError", "Forwarder"]
 
-# Longest silence inside a resumable stream before it goes on elsewhere, in
-# seconds. Callers leave after two; the aims for pauses are a tenth of this.
-STREAM_GAP_S = 1.2
+# Longest silence of a resumable stream before it goes on elsewhere, in seconds.
+# Callers leave after two; the sheets aim at pauses of a quarter of a second.
+STREAM_SILENCE_S = 1.0
+# Longest silence of an idempotent call, in multiples of the route's target:
+# the slowest calls of the sheets take twice the target.
+CALL_SILENCE_TARGETS = 3.0
 # Answers up to this size are passed on only when they are whole, so that a
 # broken one can be had again, in bytes.
 BUFFERED_BYTES = 262_144
@@ -124,7 +127,9 @@
     ) -> None:
         while True:
             upstream = self._choose(route, service, progress)
-            attempt = self._attempt(exchange, route, body, deadline, progress)
+            attempt = self._attempt(
+                exchange, route, service, body, deadline, progress
+            )
             self._log_routed(exchange, route, upstream, progress)
             progress.sent_ids.add(upstream.upstream_id)
             try:
@@ -176,6 +181,7 @@
         self,
         exchange: Exchange,
         route: Route,
+        service: str,
         body: bytes,
         deadline: float,
         progress: _Progress,
@@ -190,9 +196,26 @@
             deadline=deadline,
             last_event_id=progress.last_event_id,
             is_idempotent=route.is_idempotent,
-            gap_s=None,
+            gap_s=self._longest_silence(route, service, progress),
         )
 
+    def _longest_silence(
+        self, route: Route, service: str, progress: _Progress
+    ) -> float | None:
+        """Returns how long an upstream may be silent; None for no limit.
+
+        Without a limit the request waits for its deadline: it may not be sent
+        again, or there is nowhere else to send it.
+        """
+        tried = len(progress.sent_ids) + 1
+        if not route.is_idempotent or tried >= route.max_attempts:
+            return None
+        if len(self._view.upstreams.ready(service)) <= tried:
+            return None
+        if route.kind is Kind.STREAM:
+            return STREAM_SILENCE_S
+        return CALL_SILENCE_TARGETS * route.target_latency_s
+
     async def _try_one(
         self,
         exchange: Exchange,
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -132,3 +132,21 @@
     assert forward(parts, caller, route(Kind.CALL)) is None
     assert (caller.status, caller.body) == (500, b"no")
     assert caller.headers[b"x-response-signature"] == b"s"
+
+
+def test_only_requests_that_may_run_elsewhere_have_a_limit_on_silence() -> None:
+    def limits(to: Route, upstreams: int) -> list[float | None]:
+        parts = gateway([Script(error=LOST)] * 2, upstreams)
+        forward(parts, Caller(), to)
+        return [attempt.gap_s for _, attempt in parts.caller.sent]
+
+    stream = route(Kind.STREAM, is_resumable=True)
+    first, last = limits(stream, 3)
+    assert first is not None
+    assert first < 2.0, "callers leave a silent stream after two seconds"
+    assert last is None
+    assert limits(stream, 1)[0] is None
+    assert limits(route(Kind.CALL, is_idempotent=False), 3) == [None]
+    call, _ = limits(route(Kind.CALL, target_latency_s=0.2), 3)
+    assert call is not None
+    assert 0.4 <= call < 1.0
