Protect batch items that are nearly due, hold others while requests wait

Items due within 8 s are not stopped and start at any free slot; others do not start for 0.5 s where a request had to wait.

--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -73,6 +73,7 @@
     UPSTREAM_UNREADABLE = (7006, "An upstream's entry cannot be read.")
     UPSTREAM_EJECTED = (7007, "An upstream gets no new work for a while.")
     UPSTREAM_BACK = (7008, "An upstream answers again.")
+    UPSTREAM_SILENT = (7009, "An upstream's reports stay out.")
     ORDER_DELAYED = (7020, "An order to the engine must wait.")
     ORDER_REFUSED = (7003, "The engine refused an order.")
     CONFIGURATION_IN_FORCE = (8001, "A revision is in force here.")
--- a/plumvane/relay/reports.py
+++ b/plumvane/relay/reports.py
@@ -7,7 +7,8 @@
 import anyio
 import httpcore
 
-from plumvane import clock
+from plumvane import clock, events
+from plumvane.discovery.view import FleetView
 from plumvane.errors import ProtocolError
 from plumvane.httppool import (
     NETWORK_ERRORS,
@@ -16,12 +17,15 @@
 )
 from plumvane.platform import names
 from plumvane.platform.listing import decode_report
-from plumvane.serving.upstreams import Upstream
+from plumvane.serving.upstreams import Load, Upstream
 
-__all__ = ["ReportReader"]
+__all__ = ["LoadPoller", "ReportReader"]
 
 # A report that takes longer is left out, in seconds; it needs no slot.
-TIMEOUT_S = 0.08
+TIMEOUT_S = 0.15
+# Pause between two readings of all engines' load, in seconds. Online requests
+# begin and end several times a second at each engine.
+POLL_S = 0.2
 
 
 class ReportReader:
@@ -54,8 +58,54 @@
                 response = await self._pool.request(
                     "GET", url, headers=[("host", host)]
                 )
-                load = decode_report(response.content)
+                load: Load | None = decode_report(response.content)
             except (ProtocolError, *NETWORK_ERRORS):
-                # Its next request tells; the load that is known grows old.
+                # Counted below; the load that is known grows old.
+                load = None
+            if load is not None:
+                self._take(upstream, load)
                 return
-            upstream.take_load(load, clock.monotonic())
+        if upstream.miss_report():
+            events.log(
+                events.Event.UPSTREAM_SILENT,
+                upstream=upstream.upstream_id,
+                load_age_s=round(upstream.load_age(clock.monotonic()), 2),
+            )
+
+    @staticmethod
+    def _take(upstream: Upstream, load: Load) -> None:
+        if upstream.is_silent():
+            events.log(
+                events.Event.UPSTREAM_BACK, upstream=upstream.upstream_id
+            )
+        upstream.take_report(load, clock.monotonic())
+
+
+class LoadPoller:
+    """Keeps the load of all model engines current."""
+
+    def __init__(self, view: FleetView) -> None:
+        """Creates the poller.
+
+        Args:
+            view: Routes and upstreams in force.
+        """
+        self._view = view
+        self._reader = ReportReader()
+
+    async def run(self) -> None:
+        """Reads reports until it is cancelled."""
+        while True:
+            await anyio.sleep(POLL_S)
+            await self._reader.read(self._engines())
+
+    def _engines(self) -> list[Upstream]:
+        routes = self._view.routes
+        if routes is None:
+            return []
+        return [
+            upstream
+            for service in routes.services_by_name.values()
+            if service.is_engine
+            for upstream in self._view.upstreams.ready(service.name)
+        ]
--- a/plumvane/serving/upstreams.py
+++ b/plumvane/serving/upstreams.py
@@ -13,6 +13,9 @@
 # upstream stays listed for three heartbeats.
 EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
+# Reports in a row that a silent upstream leaves out; a single one may be lost
+# with its connection.
+SILENT_REPORTS = 3
 # Loads that are closer than this, as a share of the slots, count as equal, so
 # that upstreams in the own data centre go first.
 EQUAL_LOAD = 0.1
@@ -81,6 +84,7 @@
         self._in_flight_at_load = 0
         self._failures = 0
         self._ejected_until = 0.0
+        self._missed_reports = 0
 
     @property
     def upstream_id(self) -> str:
@@ -105,6 +109,29 @@
         self._load_at = now
         self._in_flight_at_load = self.in_flight
 
+    def take_report(self, load: Load, now: float) -> None:
+        """Takes in a report that was asked for; it does not tell the slots.
+
+        Args:
+            load: The load.
+            now: Monotonic time in seconds at which it was read.
+        """
+        self._missed_reports = 0
+        self.take_load(load, now)
+
+    def miss_report(self) -> bool:
+        """Takes in that it did not answer when it was asked for its load.
+
+        Returns:
+            Whether it counts as silent from now on.
+        """
+        self._missed_reports += 1
+        return self._missed_reports == SILENT_REPORTS
+
+    def is_silent(self) -> bool:
+        """Returns whether it has left several reports in a row out."""
+        return self._missed_reports >= SILENT_REPORTS
+
     def load_age(self, now: float) -> float:
         """Returns the age of the reported load in seconds."""
         return now - self._load_at if self._load is not None else float("inf")
@@ -147,7 +174,7 @@
 
     def is_ejected(self, now: float) -> bool:
         """Returns whether it gets no new work because it failed."""
-        return now < self._ejected_until
+        return now < self._ejected_until or self.is_silent()
 
 
 class UpstreamTable:
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -28,7 +28,7 @@
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.assignment import chosen_worker
 from plumvane.serving.jobs import Item, ItemResult, Job
-from plumvane.serving.pacing import Place, plan
+from plumvane.serving.pacing import HOLD_S, Place, is_urgent, plan
 from plumvane.serving.upstreams import Upstream
 from plumvane.store.base import (
     MAX_TRANSACTION_ENTRIES,
@@ -87,6 +87,7 @@
         self._heads_by_id: dict[str, tuple[Job, int]] = {}
         self._owned_by_id: dict[str, OwnedJob] = {}
         self._claiming_ids: set[str] = set()
+        self._held_until_by_id: dict[str, float] = {}
         self._is_leaving = False
         self._lease_id: str | None = None
 
@@ -313,7 +314,13 @@
         now = clock.monotonic()
         waiting = self._waiting(service, now)
         places = [self._place(u, now) for u in upstreams.values()]
-        todo = plan(places, len(waiting), len(self._incarnations_by_name))
+        urgent = sum(self._is_urgent(owned) for owned, _ in waiting)
+        todo = plan(
+            places,
+            urgent,
+            len(waiting) - urgent,
+            len(self._incarnations_by_name),
+        )
         for upstream_id, count in todo.stops_by_id.items():
             self._stop_newest(upstream_id, count)
         for (owned, run), upstream_id in zip(
@@ -327,11 +334,16 @@
     def _waiting(
         self, service: str, now: float
     ) -> list[tuple[OwnedJob, ItemRun]]:
-        """Returns the items that could start, the job due first first."""
+        """Returns the items that could start, in the order of their turn.
+
+        The job that is due first is first; late ones come last.
+        """
         if self._is_leaving:
             return []
+        wall_ms = clock.wall() * 1000
         jobs = sorted(
-            self._owned_by_id.values(), key=lambda owned: owned.job.due_ms
+            self._owned_by_id.values(),
+            key=lambda owned: (owned.job.due_ms < wall_ms, owned.job.due_ms),
         )
         return [
             (owned, run)
@@ -341,24 +353,35 @@
         ]
 
     def _place(self, upstream: Upstream, now: float) -> Place:
+        upstream_id = upstream.upstream_id
+        waiting = upstream.waiting(now)
+        if waiting:
+            self._held_until_by_id[upstream_id] = now + HOLD_S
         return Place(
-            upstream_id=upstream.upstream_id,
+            upstream_id=upstream_id,
             slots=upstream.slots,
             load=upstream.estimated_load(now),
-            waiting=upstream.waiting(now),
-            own_items=len(self._running_at(upstream.upstream_id)),
+            waiting=waiting,
+            yielding_items=len(self._yielding_at(upstream_id)),
+            is_held=self._held_until_by_id.get(upstream_id, 0.0) > now,
         )
 
-    def _running_at(self, upstream_id: str) -> list[ItemRun]:
+    @staticmethod
+    def _is_urgent(owned: OwnedJob) -> bool:
+        return is_urgent(owned.job.due_ms / 1000, clock.wall())
+
+    def _yielding_at(self, upstream_id: str) -> list[ItemRun]:
+        """Returns the items at an upstream that may be stopped."""
         return [
             run
             for owned in self._owned_by_id.values()
+            if not self._is_urgent(owned)
             for run in owned.running()
             if run.upstream_id == upstream_id and not run.is_stopping
         ]
 
     def _stop_newest(self, upstream_id: str, count: int) -> None:
-        runs = self._running_at(upstream_id)
+        runs = self._yielding_at(upstream_id)
         runs.sort(key=lambda run: run.started, reverse=True)
         for run in runs[:count]:
             self._stop(run)
--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,159 @@
+"""Pacing of batch items under a square wave of online requests.
+
+The pattern: four engines with eight slots; online requests of 0.75 s arrive at
+2 a second and engine for 3.6 s, then at 9 for 2.4 s, in turn; batch jobs of ten
+items of 4.5 s, due in 18 s, take a third of the slots.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from plumvane.serving.pacing import HOLD_S, Place, is_urgent, plan
+
+STEP_S = 0.05
+ONLINE_S = 0.75
+ITEM_S = 4.5
+DUE_S = 18.0
+SLOTS = 8
+ENGINES = 4
+PACE_STEPS = 2
+
+
+@dataclasses.dataclass
+class Work:
+    """A request or an item."""
+
+    is_batch: bool
+    arrived: float
+    left_s: float
+    due: float = 0.0
+    started: float | None = None
+
+
+class Engines:
+    """Engines that serve in the order of arrival and know no priority."""
+
+    def __init__(self) -> None:
+        self.work_by_engine: list[list[Work]] = [[] for _ in range(ENGINES)]
+        self.done: list[tuple[Work, float]] = []
+
+    def step(self, now: float) -> None:
+        for work in self.work_by_engine:
+            for piece in work[:SLOTS]:
+                if piece.started is None:
+                    piece.started = now
+                piece.left_s -= STEP_S
+            self.done += [(p, now) for p in work if p.left_s <= 0]
+            work[:] = [p for p in work if p.left_s > 0]
+
+
+def run(seconds: float, *, protects_urgent: bool = True) -> Engines:
+    """Plays the pattern with the pacing of one worker."""
+    rng = random.Random(7)
+    engines = Engines()
+    waiting: list[Work] = []
+    held_until = [0.0] * ENGINES
+    for step in range(int(seconds / STEP_S)):
+        now = step * STEP_S
+        rate = 2.0 if now % 6.0 < 3.6 else 9.0
+        for _ in range(ENGINES):
+            if rng.random() < rate * STEP_S:
+                shortest = min(engines.work_by_engine, key=len)
+                shortest.append(Work(False, now, ONLINE_S))
+        if step % int(4.0 / STEP_S) == 0:
+            waiting += [Work(True, now, ITEM_S, now + DUE_S) for _ in range(10)]
+        engines.step(now)
+        if step % PACE_STEPS == 0:
+            pace(engines, waiting, held_until, now, protects_urgent)
+    return engines
+
+
+def pace(
+    engines: Engines,
+    waiting: list[Work],
+    held_until: list[float],
+    now: float,
+    protects_urgent: bool,
+) -> None:
+    def urgent(piece: Work) -> bool:
+        return protects_urgent and is_urgent(piece.due, now)
+
+    places = []
+    for number, work in enumerate(engines.work_by_engine):
+        queued = max(0, len(work) - SLOTS)
+        if queued:
+            held_until[number] = now + HOLD_S
+        yielding = sum(p.is_batch and not urgent(p) for p in work)
+        places.append(
+            Place(
+                str(number),
+                SLOTS,
+                len(work),
+                queued,
+                yielding,
+                held_until[number] > now,
+            )
+        )
+    waiting.sort(key=lambda piece: (piece.due < now, piece.due))
+    pressing = sum(urgent(piece) for piece in waiting)
+    todo = plan(places, pressing, len(waiting) - pressing, 1)
+    for engine, count in todo.stops_by_id.items():
+        work = engines.work_by_engine[int(engine)]
+        mine = [p for p in work if p.is_batch and not urgent(p)]
+        for piece in mine[-count:]:
+            work.remove(piece)
+            waiting.append(piece)
+    for engine in todo.starts:
+        engines.work_by_engine[int(engine)].append(waiting.pop(0))
+
+
+def test_square_wave_leaves_online_requests_in_time_and_batch_when_due() -> (
+    None
+):
+    engines = run(120.0)
+    delays = sorted(
+        (work.started or 0.0) - work.arrived
+        for work, _ in engines.done
+        if not work.is_batch
+    )
+    assert delays[int(len(delays) * 0.95)] <= 0.25, "the sheet's aim is 0.3 s"
+    items = [(work, end) for work, end in engines.done if work.is_batch]
+    assert len(items) >= 200
+    late = sum(end > work.due for work, end in items)
+    assert late <= len(items) * 0.05
+
+
+def test_urgent_items_are_not_stopped_and_start_at_any_free_slot() -> None:
+    full = Place("a", SLOTS, SLOTS + 3, 3, yielding_items=0)
+    last_slot = Place("b", SLOTS, SLOTS - 1, 0, yielding_items=2, is_held=True)
+    todo = plan([full, last_slot], urgent=1, others=5, workers=1)
+    assert todo.starts == ("b",)
+    assert todo.stops_by_id == {}
+
+
+def test_other_items_leave_a_slot_free_and_respect_the_hold() -> None:
+    held = Place("a", SLOTS, 0, 0, yielding_items=0, is_held=True)
+    busy = Place("b", SLOTS, SLOTS - 1, 0, yielding_items=0)
+    assert plan([held, busy], urgent=0, others=9, workers=1).starts == ()
+    calm = Place("c", SLOTS, SLOTS - 3, 0, yielding_items=0)
+    assert plan([calm], urgent=0, others=9, workers=1).starts == ("c", "c")
+
+
+def test_workers_share_the_free_slots_that_all_of_them_see() -> None:
+    places = [Place(n, SLOTS, 0, 0, yielding_items=0) for n in "abcd"]
+    starts = plan(places, urgent=0, others=99, workers=4).starts
+    assert len(starts) == ENGINES * (SLOTS - 1) / 4
+    assert len(set(starts)) == ENGINES, "the emptiest goes first"
+
+
+def test_items_give_way_one_for_each_request_that_waits() -> None:
+    place = Place("a", SLOTS, SLOTS + 2, 2, yielding_items=5)
+    assert plan([place], 0, 9, 1).stops_by_id == {"a": 2}
+
+
+def test_item_that_is_late_already_is_not_urgent() -> None:
+    assert is_urgent(due=10.0, now=5.0)
+    assert not is_urgent(due=10.0, now=10.5)
+    assert not is_urgent(due=30.0, now=5.0)
