--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -14,7 +14,6 @@
 from plumvane.gateway.jobs import JobCalls
 from plumvane.platform.store import PlatformStore
 from plumvane.relay.caller import UpstreamCaller
-from plumvane.relay.reports import LoadPoller
 from plumvane.settings import GatewaySettings
 
 __all__ = ["run"]
@@ -51,7 +50,6 @@
     )
     async with anyio.create_task_group() as group:
         group.start_soon(view.run)
-        group.start_soon(LoadPoller(view).run)
         group.start_soon(server.run)
         group.start_soon(ready_server.run)
         await stopping.wait()
--- a/plumvane/relay/reports.py
+++ b/plumvane/relay/reports.py
@@ -8,7 +8,6 @@
 import httpcore
 
 from plumvane import clock, events
-from plumvane.discovery.view import FleetView
 from plumvane.errors import ProtocolError
 from plumvane.httppool import (
     NETWORK_ERRORS,
@@ -19,13 +18,10 @@
 from plumvane.platform.listing import decode_report
 from plumvane.serving.upstreams import Load, Upstream
 
-__all__ = ["LoadPoller", "ReportReader"]
+__all__ = ["ReportReader"]
 
 # A report that takes longer is left out, in seconds; it needs no slot.
 TIMEOUT_S = 0.15
-# Pause between two readings of all engines' load, in seconds. Online requests
-# begin and end several times a second at each engine.
-POLL_S = 0.2
 
 
 class ReportReader:
@@ -79,33 +75,3 @@
                 events.Event.UPSTREAM_BACK, upstream=upstream.upstream_id
             )
         upstream.take_report(load, clock.monotonic())
-
-
-class LoadPoller:
-    """Keeps the load of all model engines current."""
-
-    def __init__(self, view: FleetView) -> None:
-        """Creates the poller.
-
-        Args:
-            view: Routes and upstreams in force.
-        """
-        self._view = view
-        self._reader = ReportReader()
-
-    async def run(self) -> None:
-        """Reads reports until it is cancelled."""
-        while True:
-            await anyio.sleep(POLL_S)
-            await self._reader.read(self._engines())
-
-    def _engines(self) -> list[Upstream]:
-        routes = self._view.routes
-        if routes is None:
-            return []
-        return [
-            upstream
-            for service in routes.services_by_name.values()
-            if service.is_engine
-            for upstream in self._view.upstreams.ready(service.name)
-        ]
--- a/plumvane/serving/pacing.py
+++ b/plumvane/serving/pacing.py
@@ -5,7 +5,14 @@
 import dataclasses
 from collections.abc import Sequence
 
-__all__ = ["HOLD_S", "Place", "Plan", "is_urgent", "plan"]
+__all__ = [
+    "HOLD_S",
+    "PROTECTED_ITEMS",
+    "Place",
+    "Plan",
+    "is_urgent",
+    "plan",
+]
 
 # Slots of an upstream that batch items leave free for online requests.
 RESERVED_SLOTS = 1
@@ -16,6 +23,8 @@
 # Time before its job is due from which an item counts as urgent, in seconds:
 # the longest items run for about so long.
 URGENT_S = 8.0
+# Urgent items that each worker keeps at an upstream while requests wait there.
+PROTECTED_ITEMS = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +83,7 @@
     An item is stopped for each request that waits in the queue of an
     upstream. Free slots are shared with the other workers, which see the same
     load, so that together they do not take more than there are. Urgent items
-    are not stopped, and start at any free slot.
+    start at any free slot.
 
     Args:
         places: The upstreams of the service.
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -28,7 +28,13 @@
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.assignment import chosen_worker
 from plumvane.serving.jobs import Item, ItemResult, Job
-from plumvane.serving.pacing import HOLD_S, Place, is_urgent, plan
+from plumvane.serving.pacing import (
+    HOLD_S,
+    PROTECTED_ITEMS,
+    Place,
+    is_urgent,
+    plan,
+)
 from plumvane.serving.upstreams import Upstream
 from plumvane.store.base import (
     MAX_TRANSACTION_ENTRIES,
@@ -371,19 +377,24 @@
         return is_urgent(owned.job.due_ms / 1000, clock.wall())
 
     def _yielding_at(self, upstream_id: str) -> list[ItemRun]:
-        """Returns the items at an upstream that may be stopped."""
-        return [
-            run
+        """Returns the items at an upstream that may be stopped, newest first.
+
+        The oldest of the urgent ones stay, up to a bound: if more did, online
+        requests would wait for all of them.
+        """
+        running = [
+            (self._is_urgent(owned), -run.started, run)
             for owned in self._owned_by_id.values()
-            if not self._is_urgent(owned)
             for run in owned.running()
             if run.upstream_id == upstream_id and not run.is_stopping
         ]
+        running.sort(key=lambda entry: entry[:2])
+        urgent = sum(is_urgent for is_urgent, _, _ in running)
+        kept = min(urgent, PROTECTED_ITEMS)
+        return [run for _, _, run in running[: len(running) - kept]]
 
     def _stop_newest(self, upstream_id: str, count: int) -> None:
-        runs = self._yielding_at(upstream_id)
-        runs.sort(key=lambda run: run.started, reverse=True)
-        for run in runs[:count]:
+        for run in self._yielding_at(upstream_id)[:count]:
             self._stop(run)
 
     # Commits
