--- a/plumvane/discovery/mirror.py
+++ b/plumvane/discovery/mirror.py
@@ -93,8 +93,11 @@
         self.loaded.set()
 
     async def _watch(self, revision: int) -> None:
+        # After a failure a watch that waits would not tell when the store is
+        # back, but only when something changes.
+        wait_s = 0.0 if self.is_failing else WATCH_S
         found = await self._store.watch(
-            self._prefix, revision, deadline=clock.monotonic() + WATCH_S
+            self._prefix, revision, deadline=clock.monotonic() + wait_s
         )
         self._take_success()
         for record in found.records:
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,224 @@
+"""What a process believes of the fleet while the store has its faults."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+from plumvane import clock
+from plumvane.discovery import mirror, view
+from plumvane.discovery.view import FleetView
+from plumvane.errors import StoreUnavailableError
+from plumvane.store.base import WatchResult
+from plumvane.store.memory import MemoryStore
+
+OUTER_DEADLINE_S = 20.0
+POLL_S = 0.01
+
+
+class OutageStore(MemoryStore):
+    """A store whose reads and watches can be cut."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_down = False
+        self._cut = anyio.Event()
+
+    def go_down(self) -> None:
+        self.is_down = True
+        self._cut.set()
+        self._cut = anyio.Event()
+
+    async def list(
+        self, prefix: str, *, after_key: str = "", limit: int | None = None
+    ) -> WatchResult:
+        self._check()
+        return await super().list(prefix, after_key=after_key, limit=limit)
+
+    async def watch(
+        self, prefix: str, after_revision: int, *, deadline: float
+    ) -> WatchResult:
+        self._check()
+        cut = self._cut
+        while True:
+            step = min(deadline, clock.monotonic() + POLL_S)
+            found = await super().watch(prefix, after_revision, deadline=step)
+            if cut.is_set():
+                raise StoreUnavailableError("cut")
+            if found.records or clock.monotonic() >= deadline:
+                return found
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise StoreUnavailableError("down", not_run=True)
+
+
+def entry(**fields: Any) -> bytes:
+    values = {
+        "service": "engines",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "slots": 8,
+        "state": "ready",
+        "sequence": 1,
+        **fields,
+    }
+    return json.dumps(values).encode()
+
+
+def configuration(version: int, timeout_ms: int = 5000) -> bytes:
+    route = {
+        "name": "r",
+        "host": "h",
+        "path-prefix": "/p/",
+        "kind": "streaming",
+        "timeout-ms": timeout_ms,
+        "max-attempts": 2,
+        "service": "engines",
+        "resumable": True,
+    }
+    return json.dumps({"version": version, "routes": [route]}).encode()
+
+
+Steps = Callable[[OutageStore, FleetView], Awaitable[None]]
+
+
+def with_view(steps: Steps) -> None:
+    """Runs steps beside a view that follows a store."""
+
+    async def run() -> None:
+        store = OutageStore()
+        await put(store, "op/config", configuration(1))
+        await put(store, "servers/u1", entry())
+        fleet = FleetView(store, "a", random.Random(1))
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(fleet.run)
+                await until(fleet.is_known)
+                await steps(store, fleet)
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def put(store: MemoryStore, key: str, value: bytes) -> None:
+    await store.put(key, value, expected_revision=None)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await anyio.sleep(POLL_S)
+
+
+def is_listed(fleet: FleetView, upstream_id: str) -> bool:
+    return upstream_id in fleet.upstreams.upstreams_by_id
+
+
+def test_drain_is_known_well_within_two_seconds() -> None:
+    async def steps(store: OutageStore, fleet: FleetView) -> None:
+        changed = clock.monotonic()
+        await put(store, "servers/u1", entry(state="draining"))
+        await until(lambda: not fleet.upstreams.ready("engines"))
+        assert clock.monotonic() - changed < 2.0
+
+    with_view(steps)
+
+
+def test_quiet_prefix_is_current_as_soon_as_the_store_is_back() -> None:
+    async def steps(store: OutageStore, fleet: FleetView) -> None:
+        store.go_down()
+        await until(lambda: fleet.operator_keys.is_failing)
+        await anyio.sleep(mirror.OUTAGE_S + 0.5)
+        store.is_down = False
+        back = clock.monotonic()
+        await until(lambda: not fleet.operator_keys.is_failing)
+        assert clock.monotonic() - back < mirror.WATCH_S / 2
+        # A drain long after the return is not taken for a lapsed entry.
+        await anyio.sleep(view.RETURN_S + 0.3)
+        removed = clock.monotonic()
+        await store.delete("servers/u1", expected_revision=None)
+        await until(lambda: not is_listed(fleet, "u1"))
+        assert clock.monotonic() - removed < view.RETURN_S
+
+    with_view(steps)
+
+
+def test_entry_that_lapsed_in_an_outage_serves_until_it_may_be_back() -> None:
+    async def steps(store: OutageStore, fleet: FleetView) -> None:
+        store.go_down()
+        await store.delete("servers/u1", expected_revision=None)
+        await anyio.sleep(mirror.OUTAGE_S + 0.5)
+        store.is_down = False
+        await until(lambda: not fleet.operator_keys.is_failing)
+        await anyio.sleep(1.0)
+        assert is_listed(fleet, "u1")
+        await until(lambda: not is_listed(fleet, "u1"))
+
+    with_view(steps)
+
+
+def test_forgotten_history_is_read_anew() -> None:
+    async def steps(store: OutageStore, fleet: FleetView) -> None:
+        store.go_down()
+        store.is_down = False
+        await store.delete("servers/u1", expected_revision=None)
+        await put(store, "servers/u2", entry(address="10.0.0.2:80"))
+        store.forget_history()
+        await until(lambda: is_listed(fleet, "u2"))
+        await until(lambda: not is_listed(fleet, "u1"))
+
+    with_view(steps)
+
+
+def test_unreadable_entries_name_no_upstream_and_the_others_hold() -> None:
+    async def steps(store: OutageStore, fleet: FleetView) -> None:
+        bad = {
+            "bytes": b"\xff\x00",
+            "partial": b'{"service":"engines"}',
+            "state": entry(state="asleep"),
+            "type": entry(slots="many"),
+            "address": entry(address="somewhere"),
+        }
+        for name, value in bad.items():
+            await put(store, f"servers/{name}", value)
+        await put(store, "servers/u2", entry(address="10.0.0.2:80"))
+        await until(lambda: is_listed(fleet, "u2"))
+        assert set(fleet.upstreams.upstreams_by_id) == {"u1", "u2"}
+
+    with_view(steps)
+
+
+def test_restarted_upstream_forgets_what_was_known_of_it() -> None:
+    async def steps(store: OutageStore, fleet: FleetView) -> None:
+        before = fleet.upstreams.upstreams_by_id["u1"]
+        before.fail(clock.monotonic())
+        await put(store, "servers/u1", entry(born=1234, sequence=1))
+        await until(lambda: fleet.upstreams.upstreams_by_id["u1"] is not before)
+
+    with_view(steps)
+
+
+def test_configuration_never_goes_back_and_unreadable_ones_are_left_out() -> (
+    None
+):
+    async def steps(store: OutageStore, fleet: FleetView) -> None:
+        await put(store, "op/config", configuration(7, 1000))
+        await until(
+            lambda: fleet.routes is not None and fleet.routes.version == 7
+        )
+        await put(store, "op/config", configuration(6, 9000))
+        await put(store, "op/config", b"{}")
+        await put(store, "op/config", configuration(8, 2000))
+        await until(
+            lambda: fleet.routes is not None and fleet.routes.version == 8
+        )
+        assert fleet.routes is not None
+        found = fleet.routes.match("h", "/p/x")
+        assert found is not None
+        assert found.timeout_s == 2.0
+
+    with_view(steps)
