Ask the store through peers while it turns this instance away

RelayedStore repeats reads, and writes that certainly did not happen, at a peer; a cut instance refuses peers at once, and tries the store again at once and every 0.5 s. Peers are found by their keys in the store.

--- /dev/null
+++ b/plumvane/discovery/relayed.py
@@ -0,0 +1,402 @@
+"""The platform's store, through a peer while this instance cannot reach it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import TypeVar
+
+import anyio
+
+from plumvane import clock, events
+from plumvane.discovery.mirror import Mirror
+from plumvane.discovery.registration import Registration
+from plumvane.errors import (
+    DeadlineExceededError,
+    LinkLostError,
+    ProtocolError,
+    StoreUnavailableError,
+)
+from plumvane.peers.link import LinkPool
+from plumvane.peers.messages import Done, Message
+from plumvane.peers.messages.stores import (
+    GrantStoreLease,
+    ReadStore,
+    RenewStoreLease,
+    RevokeStoreLease,
+    StoreLease,
+    StoreRecord,
+    StoreRecords,
+    StoreWrite,
+    StoreWritten,
+    WatchStore,
+    WriteStore,
+)
+from plumvane.peers.server import Call, PeerServer
+from plumvane.store.base import (
+    Lease,
+    Record,
+    Store,
+    TransactionalStore,
+    WatchResult,
+    Write,
+)
+
+__all__ = ["PEER_PREFIX", "RelayedStore"]
+
+PEER_PREFIX = "plumvane/peers/"
+# Entries of peers outlive short outages; a stale one costs one failed call.
+PEER_TTL_S = 10.0
+PEER_RENEW_S = 3.0
+# Time for a peer's reply beyond what it waits itself, in seconds.
+PEER_TIMEOUT_S = 1.0
+# Longest watch through a peer, in seconds.
+PEER_WATCH_S = 2.0
+# Peers that are asked for one call.
+PEERS_ASKED = 2
+# Pause between two tries to reach the store directly, in seconds.
+PROBE_S = 0.5
+# A key that does not exist; reading it shows whether the store answers.
+PROBE_KEY = "plumvane/probe"
+
+T = TypeVar("T")
+R = TypeVar("R", bound=Message)
+Addresses = list[str]
+
+
+class RelayedStore(TransactionalStore):
+    """Calls the store directly, or by a peer that reaches it.
+
+    The store may turn some instances away while it serves the others. Reads
+    that fail are repeated at a peer at once, writes only if it is certain that
+    they did not happen. While the store is out of reach all calls go to peers.
+    """
+
+    def __init__(
+        self,
+        store: TransactionalStore,
+        name: str,
+        address: str,
+        rng: random.Random,
+    ) -> None:
+        """Creates the store.
+
+        Args:
+            store: The platform's store.
+            name: Name of this instance.
+            address: Where peers reach this instance.
+            rng: Chooses peers.
+        """
+        self._direct = store
+        self._own_name = name
+        self._rng = rng
+        self._links = LinkPool(name)
+        self._server = PeerServer(address)
+        self._peers = Mirror(self, PEER_PREFIX, lambda record: None)
+        key = PEER_PREFIX + name
+        self._registration = Registration(
+            self,
+            key,
+            address.encode(),
+            ttl_s=PEER_TTL_S,
+            renew_s=PEER_RENEW_S,
+            is_present=lambda: key in self._peers.records_by_key,
+        )
+        self._cut = anyio.Event()
+        self._handle(ReadStore, self._serve_read)
+        self._handle(WatchStore, self._serve_watch)
+        self._handle(WriteStore, self._serve_write)
+        self._handle(GrantStoreLease, self._serve_grant)
+        self._handle(RenewStoreLease, self._serve_renew)
+        self._handle(RevokeStoreLease, self._serve_revoke)
+
+    async def run(self) -> None:
+        """Serves peers, finds them and watches the way to the store."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._links.run)
+            group.start_soon(self._server.run)
+            group.start_soon(self._peers.run)
+            group.start_soon(self._registration.run)
+            group.start_soon(self._probe)
+
+    # Calls of this instance
+
+    async def get(self, key: str) -> Record | None:
+        """See base class."""
+        message = ReadStore(key)
+
+        async def ask() -> Record | None:
+            reply = await self._ask(message, StoreRecords)
+            return _record(reply.records[0]) if reply.records else None
+
+        return await self._read(lambda: self._direct.get(key), ask)
+
+    async def list(
+        self, prefix: str, *, after_key: str = "", limit: int | None = None
+    ) -> WatchResult:
+        """See base class."""
+        message = ReadStore(prefix, True, after_key, limit)
+
+        async def ask() -> WatchResult:
+            return _result(await self._ask(message, StoreRecords))
+
+        return await self._read(
+            lambda: self._direct.list(prefix, after_key=after_key, limit=limit),
+            ask,
+        )
+
+    async def watch(
+        self, prefix: str, after_revision: int, *, deadline: float
+    ) -> WatchResult:
+        """See base class; through a peer it ends early."""
+
+        async def ask() -> WatchResult:
+            wait_s = min(clock.remaining(deadline), PEER_WATCH_S)
+            message = WatchStore(prefix, after_revision, clock.wall() + wait_s)
+            return _result(await self._ask(message, StoreRecords, wait_s))
+
+        return await self._read(
+            lambda: self._direct.watch(
+                prefix, after_revision, deadline=deadline
+            ),
+            ask,
+        )
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_revision: int | None,
+        lease_id: str | None = None,
+    ) -> int:
+        """See base class."""
+        expected = {} if expected_revision is None else {key: expected_revision}
+        return await self.transact(
+            [Write(key, value, lease_id)], expected_by_key=expected
+        )
+
+    async def delete(self, key: str, *, expected_revision: int | None) -> None:
+        """See base class."""
+        expected = {} if expected_revision is None else {key: expected_revision}
+        await self.transact([Write(key, None)], expected_by_key=expected)
+
+    async def transact(
+        self, writes: Sequence[Write], *, expected_by_key: Mapping[str, int]
+    ) -> int:
+        """See base class."""
+        message = WriteStore(
+            tuple(StoreWrite(w.key, w.value, w.lease_id) for w in writes),
+            dict(expected_by_key),
+        )
+
+        async def ask() -> int:
+            return (await self._ask(message, StoreWritten)).revision
+
+        return await self._write(
+            lambda: self._direct.transact(
+                writes, expected_by_key=expected_by_key
+            ),
+            ask,
+        )
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """See base class."""
+
+        async def ask() -> Lease:
+            return _lease(await self._ask(GrantStoreLease(ttl_s), StoreLease))
+
+        return await self._write(lambda: self._direct.grant_lease(ttl_s), ask)
+
+    async def renew_lease(self, lease_id: str) -> Lease:
+        """See base class."""
+
+        async def ask() -> Lease:
+            message = RenewStoreLease(lease_id)
+            return _lease(await self._ask(message, StoreLease))
+
+        return await self._read(lambda: self._direct.renew_lease(lease_id), ask)
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """See base class."""
+
+        async def ask() -> None:
+            await self._ask(RevokeStoreLease(lease_id), Done)
+
+        await self._read(lambda: self._direct.revoke_lease(lease_id), ask)
+
+    # The way to the store
+
+    async def _read(
+        self,
+        direct: Callable[[], Awaitable[T]],
+        ask: Callable[[], Awaitable[T]],
+    ) -> T:
+        if not self._cut.is_set():
+            try:
+                return await direct()
+            except StoreUnavailableError as error:
+                self._take_cut(error)
+        return await ask()
+
+    async def _write(
+        self,
+        direct: Callable[[], Awaitable[T]],
+        ask: Callable[[], Awaitable[T]],
+    ) -> T:
+        if not self._cut.is_set():
+            try:
+                return await direct()
+            except StoreUnavailableError as error:
+                self._take_cut(error)
+                if not error.not_run:
+                    raise
+        return await ask()
+
+    def _take_cut(self, error: StoreUnavailableError) -> None:
+        if not self._cut.is_set():
+            self._cut.set()
+            events.log(events.Event.STORE_CUT, error=error.detail)
+
+    async def _probe(self) -> None:
+        while True:
+            await self._cut.wait()
+            # The first try is made at once: the store cuts watches that wait
+            # and serves on.
+            if await self._reaches_store():
+                self._cut = anyio.Event()
+                events.log(events.Event.STORE_REACHED)
+            else:
+                await anyio.sleep(PROBE_S)
+
+    async def _reaches_store(self) -> bool:
+        try:
+            await self._direct.get(PROBE_KEY)
+        except StoreUnavailableError:
+            return False
+        return True
+
+    async def _ask(
+        self, message: Message, kind: type[R], wait_s: float = 0.0
+    ) -> R:
+        """Has a peer make a call.
+
+        Raises:
+            StoreUnavailableError: No peer reaches the store; unless
+                `not_run`, a peer may have made the call.
+        """
+        is_certain = True
+        peers = self._known_peers()
+        for address in self._rng.sample(peers, min(PEERS_ASKED, len(peers))):
+            deadline = clock.monotonic() + wait_s + PEER_TIMEOUT_S
+            try:
+                reply = await self._links.call(
+                    address, message, deadline=deadline
+                )
+            except StoreUnavailableError as error:
+                is_certain = is_certain and error.not_run
+            except (DeadlineExceededError, LinkLostError):
+                is_certain = False
+            else:
+                if not isinstance(reply, kind):
+                    raise ProtocolError(f"{type(reply).__name__} from a peer.")
+                return reply
+            if isinstance(message, WriteStore) and not is_certain:
+                break
+        raise StoreUnavailableError(
+            f"Neither the store nor {len(peers)} known peers answer.",
+            not_run=is_certain,
+        )
+
+    def _known_peers(self) -> Addresses:
+        own = PEER_PREFIX + self._own_name
+        return [
+            record.value.decode()
+            for key, record in self._peers.records_by_key.items()
+            if key != own
+        ]
+
+    # Calls of peers
+
+    def _handle(
+        self,
+        kind: type[R],
+        serve: Callable[[Store, R], Awaitable[Message]],
+    ) -> None:
+        async def handle(call: Call, message: R) -> Message:
+            if self._cut.is_set():
+                raise StoreUnavailableError(
+                    "This instance does not reach the store.", not_run=True
+                )
+            return await serve(self._direct, message)
+
+        self._server.handle(kind, handle)
+
+    @staticmethod
+    async def _serve_read(store: Store, message: ReadStore) -> Message:
+        if message.is_prefix:
+            found = await store.list(
+                message.key, after_key=message.after_key, limit=message.limit
+            )
+            return _records(found)
+        record = await store.get(message.key)
+        return StoreRecords(() if record is None else (_sent(record),))
+
+    @staticmethod
+    async def _serve_watch(store: Store, message: WatchStore) -> Message:
+        wait_s = min(message.deadline - clock.wall(), PEER_WATCH_S)
+        found = await store.watch(
+            message.prefix,
+            message.after_revision,
+            deadline=clock.monotonic() + max(0.0, wait_s),
+        )
+        return _records(found)
+
+    async def _serve_write(self, store: Store, message: WriteStore) -> Message:
+        del store
+        revision = await self._direct.transact(
+            [Write(w.key, w.value, w.lease_id) for w in message.writes],
+            expected_by_key=message.expected_by_key,
+        )
+        return StoreWritten(revision)
+
+    @staticmethod
+    async def _serve_grant(store: Store, message: GrantStoreLease) -> Message:
+        return _sent_lease(await store.grant_lease(message.ttl_s))
+
+    @staticmethod
+    async def _serve_renew(store: Store, message: RenewStoreLease) -> Message:
+        return _sent_lease(await store.renew_lease(message.lease_id))
+
+    @staticmethod
+    async def _serve_revoke(store: Store, message: RevokeStoreLease) -> Message:
+        await store.revoke_lease(message.lease_id)
+        return Done()
+
+
+def _sent(record: Record) -> StoreRecord:
+    return StoreRecord(
+        record.key, record.value, record.revision, record.deleted
+    )
+
+
+def _record(sent: StoreRecord) -> Record:
+    return Record(sent.key, sent.value, sent.revision, sent.deleted)
+
+
+def _records(found: WatchResult) -> StoreRecords:
+    return StoreRecords(tuple(map(_sent, found.records)), found.revision)
+
+
+def _result(reply: StoreRecords) -> WatchResult:
+    return WatchResult(tuple(map(_record, reply.records)), reply.revision)
+
+
+def _sent_lease(lease: Lease) -> StoreLease:
+    wait_s = clock.remaining(lease.deadline)
+    return StoreLease(lease.lease_id, clock.wall() + wait_s)
+
+
+def _lease(reply: StoreLease) -> Lease:
+    wait_s = reply.deadline - clock.wall()
+    return Lease(reply.lease_id, clock.monotonic() + wait_s)
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -6,13 +6,15 @@
 
 import anyio
 
-from plumvane import process, web
+from plumvane import web
 from plumvane.batch.jobstore import JobStore
+from plumvane.discovery.relayed import RelayedStore
 from plumvane.discovery.view import FleetView
 from plumvane.gateway.app import GatewayApp, ReadyApp
 from plumvane.gateway.forwarder import Forwarder
 from plumvane.gateway.jobs import JobCalls
 from plumvane.platform.store import PlatformStore
+from plumvane.process import run_program
 from plumvane.relay.caller import UpstreamCaller
 from plumvane.settings import GatewaySettings
 
@@ -25,7 +27,7 @@
 
 def run() -> None:
     """Runs the program."""
-    process.run_program(GatewaySettings, serve)
+    run_program(GatewaySettings, serve)
 
 
 async def serve(settings: GatewaySettings, stopping: anyio.Event) -> None:
@@ -36,8 +38,14 @@
         stopping: Set when the process is to stop.
     """
     rng = random.Random()
-    store = PlatformStore(settings.store.url)
-    view = FleetView(store, settings.process.data_centre, rng)
+    process = settings.process
+    store = RelayedStore(
+        PlatformStore(settings.store.url),
+        process.name,
+        str(settings.peers.address),
+        rng,
+    )
+    view = FleetView(store, process.data_centre, rng)
     forwarder = Forwarder(view, UpstreamCaller(), rng)
     app = GatewayApp(view, forwarder, JobCalls(JobStore(store)))
     ready = ReadyApp(view)
@@ -49,6 +57,7 @@
         ready, web.bind(balancer.address.host, balancer.address.port)
     )
     async with anyio.create_task_group() as group:
+        group.start_soon(store.run)
         group.start_soon(view.run)
         group.start_soon(server.run)
         group.start_soon(ready_server.run)
--- a/plumvane/peers/messages/codec.py
+++ b/plumvane/peers/messages/codec.py
@@ -16,13 +16,14 @@
     partitions,
     requests,
     runs,
+    stores,
 )
 from plumvane.peers.messages.base import Message
 
 __all__ = ["decode", "encode"]
 
 # Each module registers its messages as subclasses when it is imported.
-MODULES = (chunks, instances, jobs, orders, partitions, requests, runs)
+MODULES = (chunks, instances, jobs, orders, partitions, requests, runs, stores)
 
 _Union: Any = functools.reduce(operator.or_, Message.__subclasses__())
 _decoder = msgspec.msgpack.Decoder(_Union)
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -291,9 +291,11 @@
 
     Attributes:
         store: Section [store].
+        peers: Section [peers]: where other instances reach this one.
     """
 
     store: StoreSection
+    peers: AddressSection
 
 
 class GatewaySettings(WorkerSettings):
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -6,9 +6,10 @@
 
 import anyio
 
-from plumvane import process
+from plumvane.discovery.relayed import RelayedStore
 from plumvane.discovery.view import FleetView
 from plumvane.platform.store import PlatformStore
+from plumvane.process import run_program
 from plumvane.settings import WorkerSettings
 from plumvane.worker.worker import Worker
 
@@ -21,7 +22,7 @@
 
 def run() -> None:
     """Runs the program."""
-    process.run_program(WorkerSettings, serve)
+    run_program(WorkerSettings, serve)
 
 
 async def serve(settings: WorkerSettings, stopping: anyio.Event) -> None:
@@ -32,10 +33,17 @@
         stopping: Set when the process is to stop.
     """
     rng = random.Random()
-    store = PlatformStore(settings.store.url)
-    view = FleetView(store, settings.process.data_centre, rng)
-    worker = Worker(settings.process.name, store, view, rng)
+    process = settings.process
+    store = RelayedStore(
+        PlatformStore(settings.store.url),
+        process.name,
+        str(settings.peers.address),
+        rng,
+    )
+    view = FleetView(store, process.data_centre, rng)
+    worker = Worker(process.name, store, view, rng)
     async with anyio.create_task_group() as group:
+        group.start_soon(store.run)
         group.start_soon(view.run)
         group.start_soon(worker.run)
         await stopping.wait()
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -17,6 +17,7 @@
     JobStore,
 )
 from plumvane.discovery.mirror import Mirror
+from plumvane.discovery.registration import Registration
 from plumvane.discovery.view import FleetView
 from plumvane.errors import (
     ConflictError,
@@ -80,7 +81,6 @@
         """
         self._name = name
         self._incarnation = f"{name}/{secrets.token_hex(4)}"
-        self._store = store
         self._jobs = JobStore(store)
         self._view = view
         self._rng = rng
@@ -95,13 +95,24 @@
         self._claiming_ids: set[str] = set()
         self._held_until_by_id: dict[str, float] = {}
         self._is_leaving = False
-        self._lease_id: str | None = None
+        self._registration = Registration(
+            store,
+            WORKER_PREFIX + name,
+            self._incarnation.encode(),
+            ttl_s=LEASE_TTL_S,
+            renew_s=RENEW_S,
+            is_present=self._is_registered,
+        )
+
+    def _is_registered(self) -> bool:
+        found = self._incarnations_by_name.get(self._name)
+        return found == self._incarnation
 
     async def run(self) -> None:
         """Works until it is cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._live.run)
-            group.start_soon(self._keep_registered)
+            group.start_soon(self._registration.run)
             group.start_soon(self._claim_jobs, group)
             group.start_soon(self._pace, group)
             group.start_soon(self._commit_results)
@@ -114,8 +125,7 @@
                 self._stop(run)
         for owned in list(self._owned_by_id.values()):
             await self._release(owned)
-        if self._lease_id is not None:
-            await self._store.revoke_lease(self._lease_id)
+        await self._registration.end()
 
     async def _release(self, owned: OwnedJob) -> None:
         owned.job.owner = ""
@@ -129,36 +139,6 @@
             )
         self._drop(owned, "this worker leaves")
 
-    # Registration
-
-    async def _keep_registered(self) -> None:
-        while not self._is_leaving:
-            try:
-                await self._register_or_renew()
-                await anyio.sleep(RENEW_S)
-            except NotFoundError as error:
-                self._lease_id = None
-                events.log(events.Event.LEASE_LOST, error=error.detail)
-            except PlumvaneError:
-                await anyio.sleep(STORE_RETRY_S)
-
-    async def _register_or_renew(self) -> None:
-        is_listed = (
-            self._incarnations_by_name.get(self._name) == self._incarnation
-        )
-        if self._lease_id is not None and is_listed:
-            await self._store.renew_lease(self._lease_id)
-            return
-        if self._lease_id is None:
-            lease = await self._store.grant_lease(LEASE_TTL_S)
-            self._lease_id = lease.lease_id
-        await self._store.put(
-            WORKER_PREFIX + self._name,
-            self._incarnation.encode(),
-            expected_revision=None,
-            lease_id=self._lease_id,
-        )
-
     # Heads and workers
 
     def _take_change(self, record: Record) -> None:
