Hand jobs over with their progress, retire on request; test the adapter

A worker that leaves stops its items, leaves their texts in the store with the heads, and ends its registration; the next owners resume them.

--- a/plumvane/batch/jobstore.py
+++ b/plumvane/batch/jobstore.py
@@ -9,11 +9,14 @@
 from plumvane.errors import ConflictError, NotFoundError
 from plumvane.serving.jobs import (
     Item,
+    ItemProgress,
     ItemResult,
     Job,
     decode_items,
+    decode_progress,
     decode_result,
     encode_items,
+    encode_progress,
     encode_result,
     pack_items,
 )
@@ -35,6 +38,7 @@
 WORKER_PREFIX = LIVE_PREFIX + "workers/"
 _ITEM_PREFIX = "plumvane/items/"
 _RESULT_PREFIX = "plumvane/results/"
+_PROGRESS_PREFIX = "plumvane/progress/"
 
 
 def results_prefix(job_id: str) -> str:
@@ -58,16 +62,18 @@
         job: The job as it is to be.
         revision: Revision of the head that it is based on.
         results_by_position: New results.
+        progress: Progress of items that is left for the next owner.
     """
 
     job: Job
     revision: int
     results_by_position: dict[int, ItemResult]
+    progress: list[ItemProgress] = dataclasses.field(default_factory=list)
 
     @property
     def entries(self) -> int:
         """Entries that it takes in a transaction."""
-        return 2 + len(self.results_by_position)
+        return 2 + len(self.results_by_position) + bool(self.progress)
 
 
 class JobStore:
@@ -133,6 +139,17 @@
             raise NotFoundError(f"Items of job {job.job_id} are missing.")
         return decode_items(record.value)
 
+    async def progress(self, job: Job) -> list[ItemProgress]:
+        """Returns the progress that a job's last owner left.
+
+        Raises:
+            StoreUnavailableError: No answer.
+        """
+        if not job.has_progress:
+            return []
+        record = await self._store.get(_PROGRESS_PREFIX + job.job_id)
+        return [] if record is None else decode_progress(record.value)
+
     async def results(self, job_id: str) -> tuple[dict[int, ItemResult], int]:
         """Returns a job's results by position, and the store's revision."""
         found = await self._store.list(results_prefix(job_id))
@@ -182,6 +199,9 @@
             for position, result in commit.results_by_position.items():
                 key = _result_key(commit.job.job_id, position)
                 writes.append(Write(key, encode_result(result)))
+            if commit.progress:
+                key = _PROGRESS_PREFIX + commit.job.job_id
+                writes.append(Write(key, encode_progress(commit.progress)))
         return await self._store.transact(
             writes, expected_by_key=expected_by_key
         )
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -32,11 +32,7 @@
     """Follows the operators' keys and the upstreams' entries."""
 
     def __init__(
-        self,
-        store: Store,
-        data_centre: str,
-        rng: random.Random,
-        on_operator_change: Callable[[Record], None] = lambda record: None,
+        self, store: Store, data_centre: str, rng: random.Random
     ) -> None:
         """Creates an empty view.
 
@@ -44,11 +40,11 @@
             store: The platform's store.
             data_centre: Data centre of this process.
             rng: Breaks ties.
-            on_operator_change: Told each change of the operators' other keys.
         """
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamTable(data_centre, rng)
-        self._on_operator_change = on_operator_change
+        # Told each change of the operators' keys beside the configuration.
+        self.on_operator_change: Callable[[Record], None] = _ignore
         self.operator_keys = Mirror(store, "op/", self._take_operator_key)
         self._entries = Mirror(
             store,
@@ -86,7 +82,7 @@
         if record.key == names.CONFIGURATION_KEY:
             self._take_configuration(record)
         else:
-            self._on_operator_change(record)
+            self.on_operator_change(record)
 
     def _take_configuration(self, record: Record) -> None:
         if record.deleted:
@@ -155,3 +151,7 @@
                 service=gone.listed.service,
                 reason="entry removed",
             )
+
+
+def _ignore(record: Record) -> None:
+    """Takes a change that this process has no use for."""
--- a/plumvane/serving/jobs.py
+++ b/plumvane/serving/jobs.py
@@ -6,12 +6,15 @@
 
 __all__ = [
     "Item",
+    "ItemProgress",
     "ItemResult",
     "Job",
     "Submission",
     "decode_items",
+    "decode_progress",
     "decode_result",
     "encode_items",
+    "encode_progress",
     "encode_result",
     "pack_items",
 ]
@@ -64,6 +67,20 @@
     text: str
 
 
+class ItemProgress(msgspec.Struct, frozen=True):
+    """How far an item is that its worker has handed over.
+
+    Attributes:
+        item_id: Identifier of the item.
+        last_event_id: Number of the last event that it has.
+        texts: Data of the events that it has.
+    """
+
+    item_id: str
+    last_event_id: int
+    texts: list[str]
+
+
 class Job(msgspec.Struct):
     """Head of a batch job; its items and results have keys of their own.
 
@@ -84,6 +101,7 @@
         is_ended: Whether its caller has ended it.
         listed_ids: Identifiers of the items with a result, by position.
         failures_by_id: Failed runs by item.
+        has_progress: Whether the last owner left the progress of its items.
     """
 
     job_id: str
@@ -98,6 +116,7 @@
     is_ended: bool = False
     listed_ids: list[str] = []
     failures_by_id: dict[str, int] = {}
+    has_progress: bool = False
 
     def is_open(self) -> bool:
         """Returns whether items may still get results."""
@@ -142,6 +161,7 @@
 _encoder = msgspec.msgpack.Encoder()
 _job_decoder = msgspec.msgpack.Decoder(Job)
 _items_decoder = msgspec.msgpack.Decoder(list[Item])
+_progress_decoder = msgspec.msgpack.Decoder(list[ItemProgress])
 _result_decoder = msgspec.msgpack.Decoder(ItemResult)
 
 
@@ -185,3 +205,13 @@
 def decode_result(value: bytes) -> ItemResult:
     """Reads a result from the store's value."""
     return _result_decoder.decode(value)
+
+
+def encode_progress(progress: list[ItemProgress]) -> bytes:
+    """Returns the progress of a job's items as a value for the store."""
+    return _encoder.encode(progress)
+
+
+def decode_progress(value: bytes) -> list[ItemProgress]:
+    """Reads the progress of a job's items from the store's value."""
+    return _progress_decoder.decode(value)
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -42,6 +42,7 @@
     )
     view = FleetView(store, process.data_centre, rng)
     worker = Worker(process.name, store, view, rng)
+    view.on_operator_change = worker.take_operator_change
     async with anyio.create_task_group() as group:
         group.start_soon(store.run)
         group.start_soon(view.run)
--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Sequence
 
 import anyio
 
-from plumvane.serving.jobs import Item, ItemResult, Job
+from plumvane.batch.jobstore import Commit
+from plumvane.serving.jobs import Item, ItemProgress, ItemResult, Job
 
 __all__ = ["ItemRun", "OwnedJob"]
 
@@ -41,13 +43,20 @@
 class OwnedJob:
     """A job's head as this worker last wrote or read it, and its runs."""
 
-    def __init__(self, job: Job, revision: int, items: list[Item]) -> None:
+    def __init__(
+        self,
+        job: Job,
+        revision: int,
+        items: list[Item],
+        progress: Sequence[ItemProgress] = (),
+    ) -> None:
         """Takes a job over.
 
         Args:
             job: Its head.
             revision: Revision of the head.
             items: All its items.
+            progress: How far some of them are.
         """
         self.job = job
         self.revision = revision
@@ -59,6 +68,19 @@
             for item in items
             if item.item_id in unlisted
         }
+        for left in progress:
+            run = self.runs_by_id.get(left.item_id)
+            if run is not None:
+                run.texts = list(left.texts)
+                run.last_event_id = left.last_event_id
+
+    def progress(self) -> list[ItemProgress]:
+        """Returns how far the items are that have no outcome yet."""
+        return [
+            ItemProgress(run.item.item_id, run.last_event_id, run.texts)
+            for run in self.runs_by_id.values()
+            if run.last_event_id is not None and not run.is_done
+        ]
 
     def waiting(self, now: float) -> list[ItemRun]:
         """Returns the items that could start, those with progress first."""
@@ -100,3 +122,21 @@
                 run.scope.cancel()
         listed = set(job.listed_ids)
         self.outcomes = [o for o in self.outcomes if o.item_id not in listed]
+
+    def take_commit(
+        self, commit: Commit, revision: int, taken: Sequence[ItemResult]
+    ) -> None:
+        """Takes in that results were written.
+
+        Args:
+            commit: What was written.
+            revision: Revision of the head.
+            taken: Outcomes that were in it.
+        """
+        taken_ids = {result.item_id for result in taken}
+        self.job = commit.job
+        self.revision = revision
+        self.has_unsaved_failures = False
+        self.outcomes = [o for o in self.outcomes if o.item_id not in taken_ids]
+        for item_id in taken_ids:
+            self.runs_by_id.pop(item_id, None)
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -4,6 +4,7 @@
 
 import random
 import secrets
+from collections.abc import Sequence
 
 import anyio
 import anyio.abc
@@ -25,10 +26,15 @@
     PlumvaneError,
     StoreUnavailableError,
 )
+from plumvane.platform.retirement import (
+    RetireState,
+    retire_status,
+    retired_instance,
+)
 from plumvane.relay.caller import UpstreamCaller
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.assignment import chosen_worker
-from plumvane.serving.jobs import Item, ItemResult, Job
+from plumvane.serving.jobs import Item, ItemProgress, ItemResult, Job
 from plumvane.serving.pacing import (
     HOLD_S,
     PROTECTED_ITEMS,
@@ -59,6 +65,11 @@
 # How long results are gathered for one transaction, in seconds.
 COMMIT_S = 0.25
 STORE_RETRY_S = 0.3
+# Pause between two looks whether stopped items have ended, in seconds.
+STOP_POLL_S = 0.02
+# Results in one transaction, beside the head's condition, the head and the
+# progress.
+MAX_RESULTS = MAX_TRANSACTION_ENTRIES - 3
 
 
 class Worker:
@@ -81,7 +92,9 @@
         """
         self._name = name
         self._incarnation = f"{name}/{secrets.token_hex(4)}"
+        self._store = store
         self._jobs = JobStore(store)
+        self._retiring = anyio.Event()
         self._view = view
         self._rng = rng
         self._live = Mirror(
@@ -116,13 +129,19 @@
             group.start_soon(self._claim_jobs, group)
             group.start_soon(self._pace, group)
             group.start_soon(self._commit_results)
+            group.start_soon(self._retire_when_asked)
 
     async def leave(self) -> None:
-        """Stops all items and hands the jobs to other workers."""
+        """Stops all items and hands the jobs to other workers.
+
+        What the items have so far is left in the store for the next owners.
+        """
         self._is_leaving = True
         for owned in self._owned_by_id.values():
             for run in owned.running():
                 self._stop(run)
+        while any(owned.running() for owned in self._owned_by_id.values()):
+            await anyio.sleep(STOP_POLL_S)
         for owned in list(self._owned_by_id.values()):
             await self._release(owned)
         await self._registration.end()
@@ -130,15 +149,39 @@
     async def _release(self, owned: OwnedJob) -> None:
         owned.job.owner = ""
         try:
-            await self._commit([owned])
+            await self._commit(owned, owned.progress())
         except PlumvaneError as error:
-            events.log(
-                events.Event.COMMIT_DELAYED,
-                job=owned.job.job_id,
-                error=str(error),
-            )
+            self._log_delay(owned, error)
         self._drop(owned, "this worker leaves")
 
+    def take_operator_change(self, record: Record) -> None:
+        """Takes in a change of the operators' keys."""
+        if retired_instance(record.key) == self._name and not record.deleted:
+            self._retiring.set()
+
+    async def _retire_when_asked(self) -> None:
+        """Hands the work over when the operators want the instance empty."""
+        await self._retiring.wait()
+        events.log(events.Event.RETIRE_STARTED)
+        await self._write_retire_status(RetireState.RUNNING)
+        await self.leave()
+        await self._write_retire_status(RetireState.COMPLETED)
+        events.log(events.Event.RETIRE_COMPLETED)
+
+    async def _write_retire_status(self, state: RetireState) -> None:
+        key, value = retire_status(self._name, state)
+        while True:
+            try:
+                await self._store.put(key, value, expected_revision=None)
+                return
+            except StoreUnavailableError as error:
+                events.log(
+                    events.Event.REGISTRATION_DELAYED,
+                    key=key,
+                    error=error.detail,
+                )
+                await anyio.sleep(STORE_RETRY_S)
+
     # Heads and workers
 
     def _take_change(self, record: Record) -> None:
@@ -217,7 +260,8 @@
             job.owner = self._incarnation
             revision = await self._jobs.commit([Commit(job, revision, {})])
             items = await self._items(job)
-            self._owned_by_id[job_id] = OwnedJob(job, revision, items)
+            progress = await self._jobs.progress(job)
+            self._owned_by_id[job_id] = OwnedJob(job, revision, items, progress)
             events.log(
                 events.Event.JOB_CLAIMED,
                 job=job_id,
@@ -225,6 +269,7 @@
                 owner_before=before,
                 listed=len(job.listed_ids),
                 items=len(job.item_ids),
+                in_progress=len(progress),
                 age_s=round(clock.wall() - job.submitted_ms / 1000, 2),
             )
         except ConflictError:
@@ -392,7 +437,7 @@
 
     async def _commit_or_reload(self, owned: OwnedJob) -> None:
         try:
-            await self._commit([owned])
+            await self._commit(owned)
         except ConflictError:
             events.log(
                 events.Event.COMMIT_CONFLICT,
@@ -401,62 +446,46 @@
             )
             await self._reload_owned(owned)
         except PlumvaneError as error:
-            events.log(
-                events.Event.COMMIT_DELAYED,
-                job=owned.job.job_id,
-                outcomes=len(owned.outcomes),
-                error=str(error),
-            )
+            self._log_delay(owned, error)
             await anyio.sleep(STORE_RETRY_S)
             await self._reload_owned(owned)
         if not owned.job.is_open():
             self._drop(owned, "the job is not open")
 
-    async def _commit(self, changed: list[OwnedJob]) -> None:
-        """Writes jobs' new results; on errors nothing is taken in here."""
-        commits: list[Commit] = []
-        taken_by_id: dict[str, list[ItemResult]] = {}
-        room = MAX_TRANSACTION_ENTRIES
-        for owned in changed:
-            job = Job.decode(owned.job.encode())
-            results: dict[int, ItemResult] = {}
-            taken = owned.outcomes[: room - 2]
-            for result in taken:
-                position = job.list_result(result.item_id)
-                if position is not None:
-                    results[position] = result
-            commits.append(Commit(job, owned.revision, results))
-            taken_by_id[job.job_id] = taken
-            room -= commits[-1].entries
-        revision = await self._jobs.commit(commits)
-        for owned, commit in zip(changed, commits, strict=True):
-            self._take_commit(owned, commit, revision, taken_by_id)
-
-    def _take_commit(
-        self,
-        owned: OwnedJob,
-        commit: Commit,
-        revision: int,
-        taken_by_id: dict[str, list[ItemResult]],
+    async def _commit(
+        self, owned: OwnedJob, progress: Sequence[ItemProgress] = ()
     ) -> None:
-        job_id = commit.job.job_id
-        taken = {result.item_id for result in taken_by_id[job_id]}
-        owned.job = commit.job
-        owned.revision = revision
-        owned.has_unsaved_failures = False
-        owned.outcomes = [o for o in owned.outcomes if o.item_id not in taken]
-        for item_id in taken:
-            owned.runs_by_id.pop(item_id, None)
-        for position, result in commit.results_by_position.items():
+        """Writes a job's new results; on errors nothing is taken in here."""
+        job = Job.decode(owned.job.encode())
+        job.has_progress = bool(progress)
+        results: dict[int, ItemResult] = {}
+        taken = owned.outcomes[:MAX_RESULTS]
+        for result in taken:
+            position = job.list_result(result.item_id)
+            if position is not None:
+                results[position] = result
+        commit = Commit(job, owned.revision, results, list(progress))
+        revision = await self._jobs.commit([commit])
+        owned.take_commit(commit, revision, taken)
+        for position, result in results.items():
             events.log(
                 events.Event.ITEM_LISTED,
-                job=job_id,
+                job=job.job_id,
                 item=result.item_id,
                 position=position,
                 completed=result.is_completed,
                 revision=revision,
             )
 
+    @staticmethod
+    def _log_delay(owned: OwnedJob, error: PlumvaneError) -> None:
+        events.log(
+            events.Event.COMMIT_DELAYED,
+            job=owned.job.job_id,
+            outcomes=len(owned.outcomes),
+            error=str(error),
+        )
+
     async def _reload_owned(self, owned: OwnedJob) -> None:
         """Reads the head again after a write whose outcome is not certain."""
         job_id = owned.job.job_id
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,4 @@
-"""Contract of the store, the same for the Memory twin and over HTTP."""
+"""Contract of the store: the Memory twin, over HTTP, and the platform's."""
 
 from __future__ import annotations
 
@@ -18,10 +18,13 @@
     NotFoundError,
     StoreUnavailableError,
 )
+from plumvane.platform.store import PlatformStore
 from plumvane.store.base import (
     ABSENT,
     MAX_VALUE_BYTES,
     Store,
+    TransactionalStore,
+    Write,
     list_pages,
 )
 from plumvane.store.http import HttpStore
@@ -38,6 +41,7 @@
     with tempfile.TemporaryDirectory() as folder:
         with Fleet(pathlib.Path(folder)) as fleet:
             fleet.start_standin("store", "store")
+            fleet.start_standin("platform-store", "platform_store")
             fleet.wait_started()
             yield fleet
 
@@ -51,8 +55,17 @@
         await store.aclose()
 
 
-def for_both_stores(check: Check) -> Callable[[], None]:
-    """Makes a test that checks the Memory twin, then the HTTP adapter."""
+@contextlib.asynccontextmanager
+async def platform_store(fleet: Fleet) -> AsyncIterator[PlatformStore]:
+    store = PlatformStore(fleet["platform-store"].url)
+    try:
+        yield store
+    finally:
+        await store.aclose()
+
+
+def for_all_stores(check: Check) -> Callable[[], None]:
+    """Makes a test that checks the Memory twin, then both HTTP adapters."""
 
     async def check_memory() -> None:
         with anyio.fail_after(OUTER_DEADLINE_S):
@@ -63,11 +76,17 @@
             async with http_store(fleet) as store:
                 await check(store)
 
+    async def check_platform(fleet: Fleet) -> None:
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with platform_store(fleet) as store:
+                await check(store)
+
     @functools.wraps(check)
     def test() -> None:
         anyio.run(check_memory)
         with store_standin() as fleet:
             anyio.run(check_http, fleet)
+            anyio.run(check_platform, fleet)
 
     del test.__wrapped__  # type: ignore[attr-defined]
     return test
@@ -82,7 +101,7 @@
     raise AssertionError(f"{kind.__name__} was not raised")
 
 
-@for_both_stores
+@for_all_stores
 async def test_compare_and_swap(store: Store) -> None:
     first = await store.put("a/1", b"one", expected_revision=ABSENT)
     with raises(ConflictError):
@@ -98,7 +117,7 @@
     assert (record.value, record.revision) == (b"two", second)
 
 
-@for_both_stores
+@for_all_stores
 async def test_deleted_key_is_absent(store: Store) -> None:
     first = await store.put("a/1", b"one", expected_revision=ABSENT)
     await store.delete("a/1", expected_revision=first)
@@ -109,7 +128,7 @@
     assert await store.put("a/1", b"new", expected_revision=ABSENT) > first
 
 
-@for_both_stores
+@for_all_stores
 async def test_list_by_pages(store: Store) -> None:
     keys = [f"p/{number:02}" for number in range(7)]
     for key in reversed(keys):
@@ -120,7 +139,7 @@
     assert [record.key for page in pages for record in page] == keys
 
 
-@for_both_stores
+@for_all_stores
 async def test_value_over_the_limit_is_refused(store: Store) -> None:
     value = b"x" * MAX_VALUE_BYTES
     await store.put("a", value, expected_revision=None)
@@ -128,7 +147,7 @@
         await store.put("a", value + b"x", expected_revision=None)
 
 
-@for_both_stores
+@for_all_stores
 async def test_lapsed_lease_deletes_its_keys(store: Store) -> None:
     lease = await store.grant_lease(0.5)
     revision = await store.put(
@@ -145,7 +164,7 @@
         )
 
 
-@for_both_stores
+@for_all_stores
 async def test_key_written_without_its_lease_outlives_it(store: Store) -> None:
     lease = await store.grant_lease(30.0)
     await store.put(
@@ -157,7 +176,7 @@
     assert record is not None and record.value == b"free"
 
 
-@for_both_stores
+@for_all_stores
 async def test_lease_deadline_counts_from_before_the_call(
     store: Store,
 ) -> None:
@@ -170,7 +189,7 @@
     assert renewed.deadline <= clock.monotonic() + 5.0
 
 
-@for_both_stores
+@for_all_stores
 async def test_watch_returns_the_newest_of_each_key(store: Store) -> None:
     start = (await store.list("w/")).revision
     await store.put("w/1", b"one", expected_revision=None)
@@ -187,7 +206,7 @@
     assert empty.records == ()
 
 
-@for_both_stores
+@for_all_stores
 async def test_watch_wakes_on_a_change(store: Store) -> None:
     start = (await store.list("w/")).revision
     found: list[bytes] = []
@@ -203,7 +222,7 @@
     assert found == [b"one"]
 
 
-@for_both_stores
+@for_all_stores
 async def test_watch_from_a_revision_to_come_is_refused(store: Store) -> None:
     revision = await store.put("w/1", b"one", expected_revision=None)
     with raises(HistoryLostError):
@@ -252,3 +271,61 @@
 
     with store_standin() as fleet:
         anyio.run(check, fleet)
+
+
+def test_transaction_is_all_or_nothing() -> None:
+    async def check(store: TransactionalStore) -> None:
+        first = await store.transact(
+            [Write("t/1", b"one"), Write("t/2", b"two")],
+            expected_by_key={"t/1": ABSENT},
+        )
+        with raises(ConflictError):
+            await store.transact(
+                [Write("t/2", b"late"), Write("t/3", b"three")],
+                expected_by_key={"t/1": ABSENT, "t/2": first},
+            )
+        assert await store.get("t/3") is None
+        await store.transact(
+            [Write("t/1", None), Write("t/3", b"three")],
+            expected_by_key={"t/2": first},
+        )
+        found = [r.key for r in (await store.list("t/")).records]
+        assert found == ["t/2", "t/3"]
+
+    async def check_platform(fleet: Fleet) -> None:
+        async with platform_store(fleet) as store:
+            await check(store)
+            too_many = [Write(f"m/{n}", b"") for n in range(33)]
+            with raises(BodyTooLargeError):
+                await store.transact(too_many, expected_by_key={})
+
+    anyio.run(check, MemoryStore())
+    with store_standin() as fleet:
+        anyio.run(check_platform, fleet)
+
+
+def test_platform_store_pages_and_names_what_certainly_did_not_happen() -> None:
+    async def check(fleet: Fleet) -> None:
+        async with platform_store(fleet) as store:
+            for number in range(120):
+                await store.put(f"p/{number:03}", b"x", expected_revision=None)
+            assert len((await store.list("p/")).records) == 120
+            url = fleet["platform-store"].url
+            for refusal in (429, 503):
+                fleet.call("POST", f"{url}/faults", {"refusal": refusal})
+                try:
+                    await store.put("p/new", b"x", expected_revision=None)
+                    raise AssertionError("the write was taken")
+                except StoreUnavailableError as error:
+                    assert error.not_run
+            fleet.call("POST", f"{url}/faults", {})
+            fleet["platform-store"].signal(19)
+            try:
+                await store.put("p/new", b"x", expected_revision=None)
+                raise AssertionError("the write was answered")
+            except StoreUnavailableError as error:
+                assert not error.not_run
+            fleet["platform-store"].signal(18)
+
+    with store_standin() as fleet:
+        anyio.run(check, fleet)
