--- a/plumvane/store/memory.py
+++ b/plumvane/store/memory.py
@@ -105,9 +105,10 @@
             self._check_write(write)
         for key, expected in expected_by_key.items():
             self._check_revision(key, expected)
+        revision = self._revision + 1
         for write in writes:
-            self._apply(write)
-        return self._revision
+            self._apply(write, revision)
+        return revision
 
     async def watch(
         self, prefix: str, after_revision: int, *, deadline: float
@@ -174,17 +175,20 @@
         if lease_id is not None and lease_id not in self._leases_by_id:
             raise NotFoundError(f"Lease {lease_id} has lapsed.")
 
-    def _apply(self, write: Write) -> int:
+    def _apply(self, write: Write, revision: int | None = None) -> int:
+        """Applies a write, at the next revision unless one is given."""
         self._detach(write.key)
         if write.value is None:
             record = self._records_by_key.get(write.key)
             if record is None or record.deleted:
                 return self._revision
-            return self._write(write.key, b"", deleted=True)
+            return self._write(write.key, b"", deleted=True, revision=revision)
         if write.lease_id is not None:
             self._leases_by_id[write.lease_id].keys.add(write.key)
             self._lease_by_key[write.key] = write.lease_id
-        return self._write(write.key, write.value, deleted=False)
+        return self._write(
+            write.key, write.value, deleted=False, revision=revision
+        )
 
     def _check_revision(self, key: str, expected: int | None) -> None:
         if expected is None:
@@ -208,8 +212,15 @@
             self._lease_by_key.pop(key, None)
             self._write(key, b"", deleted=True)
 
-    def _write(self, key: str, value: bytes, *, deleted: bool) -> int:
-        self._revision += 1
+    def _write(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        deleted: bool,
+        revision: int | None = None,
+    ) -> int:
+        self._revision = revision or self._revision + 1
         self._records_by_key[key] = Record(key, value, self._revision, deleted)
         self._changed.set()
         self._changed = anyio.Event()
--- /dev/null
+++ b/tests/test_relayed_store.py
@@ -0,0 +1,162 @@
+"""Calls of the store through a peer, over loopback links."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+from plumvane import clock
+from plumvane.discovery.relayed import PEER_PREFIX, RelayedStore
+from plumvane.errors import ConflictError, StoreUnavailableError
+from plumvane.store.base import ABSENT, Write
+from plumvane.store.memory import MemoryStore
+from standins.launcher import free_port
+
+OUTER_DEADLINE_S = 30.0
+POLL_S = 0.02
+
+
+class Way:
+    """One instance's way to a store that all share."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.is_cut = False
+        self.loses_answers = False
+        self.calls = 0
+        self._store = store
+
+    def __getattr__(self, name: str) -> Any:
+        call = getattr(self._store, name)
+
+        async def through(*values: Any, **named: Any) -> Any:
+            self.calls += 1
+            if self.is_cut:
+                raise StoreUnavailableError("cut", not_run=True)
+            found = await call(*values, **named)
+            if self.loses_answers and name == "transact":
+                self.is_cut = True
+                raise StoreUnavailableError("lost")
+            return found
+
+        return through
+
+
+Steps = Callable[[list[RelayedStore], list[Way]], Awaitable[None]]
+
+
+def with_peers(steps: Steps, count: int = 2) -> None:
+    """Runs steps beside instances that know each other."""
+
+    async def run() -> None:
+        shared = MemoryStore()
+        ways = [Way(shared) for _ in range(count)]
+        stores = []
+        for number, way in enumerate(ways):
+            address = f"127.0.0.1:{free_port('127.0.0.1')}"
+            direct: Any = way
+            rng = random.Random(number)
+            stores.append(RelayedStore(direct, f"n{number}", address, rng))
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with anyio.create_task_group() as group:
+                for store in stores:
+                    group.start_soon(store.run)
+                for store in stores:
+                    while len(store._peers.records_by_key) < count:
+                        await anyio.sleep(POLL_S)
+                await steps(stores, ways)
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_cut_instance_reads_writes_and_watches_through_a_peer() -> None:
+    async def steps(stores: list[RelayedStore], ways: list[Way]) -> None:
+        ways[0].is_cut = True
+        revision = await stores[0].transact(
+            [Write("a", b"one")], expected_by_key={"a": ABSENT}
+        )
+        record = await stores[0].get("a")
+        assert record is not None
+        assert (record.value, record.revision) == (b"one", revision)
+        assert await stores[0].get("absent") is None
+        listed = await stores[0].list("a")
+        assert [r.key for r in listed.records] == ["a"]
+        await stores[1].put("a", b"two", expected_revision=revision)
+        watched = await stores[0].watch(
+            "a", revision, deadline=clock.monotonic() + 5.0
+        )
+        assert [r.value for r in watched.records] == [b"two"]
+        try:
+            await stores[0].put("a", b"late", expected_revision=revision)
+            raise AssertionError("the late write was taken")
+        except ConflictError:
+            pass
+        lease = await stores[0].grant_lease(20.0)
+        await stores[0].put(
+            "l", b"", expected_revision=None, lease_id=lease.lease_id
+        )
+        await stores[0].renew_lease(lease.lease_id)
+        await stores[0].revoke_lease(lease.lease_id)
+        assert await stores[0].get("l") is None
+
+    with_peers(steps)
+
+
+def test_write_that_may_have_happened_is_not_sent_again() -> None:
+    async def steps(stores: list[RelayedStore], ways: list[Way]) -> None:
+        ways[0].loses_answers = True
+        try:
+            await stores[0].put("a", b"one", expected_revision=ABSENT)
+            raise AssertionError("the write has no answer")
+        except StoreUnavailableError as error:
+            assert not error.not_run
+        record = await stores[0].get("a")
+        assert record is not None
+
+    with_peers(steps)
+
+
+def test_no_peer_is_asked_in_turn_while_the_store_is_down_for_all() -> None:
+    async def steps(stores: list[RelayedStore], ways: list[Way]) -> None:
+        for way in ways:
+            way.is_cut = True
+        for store in stores:
+            await failing(store)
+        ways[1].calls = 0
+        for _ in range(20):
+            assert (await failing(stores[0])).not_run
+        assert ways[1].calls < 20, "cut peers refuse without a call"
+
+    with_peers(steps)
+
+
+async def failing(store: RelayedStore) -> StoreUnavailableError:
+    try:
+        await store.put("a", b"one", expected_revision=None)
+    except StoreUnavailableError as error:
+        return error
+    raise AssertionError("the write was taken")
+
+
+def test_store_is_asked_directly_again_once_it_answers() -> None:
+    async def steps(stores: list[RelayedStore], ways: list[Way]) -> None:
+        ways[0].is_cut = True
+        await stores[0].get("a")
+        ways[0].is_cut = False
+        while stores[0]._cut.is_set():
+            await anyio.sleep(POLL_S)
+        ways[1].is_cut = True
+        await stores[0].put("a", b"one", expected_revision=None)
+
+    with_peers(steps)
+
+
+def test_peers_are_found_by_their_keys() -> None:
+    async def steps(stores: list[RelayedStore], ways: list[Way]) -> None:
+        keys = set(stores[0]._peers.records_by_key)
+        assert keys == {f"{PEER_PREFIX}n{number}" for number in range(3)}
+
+    with_peers(steps, 3)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -279,6 +279,8 @@
             [Write("t/1", b"one"), Write("t/2", b"two")],
             expected_by_key={"t/1": ABSENT},
         )
+        both = (await store.list("t/")).records
+        assert [record.revision for record in both] == [first, first]
         with raises(ConflictError):
             await store.transact(
                 [Write("t/2", b"late"), Write("t/3", b"three")],
