Log to standard output without blocking; record the gateway's times

Lines went to standard error from the caller's own thread, so a pipe that nobody reads would have stopped requests. A thread writes them from a bounded queue now, and drops are counted in event 1006; the test wrote 20,000 lines to an unread pipe. Samples and templates of the new programs are checked.

--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -9,6 +9,8 @@
 
 import eliot
 
+from plumvane.logsink import LogSink
+
 __all__ = ["Event", "configure", "count_by", "log"]
 
 _counters: list[Callable[[Event], None]] = []
@@ -25,6 +27,7 @@
     PROCESS_STOPPED = (1003, "The process has drained and ends.")
     TASK_FAILED = (1004, "A background task failed and is started again.")
     CALL_FAILED = (1005, "An HTTP call failed by a fault of this process.")
+    LOG_LINES_DROPPED = (1006, "The log was not read; lines were dropped.")
     STORE_UNAVAILABLE = (2001, "The store does not answer.")
     STORE_AVAILABLE = (2002, "The store answers again.")
     HISTORY_LOST = (2004, "The store forgot changes; the keys are read anew.")
@@ -100,13 +103,27 @@
         return str(self.value[1])
 
 
-def configure(stream: TextIO | None = None) -> None:
-    """Sends the log of this process to a stream.
+def configure(stream: TextIO | None = None) -> LogSink:
+    """Sends the log of this process to a stream, without blocking on it.
 
     Args:
-        stream: Where the lines go; standard error by default.
+        stream: Where the lines go; standard output by default.
+
+    Returns:
+        The sink, which is closed at the end of the process.
     """
-    eliot.to_file(stream or sys.stderr)
+    sink = LogSink(stream or sys.stdout, _dropped_lines)
+    eliot.add_destinations(sink)
+    return sink
+
+
+def _dropped_lines(count: int) -> dict[str, Any]:
+    event = Event.LOG_LINES_DROPPED
+    return {
+        "message_type": event.name.lower(),
+        "event": event.number,
+        "count": count,
+    }
 
 
 def count_by(counter: Callable[[Event], None]) -> None:
--- a/plumvane/gateway/app.py
+++ b/plumvane/gateway/app.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from plumvane import clock, events
+from plumvane import clock, events, metrics
 from plumvane.discovery.view import FleetView
 from plumvane.errors import (
     LeavingError,
@@ -23,6 +23,7 @@
 )
 from plumvane.gateway.forwarder import BrokenAnswerError, Forwarder
 from plumvane.gateway.jobs import JobCalls
+from plumvane.metrics import Metric
 from plumvane.platform import names
 from plumvane.serving.routes import Kind, Route, RouteTable
 
@@ -63,6 +64,8 @@
             await self._serve(exchange, received)
         except CallerLeftError:
             self._log_cancelled(exchange, received)
+        finally:
+            _record(exchange, received)
 
     async def _serve(self, exchange: Exchange, received: float) -> None:
         try:
@@ -107,6 +110,7 @@
     ) -> None:
         request = exchange.request
         if request.path.startswith(names.JOB_PATH_PREFIX):
+            exchange.kind = "job"
             job_id = request.path.removeprefix(names.JOB_PATH_PREFIX)
             if request.method == "DELETE":
                 await self._jobs.end(exchange, job_id)
@@ -114,11 +118,13 @@
                 await self._jobs.read(exchange, job_id, self._after(exchange))
             return
         if request.path.startswith(names.ITEM_PATH_PREFIX):
+            exchange.kind = "item"
             job_id = request.path.removeprefix(names.ITEM_PATH_PREFIX)
             item_id = self._argument(exchange, "id")
             await self._jobs.read_item(exchange, job_id, item_id)
             return
         route = self._route(exchange)
+        exchange.kind = route.kind.value
         if route.kind is Kind.BATCH:
             await self._jobs.submit(exchange, route, body, received)
         else:
@@ -178,6 +184,9 @@
             after_s=round(clock.monotonic() - received, 3),
             retry_after_s=error.retry_after_s,
         )
+        metrics.add(
+            Metric.REFUSALS, code=error.code, not_run=str(refused).lower()
+        )
         headers = [(b"content-type", b"text/plain")]
         if refused and error.retry_after_s is not None:
             retry_after = f"{error.retry_after_s:.2f}".encode()
@@ -218,3 +227,17 @@
             await exchange.answer(503)
         else:
             await exchange.answer(200)
+
+
+def _record(exchange: Exchange, received: float) -> None:
+    """Records the times of an exchange; the status of a left one is 0."""
+    ended = clock.monotonic()
+    metrics.record(
+        Metric.REQUEST_DURATION,
+        ended - received,
+        route=exchange.kind,
+        status=str(exchange.status),
+    )
+    if exchange.kind == Kind.STREAM.value and exchange.status == 200:
+        first_s = exchange.started_at - received
+        metrics.record(Metric.FIRST_TOKEN, first_s, route=exchange.kind)
--- a/plumvane/gateway/exchange.py
+++ b/plumvane/gateway/exchange.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
+from plumvane import clock
 from plumvane.errors import BodyTooLargeError
 from plumvane.platform.requests import CallerRequest, decode_request
 
@@ -42,6 +43,10 @@
         self.query: bytes = scope["query_string"]
         self.has_started = False
         self.status = 0
+        # Kind of call, for the metrics.
+        self.kind = "unrouted"
+        # Monotonic time in seconds at which the answer began; 0 before.
+        self.started_at = 0.0
         self._receive = receive
         self._send = send
         self._is_closing = is_closing
@@ -77,6 +82,7 @@
     ) -> None:
         """Sends the head of the answer."""
         self.has_started = True
+        self.started_at = clock.monotonic()
         self.status = status
         if self._is_closing:
             headers = [*headers, (b"connection", b"close")]
--- a/plumvane/process.py
+++ b/plumvane/process.py
@@ -49,7 +49,7 @@
         if _CHECK.value:
             print(f"{_SETTINGS.value}: the settings are valid")
             return
-        events.configure()
+        sink = events.configure()
         freeze_loaded()
         try:
             anyio.run(
@@ -62,6 +62,8 @@
             for error in _leaves(errors):
                 print(error, file=sys.stderr)
             sys.exit(EXIT_SETTINGS)
+        finally:
+            sink.close()
 
     app.run(main)
 
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -9,7 +9,7 @@
 import anyio
 import anyio.abc
 
-from plumvane import clock, events
+from plumvane import clock, events, metrics
 from plumvane.batch.jobstore import (
     JOB_PREFIX,
     LIVE_PREFIX,
@@ -26,6 +26,7 @@
     PlumvaneError,
     StoreUnavailableError,
 )
+from plumvane.metrics import Metric
 from plumvane.platform.retirement import (
     RetireState,
     retire_status,
@@ -468,6 +469,8 @@
         revision = await self._jobs.commit([commit])
         owned.take_commit(commit, revision, taken)
         for position, result in results.items():
+            outcome = "done" if result.is_completed else "failed"
+            metrics.add(Metric.BATCH_ITEMS, outcome=outcome)
             events.log(
                 events.Event.ITEM_LISTED,
                 job=job.job_id,
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -4,10 +4,18 @@
 
 import io
 import json
+import os
+import subprocess
+import sys
+import time
 
 from plumvane import events
+from plumvane.logsink import LogSink
 from tests.catalogues import EVENTS, event_rows, table_rows
 
+# Far below what a caller would notice, far above a pause of the machine.
+NEVER_BLOCKED_S = 1.0
+
 
 def test_document_lists_each_event_as_the_code_has_it() -> None:
     """`make catalogues` brings the document up to date."""
@@ -22,9 +30,45 @@
 
 def test_line_carries_number_and_fields() -> None:
     stream = io.StringIO()
-    events.configure(stream)
+    sink = events.configure(stream)
     events.log(events.Event.PARTITION_TAKEN, partition=3)
+    sink.close()
     line = json.loads(stream.getvalue().splitlines()[-1])
     assert line["event"] == 3001
     assert line["message_type"] == "partition_taken"
     assert line["partition"] == 3
+
+
+def test_pipe_that_nobody_reads_blocks_no_caller_and_drops_are_counted() -> (
+    None
+):
+    reading, writing = os.pipe()
+    with os.fdopen(writing, "w") as stream, os.fdopen(reading) as reader:
+        sink = LogSink(stream, lambda count: {"dropped": count}, 100)
+        longest = 0.0
+        for number in range(20_000):
+            before = time.perf_counter()
+            sink({"number": number, "text": "x" * 100})
+            longest = max(longest, time.perf_counter() - before)
+        assert longest < NEVER_BLOCKED_S
+        lines = []
+        while not lines or "dropped" not in lines[-1]:
+            lines.append(json.loads(reader.readline()))
+        assert lines[-1]["dropped"] + len(lines) - 1 == 20_000
+        assert [line["number"] for line in lines[:-1]] == sorted(
+            line["number"] for line in lines[:-1]
+        )
+
+
+def test_programs_log_to_standard_output() -> None:
+    code = (
+        "from plumvane import events\n"
+        "sink = events.configure()\n"
+        "events.log(events.Event.PROCESS_STARTED, name='x')\n"
+        "sink.close()\n"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert json.loads(done.stdout)["event"] == 1001
+    assert done.stderr == ""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -17,7 +17,7 @@
 
 
 def test_samples_are_valid() -> None:
-    for role in ("entry", "sidecar", "bulk"):
+    for role in ("entry", "sidecar", "bulk", "gateway", "worker"):
         code, out, _ = check(role, SAMPLES / f"{role}.ini")
         assert code == 0
         assert "valid" in out
@@ -34,6 +34,9 @@
         ("entry", "[http]", "[https]", "section [https]"),
         ("entry", "8080", "8080\nkey_file = README.md", "go together"),
         ("sidecar", "kind = engine", "kind = model", "key kind"),
+        ("gateway", "[balancer]", "[balance]", "section [balance]"),
+        ("gateway", "http://127.0.0.1:7001", "127.0.0.1:7001", "key url"),
+        ("worker", "address = 127.0.0.1:7112", "", "section [peers]"),
         ("bulk", "folder = examples", "folder = absent", "key folder"),
         ("bulk", "[data]", "[data", "not INI"),
     ]
