Split the worker's module, share what stores and programs repeat

A run that was stopped between its choice and the begin of its task went on, since the task made a cancel scope of its own; a worker that left could wait for it.

--- /dev/null
+++ b/plumvane/discovery/connect.py
@@ -0,0 +1,33 @@
+"""The store and the view that every program on the platform starts with."""
+
+from __future__ import annotations
+
+import random
+
+from plumvane.discovery.relayed import RelayedStore
+from plumvane.discovery.view import FleetView
+from plumvane.platform.store import PlatformStore
+from plumvane.settings import WorkerSettings
+
+__all__ = ["connect"]
+
+
+def connect(
+    settings: WorkerSettings, rng: random.Random
+) -> tuple[RelayedStore, FleetView]:
+    """Returns the store, through peers if need be, and the fleet's view.
+
+    Both have a `run` that the caller starts.
+
+    Args:
+        settings: Checked settings of the program.
+        rng: Chooses peers and upstreams.
+    """
+    process = settings.process
+    store = RelayedStore(
+        PlatformStore(settings.store.url),
+        process.name,
+        str(settings.peers.address),
+        rng,
+    )
+    return store, FleetView(store, process.data_centre, rng)
--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -162,25 +162,6 @@
             ask,
         )
 
-    async def put(
-        self,
-        key: str,
-        value: bytes,
-        *,
-        expected_revision: int | None,
-        lease_id: str | None = None,
-    ) -> int:
-        """See base class."""
-        expected = {} if expected_revision is None else {key: expected_revision}
-        return await self.transact(
-            [Write(key, value, lease_id)], expected_by_key=expected
-        )
-
-    async def delete(self, key: str, *, expected_revision: int | None) -> None:
-        """See base class."""
-        expected = {} if expected_revision is None else {key: expected_revision}
-        await self.transact([Write(key, None)], expected_by_key=expected)
-
     async def transact(
         self, writes: Sequence[Write], *, expected_by_key: Mapping[str, int]
     ) -> int:
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -8,12 +8,10 @@
 
 from plumvane import web
 from plumvane.batch.jobstore import JobStore
-from plumvane.discovery.relayed import RelayedStore
-from plumvane.discovery.view import FleetView
+from plumvane.discovery.connect import connect
 from plumvane.gateway.app import GatewayApp, ReadyApp
 from plumvane.gateway.forwarder import Forwarder
 from plumvane.gateway.jobs import JobCalls
-from plumvane.platform.store import PlatformStore
 from plumvane.process import run_program
 from plumvane.relay.caller import UpstreamCaller
 from plumvane.settings import GatewaySettings
@@ -38,14 +36,7 @@
         stopping: Set when the process is to stop.
     """
     rng = random.Random()
-    process = settings.process
-    store = RelayedStore(
-        PlatformStore(settings.store.url),
-        process.name,
-        str(settings.peers.address),
-        rng,
-    )
-    view = FleetView(store, process.data_centre, rng)
+    store, view = connect(settings, rng)
     forwarder = Forwarder(view, UpstreamCaller(), rng)
     app = GatewayApp(view, forwarder, JobCalls(JobStore(store)))
     ready = ReadyApp(view)
--- a/plumvane/store/base.py
+++ b/plumvane/store/base.py
@@ -217,6 +217,25 @@
                 happened. `not_run` says that it is certain that nothing did.
         """
 
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_revision: int | None,
+        lease_id: str | None = None,
+    ) -> int:
+        """See base class; a transaction of one write."""
+        expected = {} if expected_revision is None else {key: expected_revision}
+        return await self.transact(
+            [Write(key, value, lease_id)], expected_by_key=expected
+        )
+
+    async def delete(self, key: str, *, expected_revision: int | None) -> None:
+        """See base class; a transaction of one write."""
+        expected = {} if expected_revision is None else {key: expected_revision}
+        await self.transact([Write(key, None)], expected_by_key=expected)
+
 
 async def list_pages(
     store: Store, prefix: str, limit: int, *, after_key: str = ""
--- a/plumvane/store/memory.py
+++ b/plumvane/store/memory.py
@@ -75,27 +75,6 @@
         found.sort(key=lambda record: record.key)
         return WatchResult(tuple(found[:limit]), self._revision)
 
-    async def put(
-        self,
-        key: str,
-        value: bytes,
-        *,
-        expected_revision: int | None,
-        lease_id: str | None = None,
-    ) -> int:
-        """See base class."""
-        self.expire_leases()
-        write = Write(key, value, lease_id)
-        self._check_write(write)
-        self._check_revision(key, expected_revision)
-        return self._apply(write)
-
-    async def delete(self, key: str, *, expected_revision: int | None) -> None:
-        """See base class."""
-        self.expire_leases()
-        self._check_revision(key, expected_revision)
-        self._apply(Write(key, None))
-
     async def transact(
         self, writes: Sequence[Write], *, expected_by_key: Mapping[str, int]
     ) -> int:
--- a/plumvane/worker/items.py
+++ b/plumvane/worker/items.py
@@ -48,12 +48,13 @@
     ) -> None:
         """Runs an item until it has an outcome, breaks off or is stopped."""
         run.upstream_id = upstream.upstream_id
-        run.is_stopping = False
         run.started = clock.monotonic()
+        # It may have been stopped before this task began.
+        scope = run.scope or anyio.CancelScope()
+        run.scope = scope
         upstream.batch_in_flight += 1
         try:
-            with anyio.CancelScope() as scope:
-                run.scope = scope
+            with scope:
                 await self._run_once(owned, run, upstream)
             if scope.cancelled_caught:
                 self._log(events.Event.ITEM_STOPPED, owned, run)
@@ -64,6 +65,7 @@
         finally:
             upstream.batch_in_flight -= 1
             run.scope = None
+            run.is_stopping = False
             run.upstream_id = ""
 
     async def _run_once(
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -6,11 +6,10 @@
 
 import anyio
 
-from plumvane.discovery.relayed import RelayedStore
-from plumvane.discovery.view import FleetView
-from plumvane.platform.store import PlatformStore
+from plumvane.discovery.connect import connect
 from plumvane.process import run_program
 from plumvane.settings import WorkerSettings
+from plumvane.worker.retirement import Retirement
 from plumvane.worker.worker import Worker
 
 __all__ = ["run"]
@@ -33,20 +32,15 @@
         stopping: Set when the process is to stop.
     """
     rng = random.Random()
-    process = settings.process
-    store = RelayedStore(
-        PlatformStore(settings.store.url),
-        process.name,
-        str(settings.peers.address),
-        rng,
-    )
-    view = FleetView(store, process.data_centre, rng)
-    worker = Worker(process.name, store, view, rng)
-    view.on_operator_change = worker.take_operator_change
+    store, view = connect(settings, rng)
+    worker = Worker(settings.process.name, store, view, rng)
+    retirement = Retirement(settings.process.name, store, worker.leave)
+    view.on_operator_change = retirement.take_operator_change
     async with anyio.create_task_group() as group:
         group.start_soon(store.run)
         group.start_soon(view.run)
         group.start_soon(worker.run)
+        group.start_soon(retirement.run)
         await stopping.wait()
         with anyio.move_on_after(LEAVE_S):
             await worker.leave()
--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -119,6 +119,7 @@
         for item_id in job.listed_ids:
             run = self.runs_by_id.pop(item_id, None)
             if run is not None and run.scope is not None:
+                run.is_stopping = True
                 run.scope.cancel()
         listed = set(job.listed_ids)
         self.outcomes = [o for o in self.outcomes if o.item_id not in listed]
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -27,11 +27,6 @@
     StoreUnavailableError,
 )
 from plumvane.metrics import Metric
-from plumvane.platform.retirement import (
-    RetireState,
-    retire_status,
-    retired_instance,
-)
 from plumvane.relay.caller import UpstreamCaller
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.assignment import chosen_worker
@@ -93,9 +88,7 @@
         """
         self._name = name
         self._incarnation = f"{name}/{secrets.token_hex(4)}"
-        self._store = store
         self._jobs = JobStore(store)
-        self._retiring = anyio.Event()
         self._view = view
         self._rng = rng
         self._live = Mirror(
@@ -130,7 +123,6 @@
             group.start_soon(self._claim_jobs, group)
             group.start_soon(self._pace, group)
             group.start_soon(self._commit_results)
-            group.start_soon(self._retire_when_asked)
 
     async def leave(self) -> None:
         """Stops all items and hands the jobs to other workers.
@@ -155,34 +147,6 @@
             self._log_delay(owned, error)
         self._drop(owned, "this worker leaves")
 
-    def take_operator_change(self, record: Record) -> None:
-        """Takes in a change of the operators' keys."""
-        if retired_instance(record.key) == self._name and not record.deleted:
-            self._retiring.set()
-
-    async def _retire_when_asked(self) -> None:
-        """Hands the work over when the operators want the instance empty."""
-        await self._retiring.wait()
-        events.log(events.Event.RETIRE_STARTED)
-        await self._write_retire_status(RetireState.RUNNING)
-        await self.leave()
-        await self._write_retire_status(RetireState.COMPLETED)
-        events.log(events.Event.RETIRE_COMPLETED)
-
-    async def _write_retire_status(self, state: RetireState) -> None:
-        key, value = retire_status(self._name, state)
-        while True:
-            try:
-                await self._store.put(key, value, expected_revision=None)
-                return
-            except StoreUnavailableError as error:
-                events.log(
-                    events.Event.REGISTRATION_DELAYED,
-                    key=key,
-                    error=error.detail,
-                )
-                await anyio.sleep(STORE_RETRY_S)
-
     # Heads and workers
 
     def _take_change(self, record: Record) -> None:
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -23,10 +23,11 @@
 from plumvane.store.memory import MemoryStore
 from plumvane.worker import worker as worker_module
 from plumvane.worker.items import ItemRunner
+from plumvane.worker.owned import OwnedJob
 from plumvane.worker.worker import Worker
 from tests.gateways import SERVICE, listed, route
 
-OUTER_DEADLINE_S = 30.0
+OUTER_DEADLINE_S = 15.0
 POLL_S = 0.01
 EVENTS = 4
 JOB_ROUTE = route(
@@ -349,3 +350,22 @@
         assert isinstance(record, Record)
 
     play(steps)
+
+
+def test_item_that_is_stopped_before_its_task_begins_does_not_run() -> None:
+    async def steps() -> None:
+        store, engine = MemoryStore(), Engine(holds=True)
+        jobs = JobStore(store)
+        await jobs.accept("j", "h", items(1), JOB_ROUTE)
+        job, revision = await jobs.head("j")
+        owned = OwnedJob(job, revision, list(items(1)))
+        worker = make_worker("w1", store, engine)
+        upstream = worker._view.upstreams.upstreams_by_id["u0"]
+        run = owned.runs_by_id["i0"]
+        run.scope = anyio.CancelScope()
+        run.scope.cancel()
+        await worker._runner.run(owned, run, upstream)
+        assert engine.running == []
+        assert not run.is_done
+
+    play(steps)
