Read the settings again at SIGHUP instead of ending; pass no unsigned refusal on

Cause: SIGHUP had its default action, which ends the process and cuts its requests. The settings are checked anew and the log says whether they need a restart. An unsigned 408, 429 or 503 of an upstream may be garbage, and would have told the caller that its request has not run; it counts as a lost answer.

--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -28,6 +28,8 @@
     TASK_FAILED = (1004, "A background task failed and is started again.")
     CALL_FAILED = (1005, "An HTTP call failed by a fault of this process.")
     LOG_LINES_DROPPED = (1006, "The log was not read; lines were dropped.")
+    SETTINGS_READ = (1007, "The settings were read again and are valid.")
+    SETTINGS_REFUSED = (1008, "The settings were read again and are wrong.")
     STORE_UNAVAILABLE = (2001, "The store does not answer.")
     STORE_AVAILABLE = (2002, "The store answers again.")
     HISTORY_LOST = (2004, "The store forgot changes; the keys are read anew.")
--- a/plumvane/process.py
+++ b/plumvane/process.py
@@ -124,6 +124,7 @@
     name = checked.process.name
     async with anyio.create_task_group() as group:
         group.start_soon(_wait_for_signal, stopping)
+        group.start_soon(_read_settings_again, checked)
         events.log(events.Event.PROCESS_STARTED, name=name)
         if checked.metrics is not None:
             group.start_soon(_serve_metrics, checked.metrics.address)
@@ -143,3 +144,17 @@
         async for _ in signals:
             events.log(events.Event.PROCESS_LEAVING)
             stopping.set()
+
+
+async def _read_settings_again(checked: settings.ProgramSettings) -> None:
+    """Checks the settings anew at each SIGHUP; they hold from a restart on."""
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            try:
+                found = settings.load(_SETTINGS.value or "", type(checked))
+            except SettingsError as error:
+                events.log(events.Event.SETTINGS_REFUSED, error=str(error))
+            else:
+                events.log(
+                    events.Event.SETTINGS_READ, needs_restart=found != checked
+                )
--- a/plumvane/relay/caller.py
+++ b/plumvane/relay/caller.py
@@ -34,6 +34,9 @@
 # milliseconds away.
 CONNECT_TIMEOUT_S = 0.4
 MISDIRECTED = 421
+# Statuses that tell the caller that its request has not run; only the
+# upstream's own word, or its refusal above, is passed on as one.
+NOT_RUN = frozenset({408, 429, 503})
 
 HeaderList = list[tuple[bytes, bytes]]
 
@@ -211,7 +214,8 @@
             f"{response.status}.",
             not_run=True,
         )
-    if head.is_encoded or (response.status < 300 and not head.is_signed):
+    must_be_signed = response.status < 300 or response.status in NOT_RUN
+    if head.is_encoded or (must_be_signed and not head.is_signed):
         raise UpstreamLostError(
             f"Upstream {upstream.upstream_id} sent an answer that is not its "
             "service's."
