--- a/plumvane/logsink.py
+++ b/plumvane/logsink.py
@@ -42,7 +42,10 @@
         self._describe_drops = describe_drops
         self._queued_lines = queued_lines
         self._messages: collections.deque[dict[str, Any]] = collections.deque()
+        # Counted by callers alone; the writing thread keeps what it has told.
         self._dropped = 0
+        self._dropped_told = 0
+        self._drop_lock = threading.Lock()
         self._filled = threading.Event()
         self._has_ended = False
         self._thread = threading.Thread(target=self._write_all, daemon=True)
@@ -51,7 +54,8 @@
     def __call__(self, message: dict[str, Any]) -> None:
         """Takes a message; called by eliot."""
         if len(self._messages) >= self._queued_lines:
-            self._dropped += 1
+            with self._drop_lock:
+                self._dropped += 1
             return
         self._messages.append(message)
         self._filled.set()
@@ -68,15 +72,18 @@
             self._filled.clear()
             while self._messages:
                 self._write(self._messages.popleft())
-            if self._dropped:
-                dropped, self._dropped = self._dropped, 0
-                self._write(
-                    {**self._describe_drops(dropped), "timestamp": time.time()}
-                )
+            self._tell_drops()
             self._stream.flush()
             if self._has_ended and not self._messages:
                 return
 
+    def _tell_drops(self) -> None:
+        count = self._dropped - self._dropped_told
+        if count:
+            self._dropped_told += count
+            described = self._describe_drops(count)
+            self._write({**described, "timestamp": time.time()})
+
     def _write(self, message: dict[str, Any]) -> None:
         line = msgspec.json.encode(message, enc_hook=str)
         self._stream.write(line.decode() + "\n")
