Call no request not run after a lost answer, and break off streams without a rest

Cause: when an idempotent request had been lost by one upstream and refused by the next, the refusal was its final error, so the caller was told that it has not run. A stream whose rest nobody took ended in a second head on the same answer. Found by reading; both tests failed first. Broken answers and faults of the gateway are logged with the request's id.

--- a/plumvane/gateway/app.py
+++ b/plumvane/gateway/app.py
@@ -64,6 +64,25 @@
             await self._serve(exchange, received)
         except CallerLeftError:
             self._log_cancelled(exchange, received)
+        except BrokenAnswerError as error:
+            events.log(
+                events.Event.REQUEST_FAILED,
+                request=exchange.request.request_id,
+                path=exchange.request.path,
+                status=exchange.status,
+                error=f"The answer was broken off: {error}.",
+                after_s=round(clock.monotonic() - received, 3),
+            )
+            # uvicorn closes the connection, so the answer is not complete.
+            raise
+        except Exception as error:
+            events.log(
+                events.Event.CALL_FAILED,
+                request=exchange.request.request_id,
+                path=exchange.request.path,
+                error=repr(error),
+            )
+            raise
         finally:
             _record(exchange, received)
 
--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -126,7 +126,7 @@
         progress: _Progress,
     ) -> None:
         while True:
-            upstream = self._choose(route, service, progress)
+            upstream = self._choose(exchange, route, service, progress)
             attempt = self._attempt(
                 exchange, route, service, body, deadline, progress
             )
@@ -155,8 +155,19 @@
             )
 
     def _choose(
-        self, route: Route, service: str, progress: _Progress
+        self,
+        exchange: Exchange,
+        route: Route,
+        service: str,
+        progress: _Progress,
     ) -> Upstream:
+        """Returns the upstream of the next attempt.
+
+        Raises:
+            BrokenAnswerError: None is left, and the answer has begun.
+            OverloadedError: None is left, and none has run the request.
+            UpstreamLostError: None is left, and one may have run it.
+        """
         tried = progress.sent_ids | progress.refused_ids
         enough = (
             len(progress.refused_ids) >= MAX_REFUSALS
@@ -169,13 +180,17 @@
             )
         if upstream is not None:
             return upstream
+        if exchange.has_started:
+            raise BrokenAnswerError(f"nobody has the rest: {progress.error}")
         if not progress.sent_ids:
             raise self._refusal(
                 f"No upstream of {service} takes the request: "
                 f"{progress.error or 'none is listed'}"
             )
-        assert progress.error is not None
-        raise progress.error
+        raise UpstreamLostError(
+            f"An upstream may have run the request; its answer was lost, and "
+            f"no other gave one: {progress.error}"
+        )
 
     def _attempt(
         self,
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 
 import anyio
@@ -35,6 +36,8 @@
         settings: Checked settings.
         stopping: Set when the process is to stop.
     """
+    # The application logs each error itself, with the request's id.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     rng = random.Random()
     store, view = connect(settings, rng)
     forwarder = Forwarder(view, UpstreamCaller(), rng)
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -150,3 +150,24 @@
     call, _ = limits(route(Kind.CALL, target_latency_s=0.2), 3)
     assert call is not None
     assert 0.4 <= call < 1.0
+
+
+def test_refusals_after_a_lost_answer_do_not_make_the_request_not_run() -> None:
+    parts = gateway([Script(error=LOST), Script(error=REFUSED)], 2)
+    error = forward(parts, Caller(), route(Kind.CALL, max_attempts=3))
+    assert isinstance(error, PlumvaneError)
+    assert not error.not_run
+
+
+def test_stream_that_nobody_goes_on_with_is_broken_off() -> None:
+    parts = gateway(
+        [
+            Script(parts=EVENTS[:2], break_error=LOST),
+            Script(error=REFUSED),
+        ],
+        2,
+    )
+    caller = Caller()
+    stream = route(Kind.STREAM, is_resumable=True, max_attempts=3)
+    assert isinstance(forward(parts, caller, stream), BrokenAnswerError)
+    assert not caller.is_finished
