--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,7 +13,7 @@
 from plumvane.discovery import mirror, view
 from plumvane.discovery.view import FleetView
 from plumvane.errors import StoreUnavailableError
-from plumvane.store.base import WatchResult
+from plumvane.store.base import Record, WatchResult
 from plumvane.store.memory import MemoryStore
 
 OUTER_DEADLINE_S = 20.0
@@ -114,6 +114,11 @@
         await anyio.sleep(POLL_S)
 
 
+def has_seen(fleet: FleetView, record: Record) -> bool:
+    seen = fleet.operator_keys.records_by_key[record.key]
+    return seen.revision >= record.revision
+
+
 def is_listed(fleet: FleetView, upstream_id: str) -> bool:
     return upstream_id in fleet.upstreams.upstreams_by_id
 
@@ -210,8 +215,13 @@
         await until(
             lambda: fleet.routes is not None and fleet.routes.version == 7
         )
-        await put(store, "op/config", configuration(6, 9000))
-        await put(store, "op/config", b"{}")
+        for value in (configuration(6, 9000), b"{}"):
+            await put(store, "op/config", value)
+            record = await store.get("op/config")
+            assert record is not None
+            await until(lambda r=record: has_seen(fleet, r))
+            assert fleet.routes is not None
+            assert fleet.routes.version == 7
         await put(store, "op/config", configuration(8, 2000))
         await until(
             lambda: fleet.routes is not None and fleet.routes.version == 8
