Ask silent peers last, make lost claims again, keep failures; part the worker

The last peer that answered is asked first, one that was silent last for 5 s. - A claim that was written, but whose answer and head could not be read, was never made again: the head named a live owner that did not run the job. - A job that was ended while its items were read started them. - Failures that were counted during a commit were lost. Pacing and commits of the worker have modules of their own; ejections are noted in one place; a request in the gateway is one object in place of six arguments.

--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -52,7 +52,10 @@
 PEER_TIMEOUT_S = 1.0
 # Longest watch through a peer, in seconds.
 PEER_WATCH_S = 2.0
-# Peers that are asked for one call.
+# Time for which a peer that did not reply is asked last, in seconds: cuts last
+# several.
+SILENT_S = 5.0
+# Peers that are asked for one call; several may be cut off together.
 PEERS_ASKED = 2
 # Pause between two tries to reach the store directly, in seconds.
 PROBE_S = 0.5
@@ -103,6 +106,8 @@
             is_present=lambda: key in self._peers.records_by_key,
         )
         self._cut = anyio.Event()
+        self._last_good_address = ""
+        self._silent_until_by_address: dict[str, float] = {}
         self._handle(ReadStore, self._serve_read)
         self._handle(WatchStore, self._serve_watch)
         self._handle(WriteStore, self._serve_write)
@@ -129,7 +134,7 @@
             reply = await self._ask(message, StoreRecords)
             return _record(reply.records[0]) if reply.records else None
 
-        return await self._read(lambda: self._direct.get(key), ask)
+        return await self._call(lambda: self._direct.get(key), ask)
 
     async def list(
         self, prefix: str, *, after_key: str = "", limit: int | None = None
@@ -140,7 +145,7 @@
         async def ask() -> WatchResult:
             return _result(await self._ask(message, StoreRecords))
 
-        return await self._read(
+        return await self._call(
             lambda: self._direct.list(prefix, after_key=after_key, limit=limit),
             ask,
         )
@@ -155,7 +160,7 @@
             message = WatchStore(prefix, after_revision, clock.wall() + wait_s)
             return _result(await self._ask(message, StoreRecords, wait_s))
 
-        return await self._read(
+        return await self._call(
             lambda: self._direct.watch(
                 prefix, after_revision, deadline=deadline
             ),
@@ -174,11 +179,12 @@
         async def ask() -> int:
             return (await self._ask(message, StoreWritten)).revision
 
-        return await self._write(
+        return await self._call(
             lambda: self._direct.transact(
                 writes, expected_by_key=expected_by_key
             ),
             ask,
+            is_repeatable=False,
         )
 
     async def grant_lease(self, ttl_s: float) -> Lease:
@@ -187,7 +193,7 @@
         async def ask() -> Lease:
             return _lease(await self._ask(GrantStoreLease(ttl_s), StoreLease))
 
-        return await self._write(lambda: self._direct.grant_lease(ttl_s), ask)
+        return await self._call(lambda: self._direct.grant_lease(ttl_s), ask)
 
     async def renew_lease(self, lease_id: str) -> Lease:
         """See base class."""
@@ -196,7 +202,7 @@
             message = RenewStoreLease(lease_id)
             return _lease(await self._ask(message, StoreLease))
 
-        return await self._read(lambda: self._direct.renew_lease(lease_id), ask)
+        return await self._call(lambda: self._direct.renew_lease(lease_id), ask)
 
     async def revoke_lease(self, lease_id: str) -> None:
         """See base class."""
@@ -204,33 +210,31 @@
         async def ask() -> None:
             await self._ask(RevokeStoreLease(lease_id), Done)
 
-        await self._read(lambda: self._direct.revoke_lease(lease_id), ask)
+        await self._call(lambda: self._direct.revoke_lease(lease_id), ask)
 
     # The way to the store
 
-    async def _read(
+    async def _call(
         self,
         direct: Callable[[], Awaitable[T]],
         ask: Callable[[], Awaitable[T]],
+        *,
+        is_repeatable: bool = True,
     ) -> T:
-        if not self._cut.is_set():
-            try:
-                return await direct()
-            except StoreUnavailableError as error:
-                self._take_cut(error)
-        return await ask()
+        """Calls the store, or a peer if it is out of reach.
 
-    async def _write(
-        self,
-        direct: Callable[[], Awaitable[T]],
-        ask: Callable[[], Awaitable[T]],
-    ) -> T:
+        Args:
+            direct: Makes the call.
+            ask: Has a peer make it.
+            is_repeatable: Whether it may be made again if it may have been
+                made already.
+        """
         if not self._cut.is_set():
             try:
                 return await direct()
             except StoreUnavailableError as error:
                 self._take_cut(error)
-                if not error.not_run:
+                if not (is_repeatable or error.not_run):
                     raise
         return await ask()
 
@@ -267,8 +271,7 @@
                 `not_run`, a peer may have made the call.
         """
         is_certain = True
-        peers = self._known_peers()
-        for address in self._rng.sample(peers, min(PEERS_ASKED, len(peers))):
+        for address in self._peers_in_turn()[:PEERS_ASKED]:
             deadline = clock.monotonic() + wait_s + PEER_TIMEOUT_S
             try:
                 reply = await self._links.call(
@@ -278,24 +281,36 @@
                 is_certain = is_certain and error.not_run
             except (DeadlineExceededError, LinkLostError):
                 is_certain = False
+                silent_until = clock.monotonic() + SILENT_S
+                self._silent_until_by_address[address] = silent_until
             else:
                 if not isinstance(reply, kind):
                     raise ProtocolError(f"{type(reply).__name__} from a peer.")
+                self._last_good_address = address
                 return reply
             if isinstance(message, WriteStore) and not is_certain:
                 break
         raise StoreUnavailableError(
-            f"Neither the store nor {len(peers)} known peers answer.",
-            not_run=is_certain,
+            "Neither the store nor a peer answers.", not_run=is_certain
         )
 
-    def _known_peers(self) -> Addresses:
+    def _peers_in_turn(self) -> Addresses:
+        """Returns the peers, the last good one first, silent ones last."""
         own = PEER_PREFIX + self._own_name
-        return [
+        addresses = [
             record.value.decode()
             for key, record in self._peers.records_by_key.items()
             if key != own
         ]
+        self._rng.shuffle(addresses)
+        now = clock.monotonic()
+        addresses.sort(
+            key=lambda address: (
+                self._silent_until_by_address.get(address, 0.0) > now,
+                address != self._last_good_address,
+            )
+        )
+        return addresses
 
     # Calls of peers
 
--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -16,11 +16,11 @@
     PlumvaneError,
     UpstreamLostError,
     UpstreamUnavailableError,
-    WrongUpstreamError,
 )
 from plumvane.gateway.exchange import Exchange
 from plumvane.relay.caller import Attempt, Reply, UpstreamCaller
 from plumvane.relay.events import EventReader
+from plumvane.relay.health import note_answer, note_failure
 from plumvane.serving.routes import Kind, Route
 from plumvane.serving.upstreams import Upstream
 
@@ -35,6 +35,8 @@
 # Answers up to this size are passed on only when they are whole, so that a
 # broken one can be had again, in bytes.
 BUFFERED_BYTES = 262_144
+# Age that the log shows for a load that was never read, in seconds.
+LOAD_AGE_SHOWN_S = 99.0
 # Upstreams that may refuse one request before it is refused to the caller.
 MAX_REFUSALS = 4
 # When a refused caller may come back, in seconds: about the time in which a
@@ -48,19 +50,29 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Progress:
-    """What became of a request so far.
+class _Forwarding:
+    """A request, and what became of it so far.
 
     Attributes:
+        exchange: The caller's exchange.
+        route: Route of the request.
+        service: Service that was drawn for it.
+        body: Its body.
+        deadline: Monotonic time in seconds at which it must have an answer.
+        last_event_id: Last event that the caller has, or None.
         sent_ids: Upstreams that may have run it.
         refused_ids: Upstreams that have not run it.
-        last_event_id: Last event that the caller has, or None.
         error: Last failure.
     """
 
-    sent_ids: set[str]
-    refused_ids: set[str]
+    exchange: Exchange
+    route: Route
+    service: str
+    body: bytes
+    deadline: float
     last_event_id: int | None
+    sent_ids: set[str] = dataclasses.field(default_factory=set)
+    refused_ids: set[str] = dataclasses.field(default_factory=set)
     error: PlumvaneError | None = None
 
 
@@ -96,71 +108,46 @@
             BrokenAnswerError: The answer began and cannot be completed.
             PlumvaneError: There is no answer.
         """
-        patience_s = exchange.request.patience_s
+        request = exchange.request
         span = route.timeout_s
-        if patience_s is not None:
-            span = min(span, patience_s)
-        deadline = received + span
-        service = route.choose_service(self._rng)
-        progress = _Progress(set(), set(), exchange.request.last_event_id)
-        with anyio.move_on_after(max(0.0, deadline - clock.monotonic())):
-            await self._try_all(
-                exchange, route, service, body, deadline, progress
-            )
+        if request.patience_s is not None:
+            span = min(span, request.patience_s)
+        work = _Forwarding(
+            exchange=exchange,
+            route=route,
+            service=route.choose_service(self._rng),
+            body=body,
+            deadline=received + span,
+            last_event_id=request.last_event_id,
+        )
+        with anyio.move_on_after(clock.remaining(work.deadline)):
+            await self._try_all(work)
             return
         if exchange.has_started:
             raise BrokenAnswerError("the deadline passed")
-        if progress.sent_ids:
+        if work.sent_ids:
             raise DeadlineExceededError(
                 "The deadline passed while an upstream had the request."
             )
         raise self._refusal("The deadline passed before an upstream took it.")
 
-    async def _try_all(
-        self,
-        exchange: Exchange,
-        route: Route,
-        service: str,
-        body: bytes,
-        deadline: float,
-        progress: _Progress,
-    ) -> None:
+    async def _try_all(self, work: _Forwarding) -> None:
         while True:
-            upstream = self._choose(exchange, route, service, progress)
-            attempt = self._attempt(
-                exchange, route, service, body, deadline, progress
-            )
-            self._log_routed(exchange, route, upstream, progress)
-            progress.sent_ids.add(upstream.upstream_id)
+            upstream = self._choose(work)
+            self._log_routed(work, upstream)
+            attempt = self._attempt(work)
+            work.sent_ids.add(upstream.upstream_id)
             try:
-                await self._try_one(
-                    exchange, route, upstream, attempt, progress
-                )
+                await self._try_one(work, upstream, attempt)
                 return
-            except (OverloadedError, UpstreamUnavailableError) as error:
-                progress.sent_ids.discard(upstream.upstream_id)
-                progress.refused_ids.add(upstream.upstream_id)
-                self._take_refusal(upstream, error)
-                progress.error = error
-            except UpstreamLostError as error:
-                self._eject(upstream, error)
-                progress.error = error
-                self._check_repeatable(exchange, route, progress, error)
-            events.log(
-                events.Event.REQUEST_RETRIED,
-                request=exchange.request.request_id,
-                upstream=upstream.upstream_id,
-                error=str(progress.error),
-                last_event=progress.last_event_id,
-            )
-
-    def _choose(
-        self,
-        exchange: Exchange,
-        route: Route,
-        service: str,
-        progress: _Progress,
-    ) -> Upstream:
+            except (
+                OverloadedError,
+                UpstreamUnavailableError,
+                UpstreamLostError,
+            ) as error:
+                self._take_failure(work, upstream, error)
+
+    def _choose(self, work: _Forwarding) -> Upstream:
         """Returns the upstream of the next attempt.
 
         Raises:
@@ -168,107 +155,87 @@
             OverloadedError: None is left, and none has run the request.
             UpstreamLostError: None is left, and one may have run it.
         """
-        tried = progress.sent_ids | progress.refused_ids
         enough = (
-            len(progress.refused_ids) >= MAX_REFUSALS
-            or len(progress.sent_ids) >= route.max_attempts
+            len(work.refused_ids) >= MAX_REFUSALS
+            or len(work.sent_ids) >= work.route.max_attempts
         )
         upstream = None
         if not enough:
             upstream = self._view.upstreams.choose(
-                service, clock.monotonic(), tried
+                work.service,
+                clock.monotonic(),
+                work.sent_ids | work.refused_ids,
             )
         if upstream is not None:
             return upstream
-        if exchange.has_started:
-            raise BrokenAnswerError(f"nobody has the rest: {progress.error}")
-        if not progress.sent_ids:
+        if work.exchange.has_started:
+            raise BrokenAnswerError(f"nobody has the rest: {work.error}")
+        if not work.sent_ids:
             raise self._refusal(
-                f"No upstream of {service} takes the request: "
-                f"{progress.error or 'none is listed'}"
+                f"No upstream of {work.service} takes the request: "
+                f"{work.error or 'none is listed'}"
             )
         raise UpstreamLostError(
             f"An upstream may have run the request; its answer was lost, and "
-            f"no other gave one: {progress.error}"
+            f"no other gave one: {work.error}"
         )
 
-    def _attempt(
-        self,
-        exchange: Exchange,
-        route: Route,
-        service: str,
-        body: bytes,
-        deadline: float,
-        progress: _Progress,
-    ) -> Attempt:
-        request = exchange.request
+    def _attempt(self, work: _Forwarding) -> Attempt:
+        request = work.exchange.request
         return Attempt(
             request_id=request.request_id,
             method=request.method,
             target=request.target,
             headers=request.headers,
-            body=body,
-            deadline=deadline,
-            last_event_id=progress.last_event_id,
-            is_idempotent=route.is_idempotent,
-            gap_s=self._longest_silence(route, service, progress),
+            body=work.body,
+            deadline=work.deadline,
+            last_event_id=work.last_event_id,
+            is_idempotent=work.route.is_idempotent,
+            gap_s=self._longest_silence(work),
         )
 
-    def _longest_silence(
-        self, route: Route, service: str, progress: _Progress
-    ) -> float | None:
+    def _longest_silence(self, work: _Forwarding) -> float | None:
         """Returns how long an upstream may be silent; None for no limit.
 
         Without a limit the request waits for its deadline: it may not be sent
         again, or there is nowhere else to send it.
         """
-        tried = len(progress.sent_ids) + 1
+        route = work.route
+        tried = len(work.sent_ids) + 1
         if not route.is_idempotent or tried >= route.max_attempts:
             return None
-        if len(self._view.upstreams.ready(service)) <= tried:
+        if len(self._view.upstreams.ready(work.service)) <= tried:
             return None
         if route.kind is Kind.STREAM:
             return STREAM_SILENCE_S
         return CALL_SILENCE_TARGETS * route.target_latency_s
 
     async def _try_one(
-        self,
-        exchange: Exchange,
-        route: Route,
-        upstream: Upstream,
-        attempt: Attempt,
-        progress: _Progress,
+        self, work: _Forwarding, upstream: Upstream, attempt: Attempt
     ) -> None:
         async with self._caller.send(upstream, attempt) as reply:
-            if upstream.succeed():
-                events.log(
-                    events.Event.UPSTREAM_BACK, upstream=upstream.upstream_id
-                )
-            if route.kind is Kind.STREAM and reply.status == 200:
-                await self._pass_stream(exchange, attempt, reply, progress)
+            note_answer(upstream)
+            if work.route.kind is Kind.STREAM and reply.status == 200:
+                await self._pass_stream(work, reply)
             else:
-                await self._pass_answer(exchange, reply)
-
-    async def _pass_stream(
-        self,
-        exchange: Exchange,
-        attempt: Attempt,
-        reply: Reply,
-        progress: _Progress,
-    ) -> None:
-        reader = EventReader(attempt.last_event_id)
+                await self._pass_answer(work.exchange, reply)
+
+    async def _pass_stream(self, work: _Forwarding, reply: Reply) -> None:
+        exchange = work.exchange
+        reader = EventReader(work.last_event_id)
         async for part in reply.parts():
             for event in reader.feed(part):
                 if not exchange.has_started:
                     await exchange.start(reply.status, reply.headers)
                 await exchange.send_part(event.raw)
-                progress.last_event_id = reader.last_event_id
+                work.last_event_id = reader.last_event_id
         reader.finish()
         if not exchange.has_started:
             await exchange.start(reply.status, reply.headers)
         await exchange.finish()
 
     async def _pass_answer(self, exchange: Exchange, reply: Reply) -> None:
+        """Passes an answer on, whole if it is small."""
         if exchange.has_started:
             raise BrokenAnswerError(
                 f"an upstream answered the rest with {reply.status}"
@@ -289,41 +256,32 @@
         else:
             await exchange.answer(reply.status, b"".join(parts), reply.headers)
 
-    def _check_repeatable(
-        self,
-        exchange: Exchange,
-        route: Route,
-        progress: _Progress,
-        error: PlumvaneError,
+    def _take_failure(
+        self, work: _Forwarding, upstream: Upstream, error: PlumvaneError
     ) -> None:
-        """Raises the request's final error unless it may be sent again."""
-        if exchange.has_started and not route.is_resumable:
+        """Takes a failed attempt in.
+
+        Raises:
+            BrokenAnswerError: The answer has begun and cannot go on.
+            OutcomeUnknownError: The request may have run, and only once.
+        """
+        work.error = error
+        note_failure(self._view.upstreams, upstream, error)
+        if error.not_run:
+            work.sent_ids.discard(upstream.upstream_id)
+            work.refused_ids.add(upstream.upstream_id)
+        elif work.exchange.has_started and not work.route.is_resumable:
             raise BrokenAnswerError(error.detail)
-        if not route.is_idempotent:
+        elif not work.route.is_idempotent:
             raise OutcomeUnknownError(
                 f"The answer was lost: {error.detail}"
             ) from error
-
-    def _take_refusal(self, upstream: Upstream, error: PlumvaneError) -> None:
-        if isinstance(error, WrongUpstreamError):
-            self._view.upstreams.remove(upstream.upstream_id)
-            events.log(
-                events.Event.UPSTREAM_GONE,
-                upstream=upstream.upstream_id,
-                service=upstream.listed.service,
-                reason="another upstream has its address",
-            )
-        elif isinstance(error, UpstreamUnavailableError):
-            self._eject(upstream, error)
-
-    def _eject(self, upstream: Upstream, error: PlumvaneError) -> None:
-        now = clock.monotonic()
-        until = upstream.fail(now)
         events.log(
-            events.Event.UPSTREAM_EJECTED,
+            events.Event.REQUEST_RETRIED,
+            request=work.exchange.request.request_id,
             upstream=upstream.upstream_id,
-            for_s=round(until - now, 2),
-            error=error.detail,
+            error=str(error),
+            last_event=work.last_event_id,
         )
 
     def _refusal(self, detail: str) -> OverloadedError:
@@ -332,21 +290,15 @@
             detail, not_run=True, retry_after_s=RETRY_AFTER_S + spread
         )
 
-    def _log_routed(
-        self,
-        exchange: Exchange,
-        route: Route,
-        upstream: Upstream,
-        progress: _Progress,
-    ) -> None:
+    def _log_routed(self, work: _Forwarding, upstream: Upstream) -> None:
         now = clock.monotonic()
         events.log(
             events.Event.REQUEST_ROUTED,
-            request=exchange.request.request_id,
-            route=route.name,
+            request=work.exchange.request.request_id,
+            route=work.route.name,
             upstream=upstream.upstream_id,
             load=upstream.estimated_load(now),
-            load_age_s=round(min(upstream.load_age(now), 99.0), 2),
+            load_age_s=round(min(upstream.load_age(now), LOAD_AGE_SHOWN_S), 2),
             slots=upstream.slots,
-            attempt=len(progress.sent_ids) + len(progress.refused_ids) + 1,
+            attempt=len(work.sent_ids) + len(work.refused_ids) + 1,
         )
--- a/plumvane/serving/jobs.py
+++ b/plumvane/serving/jobs.py
@@ -138,16 +138,6 @@
         self.listed_ids.append(item_id)
         return len(self.listed_ids) - 1
 
-    def add_failure(self, item_id: str) -> bool:
-        """Counts a failed run.
-
-        Returns:
-            Whether the item has failed for the last time.
-        """
-        failures = self.failures_by_id.get(item_id, 0) + 1
-        self.failures_by_id[item_id] = failures
-        return failures >= self.max_attempts
-
     def encode(self) -> bytes:
         """Returns its value for the store."""
         return _encoder.encode(self)
--- a/plumvane/worker/items.py
+++ b/plumvane/worker/items.py
@@ -6,16 +6,11 @@
 
 from plumvane import clock, events
 from plumvane.discovery.view import FleetView
-from plumvane.errors import (
-    PlumvaneError,
-    UpstreamFailedError,
-    UpstreamLostError,
-    UpstreamUnavailableError,
-    WrongUpstreamError,
-)
+from plumvane.errors import PlumvaneError, UpstreamFailedError
 from plumvane.platform.requests import item_headers
 from plumvane.relay.caller import Attempt, Reply, UpstreamCaller
 from plumvane.relay.events import EventReader
+from plumvane.relay.health import note_answer, note_failure
 from plumvane.serving.upstreams import Upstream
 from plumvane.worker.owned import ItemRun, OwnedJob
 
@@ -61,7 +56,7 @@
         except PlumvaneError as error:
             run.retry_at = clock.monotonic() + RETRY_S
             self._log(events.Event.ITEM_BROKEN, owned, run, error=str(error))
-            self._take_error(upstream, error)
+            note_failure(self._view.upstreams, upstream, error)
         finally:
             upstream.batch_in_flight -= 1
             run.scope = None
@@ -85,7 +80,7 @@
         )
         self._log(events.Event.ITEM_STARTED, owned, run)
         async with self._caller.send(upstream, attempt) as reply:
-            upstream.succeed()
+            note_answer(upstream)
             if reply.status == 200:
                 await self._read_events(run, reply)
                 owned.complete(run)
@@ -107,8 +102,7 @@
     ) -> None:
         is_last = reply.status == IMPOSSIBLE
         if reply.status == 500:
-            is_last = owned.job.add_failure(run.item.item_id)
-            owned.has_unsaved_failures = True
+            is_last = owned.add_failure(run.item.item_id)
         if not is_last:
             raise UpstreamFailedError(
                 f"The upstream answered the item with {reply.status}."
@@ -119,22 +113,9 @@
             owned,
             run,
             status=reply.status,
-            failures=owned.job.failures_by_id.get(run.item.item_id, 0),
+            failures=owned.failures(run.item.item_id),
         )
 
-    def _take_error(self, upstream: Upstream, error: PlumvaneError) -> None:
-        if isinstance(error, WrongUpstreamError):
-            self._view.upstreams.remove(upstream.upstream_id)
-        elif isinstance(error, (UpstreamUnavailableError, UpstreamLostError)):
-            now = clock.monotonic()
-            until = upstream.fail(now)
-            events.log(
-                events.Event.UPSTREAM_EJECTED,
-                upstream=upstream.upstream_id,
-                for_s=round(until - now, 2),
-                error=error.detail,
-            )
-
     def _log(
         self,
         event: events.Event,
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -8,6 +8,8 @@
 
 from plumvane.discovery.connect import connect
 from plumvane.process import run_program
+from plumvane.relay.caller import UpstreamCaller
+from plumvane.relay.reports import ReportReader
 from plumvane.settings import WorkerSettings
 from plumvane.worker.retirement import Retirement
 from plumvane.worker.worker import Worker
@@ -33,7 +35,14 @@
     """
     rng = random.Random()
     store, view = connect(settings, rng)
-    worker = Worker(settings.process.name, store, view, rng)
+    worker = Worker(
+        settings.process.name,
+        store,
+        view,
+        UpstreamCaller(),
+        ReportReader(),
+        rng,
+    )
     retirement = Retirement(settings.process.name, store, worker.leave)
     view.on_operator_change = retirement.take_operator_change
     async with anyio.create_task_group() as group:
--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -39,6 +39,12 @@
     is_done: bool = False
     retry_at: float = 0.0
 
+    def stop(self) -> None:
+        """Ends its run, if it has one; what it has so far stays."""
+        self.is_stopping = True
+        if self.scope is not None:
+            self.scope.cancel()
+
 
 class OwnedJob:
     """A job's head as this worker last wrote or read it, and its runs."""
@@ -60,8 +66,10 @@
         """
         self.job = job
         self.revision = revision
+        # Results that the store does not list yet.
         self.outcomes: list[ItemResult] = []
-        self.has_unsaved_failures = False
+        # Failed runs by item, those among them that the head does not have yet.
+        self._failures_by_id = dict(job.failures_by_id)
         unlisted = set(job.unlisted_ids())
         self.runs_by_id = {
             item.item_id: ItemRun(item)
@@ -74,6 +82,30 @@
                 run.texts = list(left.texts)
                 run.last_event_id = left.last_event_id
 
+    def has_unsaved(self) -> bool:
+        """Returns whether the head in the store lacks something."""
+        unsaved_failures = self._failures_by_id != self.job.failures_by_id
+        return bool(self.outcomes) or unsaved_failures
+
+    def copy_head(self) -> Job:
+        """Returns a head with the failures so far, to be changed further."""
+        job = Job.decode(self.job.encode())
+        job.failures_by_id = dict(self._failures_by_id)
+        return job
+
+    def failures(self, item_id: str) -> int:
+        """Returns how many runs of an item have failed."""
+        return self._failures_by_id.get(item_id, 0)
+
+    def add_failure(self, item_id: str) -> bool:
+        """Counts a failed run.
+
+        Returns:
+            Whether the item has failed for the last time.
+        """
+        self._failures_by_id[item_id] = self.failures(item_id) + 1
+        return self.failures(item_id) >= self.job.max_attempts
+
     def progress(self) -> list[ItemProgress]:
         """Returns how far the items are that have no outcome yet."""
         return [
@@ -111,16 +143,17 @@
         self.outcomes.append(ItemResult(run.item.item_id, False, ""))
 
     def take_head(self, job: Job, revision: int) -> None:
-        """Takes a newer head in, as written by another process."""
+        """Takes in a head that the store holds, unless it is older."""
         if revision <= self.revision:
             return
         self.job = job
         self.revision = revision
+        for item_id, count in job.failures_by_id.items():
+            self._failures_by_id[item_id] = max(count, self.failures(item_id))
         for item_id in job.listed_ids:
             run = self.runs_by_id.pop(item_id, None)
-            if run is not None and run.scope is not None:
-                run.is_stopping = True
-                run.scope.cancel()
+            if run is not None:
+                run.stop()
         listed = set(job.listed_ids)
         self.outcomes = [o for o in self.outcomes if o.item_id not in listed]
 
@@ -137,7 +170,6 @@
         taken_ids = {result.item_id for result in taken}
         self.job = commit.job
         self.revision = revision
-        self.has_unsaved_failures = False
         self.outcomes = [o for o in self.outcomes if o.item_id not in taken_ids]
         for item_id in taken_ids:
             self.runs_by_id.pop(item_id, None)
--- /dev/null
+++ b/plumvane/worker/pacer.py
@@ -0,0 +1,173 @@
+"""Starts items of batch jobs at upstreams, and stops them for callers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Iterable
+
+import anyio
+import anyio.abc
+
+from plumvane import clock
+from plumvane.discovery.view import FleetView
+from plumvane.relay.reports import ReportReader
+from plumvane.serving.pacing import (
+    HOLD_S,
+    PROTECTED_ITEMS,
+    Place,
+    is_urgent,
+    plan,
+)
+from plumvane.serving.upstreams import Upstream
+from plumvane.worker.items import ItemRunner
+from plumvane.worker.owned import ItemRun, OwnedJob
+
+__all__ = ["Pacer"]
+
+
+class Pacer:
+    """Applies the policy of pacing to the jobs of one worker."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        reports: ReportReader,
+        runner: ItemRunner,
+        rng: random.Random,
+    ) -> None:
+        """Creates the pacer.
+
+        Args:
+            view: Routes and upstreams in force.
+            reports: Asks upstreams for their load.
+            runner: Runs items.
+            rng: Draws services of split routes.
+        """
+        self._view = view
+        self._reports = reports
+        self._runner = runner
+        self._rng = rng
+        self._held_until_by_id: dict[str, float] = {}
+
+    async def pace(
+        self,
+        jobs: Collection[OwnedJob],
+        workers: int,
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        """Starts and stops items once.
+
+        Args:
+            jobs: The jobs of this worker.
+            workers: Workers that share the upstreams, this one among them.
+            group: Runs the items that start.
+        """
+        jobs_by_service: dict[str, list[OwnedJob]] = {}
+        for owned in jobs:
+            service = self._service(owned)
+            if service is not None:
+                jobs_by_service.setdefault(service, []).append(owned)
+        for service, served in jobs_by_service.items():
+            await self._pace_service(service, served, workers, group)
+
+    def _service(self, owned: OwnedJob) -> str | None:
+        """Returns the service of a job's route, or None if it has none."""
+        run = next(iter(owned.runs_by_id.values()), None)
+        if run is None or self._view.routes is None:
+            return None
+        route = self._view.routes.match(owned.job.host, run.item.path)
+        return route.choose_service(self._rng) if route is not None else None
+
+    async def _pace_service(
+        self,
+        service: str,
+        jobs: list[OwnedJob],
+        workers: int,
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        now = clock.monotonic()
+        upstreams_by_id = {
+            upstream.upstream_id: upstream
+            for upstream in self._view.upstreams.ready(service)
+            if not upstream.is_ejected(now)
+        }
+        await self._reports.read(list(upstreams_by_id.values()))
+        now = clock.monotonic()
+        running_by_upstream = _running_by_upstream(jobs)
+        places = [
+            self._place(upstream, running_by_upstream.get(upstream_id, []), now)
+            for upstream_id, upstream in upstreams_by_id.items()
+        ]
+        waiting = _waiting(jobs, now)
+        urgent = sum(_is_urgent(owned) for owned, _ in waiting)
+        todo = plan(places, urgent, len(waiting) - urgent, workers)
+        for upstream_id, count in todo.stops_by_id.items():
+            for run in _yielding(running_by_upstream[upstream_id])[:count]:
+                run.stop()
+        for (owned, run), upstream_id in zip(
+            waiting, todo.starts, strict=False
+        ):
+            run.scope = anyio.CancelScope()
+            group.start_soon(
+                self._runner.run, owned, run, upstreams_by_id[upstream_id]
+            )
+
+    def _place(
+        self, upstream: Upstream, running: list[_Running], now: float
+    ) -> Place:
+        upstream_id = upstream.upstream_id
+        waiting = upstream.waiting(now)
+        if waiting:
+            self._held_until_by_id[upstream_id] = now + HOLD_S
+        return Place(
+            upstream_id=upstream_id,
+            slots=upstream.slots,
+            load=upstream.estimated_load(now),
+            waiting=waiting,
+            yielding_items=len(_yielding(running)),
+            is_held=self._held_until_by_id.get(upstream_id, 0.0) > now,
+        )
+
+
+_Running = tuple[OwnedJob, ItemRun]
+
+
+def _is_urgent(owned: OwnedJob) -> bool:
+    return is_urgent(owned.job.due_ms / 1000, clock.wall())
+
+
+def _waiting(jobs: Iterable[OwnedJob], now: float) -> list[_Running]:
+    """Returns the items that could start, in the order of their turn.
+
+    The job that is due first is first; late ones come last.
+    """
+    wall_ms = clock.wall() * 1000
+    in_turn = sorted(
+        jobs, key=lambda owned: (owned.job.due_ms < wall_ms, owned.job.due_ms)
+    )
+    return [(owned, run) for owned in in_turn for run in owned.waiting(now)]
+
+
+def _running_by_upstream(
+    jobs: Iterable[OwnedJob],
+) -> dict[str, list[_Running]]:
+    found: dict[str, list[_Running]] = {}
+    for owned in jobs:
+        for run in owned.running():
+            if not run.is_stopping:
+                found.setdefault(run.upstream_id, []).append((owned, run))
+    return found
+
+
+def _yielding(running: list[_Running]) -> list[ItemRun]:
+    """Returns an upstream's items that may be stopped, newest first.
+
+    The oldest of the urgent ones stay, up to a bound: if more did, online
+    requests would wait for all of them.
+    """
+    in_turn = sorted(
+        running, key=lambda entry: (_is_urgent(entry[0]), -entry[1].started)
+    )
+    urgent = sum(_is_urgent(owned) for owned, _ in running)
+    kept = min(urgent, PROTECTED_ITEMS)
+    return [run for _, run in in_turn[: len(in_turn) - kept]]
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -160,3 +160,24 @@
         assert keys == {f"{PEER_PREFIX}n{number}" for number in range(3)}
 
     with_peers(steps, 3)
+
+
+def test_silent_peers_are_left_out_and_the_last_good_one_is_first() -> None:
+    async def steps(stores: list[RelayedStore], ways: list[Way]) -> None:
+        ways[0].is_cut = True
+        # Links to addresses where nobody listens are silent.
+        for number in range(6):
+            await stores[1].put(
+                f"{PEER_PREFIX}silent{number}",
+                f"127.0.0.1:{free_port('127.0.0.1')}".encode(),
+                expected_revision=None,
+            )
+        while len(stores[0]._peers.records_by_key) < 8:
+            await anyio.sleep(POLL_S)
+        await stores[0].get("a")
+        before = clock.monotonic()
+        for _ in range(10):
+            await stores[0].get("a")
+        assert clock.monotonic() - before < 1.0, "one silent peer takes as long"
+
+    with_peers(steps)
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -11,9 +11,13 @@
 import anyio
 
 from plumvane import clock
-from plumvane.batch.jobstore import JOB_PREFIX, JobStore
+from plumvane.batch.jobstore import JOB_PREFIX, Commit, JobStore
 from plumvane.discovery.view import FleetView
-from plumvane.errors import ConflictError, UpstreamLostError
+from plumvane.errors import (
+    ConflictError,
+    StoreUnavailableError,
+    UpstreamLostError,
+)
 from plumvane.relay.caller import Attempt
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.jobs import Item, ItemResult, Job
@@ -21,7 +25,6 @@
 from plumvane.serving.upstreams import Upstream
 from plumvane.store.base import Record
 from plumvane.store.memory import MemoryStore
-from plumvane.worker import worker as worker_module
 from plumvane.worker.items import ItemRunner
 from plumvane.worker.owned import OwnedJob
 from plumvane.worker.worker import Worker
@@ -121,11 +124,8 @@
     view._entries.loaded.set()
     for number in range(2):
         view.upstreams.put(listed(f"u{number}"))
-    worker = Worker(name, store, view, rng)
     caller: Any = engine
-    worker._runner = ItemRunner(view, caller)
-    worker._reports = NoReports()
-    return worker
+    return Worker(name, store, view, caller, NoReports(), rng)
 
 
 def items(count: int) -> tuple[Item, ...]:
@@ -308,7 +308,7 @@
         )
         if self.loses:
             self.loses -= 1
-            raise worker_module.StoreUnavailableError("lost")
+            raise StoreUnavailableError("lost")
         return revision
 
 
@@ -323,7 +323,7 @@
             position = writer.list_result("i0")
             assert position == 0
             result = ItemResult("i0", True, "x")
-            commit = worker_module.Commit(writer, revision, {0: result})
+            commit = Commit(writer, revision, {0: result})
             try:
                 await jobs.commit([commit])
                 assert is_first
@@ -359,13 +359,96 @@
         await jobs.accept("j", "h", items(1), JOB_ROUTE)
         job, revision = await jobs.head("j")
         owned = OwnedJob(job, revision, list(items(1)))
-        worker = make_worker("w1", store, engine)
-        upstream = worker._view.upstreams.upstreams_by_id["u0"]
+        view = FleetView(store, "a", random.Random(1))
+        caller: Any = engine
+        upstream = Upstream(listed("u0"))
         run = owned.runs_by_id["i0"]
         run.scope = anyio.CancelScope()
         run.scope.cancel()
-        await worker._runner.run(owned, run, upstream)
+        await ItemRunner(view, caller).run(owned, run, upstream)
         assert engine.running == []
         assert not run.is_done
 
     play(steps)
+
+
+def test_claim_whose_answer_and_reading_fail_is_made_again() -> None:
+    class Failing(MemoryStore):
+        loses = True
+        head_is_unreadable = True
+
+        async def transact(self, writes: Any, *, expected_by_key: Any) -> int:
+            revision = await super().transact(
+                writes, expected_by_key=expected_by_key
+            )
+            if self.loses and any(w.key.startswith(JOB_PREFIX) for w in writes):
+                self.loses = False
+                raise StoreUnavailableError("lost")
+            return revision
+
+        async def get(self, key: str) -> Record | None:
+            if self.head_is_unreadable and key.startswith(JOB_PREFIX):
+                raise StoreUnavailableError("slow")
+            return await super().get(key)
+
+    async def steps() -> None:
+        store, engine = Failing(), Engine()
+        store.loses = False
+        await JobStore(store).accept("j", "h", items(2), JOB_ROUTE)
+        store.loses = True
+        worker = make_worker("w1", store, engine)
+        async with anyio.create_task_group() as group:
+            group.start_soon(worker.run)
+            # The worker sees its claim in the head before it can read it.
+            while not any(h.owner for h, _ in worker._heads_by_id.values()):
+                await anyio.sleep(POLL_S)
+            await anyio.sleep(1.0)
+            store.head_is_unreadable = False
+            await until_listed(store, "j", 2)
+            group.cancel_scope.cancel()
+
+    play(steps)
+
+
+def test_job_that_ends_while_it_is_claimed_runs_no_item() -> None:
+    class Slow(MemoryStore):
+        ends_at_items = False
+
+        async def get(self, key: str) -> Record | None:
+            record = await super().get(key)
+            if self.ends_at_items and "/items/" in key:
+                self.ends_at_items = False
+                await JobStore(self).end("j")
+                # The end is seen before the claim is complete.
+                await anyio.sleep(1.0)
+            return record
+
+    async def steps() -> None:
+        store, engine = Slow(), Engine(holds=True)
+        await JobStore(store).accept("j", "h", items(2), JOB_ROUTE)
+        store.ends_at_items = True
+        async with anyio.create_task_group() as group:
+            group.start_soon(make_worker("w1", store, engine).run)
+            while store.ends_at_items:
+                await anyio.sleep(POLL_S)
+            await anyio.sleep(2.0)
+            assert engine.starts == []
+            group.cancel_scope.cancel()
+
+    play(steps)
+
+
+def test_failures_that_are_counted_during_a_commit_are_kept() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
+        jobs = JobStore(store)
+        await jobs.accept("j", "h", items(2), JOB_ROUTE)
+        job, revision = await jobs.head("j")
+        owned = OwnedJob(job, revision, list(items(2)))
+        assert not owned.add_failure("i0")
+        commit = Commit(Job.decode(owned.job.encode()), revision, {})
+        assert not owned.add_failure("i1")
+        owned.take_commit(commit, await jobs.commit([commit]), [])
+        assert owned.add_failure("i1"), "two failures are the most"
+
+    play(steps)
