Decode calls on batch jobs in the adapter; share the stores' HTTP calls

The gateway cut paths, arguments and headers of the platform's batch calls apart itself; the adapter gives it ReadJob, ReadItem and EndJob now. Both HTTP stores had the same code for time limits and outages. Whether an answer has begun follows from its status.

--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -23,7 +23,8 @@
 # must be known within 2 s.
 UPSTREAM_PAUSE_S = 0.2
 # How long after an outage of the store an entry that lapsed in it may take to
-# come back, in seconds: about two by the platform's word.
+# come back, in seconds: about two,
+# as the platform documents.
 RETURN_S = 2.3
 CHECK_S = 0.25
 
@@ -45,7 +46,9 @@
         self.upstreams = UpstreamTable(data_centre, rng)
         # Told each change of the operators' keys beside the configuration.
         self.on_operator_change: Callable[[Record], None] = _ignore
-        self.operator_keys = Mirror(store, "op/", self._take_operator_key)
+        self.operator_keys = Mirror(
+            store, names.OPERATOR_PREFIX, self._take_operator_key
+        )
         self._entries = Mirror(
             store,
             names.UPSTREAM_PREFIX,
--- a/plumvane/gateway/app.py
+++ b/plumvane/gateway/app.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from urllib.parse import parse_qs
-
 import anyio
 
 from plumvane import clock, events, metrics
@@ -24,12 +22,15 @@
 from plumvane.gateway.forwarder import BrokenAnswerError, Forwarder
 from plumvane.gateway.jobs import JobCalls
 from plumvane.metrics import Metric
-from plumvane.platform import names
+from plumvane.platform.calls import decode_job_call, is_readiness_question
 from plumvane.serving.routes import Kind, Route, RouteTable
 
 __all__ = ["GatewayApp", "ReadyApp"]
 
+# When a refused caller may come back, in seconds: a start takes about one.
 RETRY_AFTER_S = 0.5
+# Kind of exchange that the metrics show for calls on batch jobs.
+JOB_CALL_KIND = "job"
 # Statuses that promise that a request has not run.
 NOT_RUN_STATUSES = frozenset({429, 503})
 
@@ -127,20 +128,10 @@
     async def _dispatch(
         self, exchange: Exchange, body: bytes, received: float
     ) -> None:
-        request = exchange.request
-        if request.path.startswith(names.JOB_PATH_PREFIX):
-            exchange.kind = "job"
-            job_id = request.path.removeprefix(names.JOB_PATH_PREFIX)
-            if request.method == "DELETE":
-                await self._jobs.end(exchange, job_id)
-            else:
-                await self._jobs.read(exchange, job_id, self._after(exchange))
-            return
-        if request.path.startswith(names.ITEM_PATH_PREFIX):
-            exchange.kind = "item"
-            job_id = request.path.removeprefix(names.ITEM_PATH_PREFIX)
-            item_id = self._argument(exchange, "id")
-            await self._jobs.read_item(exchange, job_id, item_id)
+        call = decode_job_call(exchange.request)
+        if call is not None:
+            exchange.kind = JOB_CALL_KIND
+            await self._jobs.serve(exchange, call)
             return
         route = self._route(exchange)
         exchange.kind = route.kind.value
@@ -171,17 +162,6 @@
             )
         raise NotFoundError("No route matches the host and path.")
 
-    def _after(self, exchange: Exchange) -> int:
-        try:
-            return max(0, int(self._argument(exchange, "after") or 0))
-        except ValueError:
-            return 0
-
-    @staticmethod
-    def _argument(exchange: Exchange, name: str) -> str:
-        found = parse_qs(exchange.query.decode("latin-1"))
-        return found.get(name, [""])[0]
-
     async def _answer_error(
         self, exchange: Exchange, error: PlumvaneError, received: float
     ) -> None:
@@ -240,7 +220,7 @@
         if scope["type"] != "http":
             return
         exchange = Exchange(scope, receive, send, is_closing=False)
-        if exchange.request.path != names.READY_PATH:
+        if not is_readiness_question(exchange.request):
             await exchange.answer(404)
         elif self.is_leaving or not self._view.is_known():
             await exchange.answer(503)
--- a/plumvane/gateway/exchange.py
+++ b/plumvane/gateway/exchange.py
@@ -40,17 +40,21 @@
             scope["query_string"],
             list(scope["headers"]),
         )
-        self.query: bytes = scope["query_string"]
-        self.has_started = False
+        # Status of the answer; 0 before it began.
         self.status = 0
         # Kind of call, for the metrics.
         self.kind = "unrouted"
-        # Monotonic time in seconds at which the answer began; 0 before.
+        # Monotonic time in seconds at which the answer began.
         self.started_at = 0.0
         self._receive = receive
         self._send = send
         self._is_closing = is_closing
 
+    @property
+    def has_started(self) -> bool:
+        """Whether the head of the answer was sent."""
+        return self.status > 0
+
     async def read_body(self, max_bytes: int) -> bytes:
         """Reads the request's body.
 
@@ -81,7 +85,6 @@
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> None:
         """Sends the head of the answer."""
-        self.has_started = True
         self.started_at = clock.monotonic()
         self.status = status
         if self._is_closing:
--- a/plumvane/gateway/jobs.py
+++ b/plumvane/gateway/jobs.py
@@ -16,6 +16,7 @@
     StoreUnavailableError,
 )
 from plumvane.gateway.exchange import Exchange
+from plumvane.platform.calls import EndJob, JobCall, ReadItem, ReadJob
 from plumvane.platform.jobs import decode_submission, encode_results
 from plumvane.serving.jobs import ItemResult, Job
 from plumvane.serving.routes import Route
@@ -26,6 +27,8 @@
 # callers turn to another instance afterwards.
 STORE_PATIENCE_S = 1.2
 STORE_RETRY_S = 0.2
+# When a refused caller may come back, in seconds; another instance may reach
+# the store at once.
 RETRY_AFTER_S = 0.5
 # Longest wait of a read for a result, in seconds.
 MAX_WAIT_S = 1.0
@@ -111,18 +114,32 @@
         )
         await exchange.answer(202)
 
-    async def read(
-        self, exchange: Exchange, job_id: str, position: int
-    ) -> None:
+    async def serve(self, exchange: Exchange, call: JobCall) -> None:
+        """Answers a call on a job that was accepted.
+
+        Raises:
+            NotFoundError: No such job or item exists.
+            StoreUnavailableError: The store does not tell.
+        """
+        match call:
+            case ReadJob():
+                await self._read(exchange, call)
+            case ReadItem():
+                await self._read_item(exchange, call)
+            case EndJob():
+                await self._end(exchange, call.job_id)
+
+    async def _read(self, exchange: Exchange, call: ReadJob) -> None:
         """Answers with the results from a position on.
 
         Raises:
             NotFoundError: No such job exists.
             StoreUnavailableError: It is not certain what is listed.
         """
-        wait_s = min(exchange.request.wait_s, MAX_WAIT_S)
+        position = call.position
+        wait_s = min(call.wait_s, MAX_WAIT_S)
         known = await self._known_with(
-            job_id, position, clock.monotonic() + wait_s
+            call.job_id, position, clock.monotonic() + wait_s
         )
         results: list[ItemResult] = []
         size = 0
@@ -134,18 +151,17 @@
         body = encode_results(known.total, position, results)
         await exchange.answer(200, body, JSON_HEADERS)
 
-    async def read_item(
-        self, exchange: Exchange, job_id: str, item_id: str
-    ) -> None:
+    async def _read_item(self, exchange: Exchange, call: ReadItem) -> None:
         """Answers with the body of an item.
 
         Raises:
             NotFoundError: No such item exists.
             StoreUnavailableError: No answer of the store.
         """
-        job, _ = await self._jobs.head(job_id)
+        item_id = call.item_id
+        job, _ = await self._jobs.head(call.job_id)
         if item_id not in job.item_ids:
-            raise NotFoundError(f"Job {job_id} has no item {item_id}.")
+            raise NotFoundError(f"Job {call.job_id} has no item {item_id}.")
         chunk = job.chunk_by_item[job.item_ids.index(item_id)]
         items = await self._jobs.items(job, chunk)
         body = next(item.body for item in items if item.item_id == item_id)
@@ -153,7 +169,7 @@
             200, body, [(b"content-type", b"application/octet-stream")]
         )
 
-    async def end(self, exchange: Exchange, job_id: str) -> None:
+    async def _end(self, exchange: Exchange, job_id: str) -> None:
         """Ends a job.
 
         Raises:
--- a/plumvane/platform/names.py
+++ b/plumvane/platform/names.py
@@ -6,11 +6,14 @@
     "CONFIGURATION_KEY",
     "DEADLINE_HEADER",
     "EXPECTED_UPSTREAM_HEADER",
+    "ITEM_ARGUMENT",
     "ITEM_PATH_PREFIX",
     "JOB_PATH_PREFIX",
     "LAST_EVENT_HEADER",
     "LOAD_HEADER",
     "NOT_RUN_HEADER",
+    "OPERATOR_PREFIX",
+    "POSITION_ARGUMENT",
     "READY_PATH",
     "REPORT_PATH",
     "REQUEST_ID_HEADER",
@@ -41,7 +44,13 @@
 REPORT_PATH = "/v1/report"
 JOB_PATH_PREFIX = "/v1/lots/"
 ITEM_PATH_PREFIX = "/v1/items/"
+# Query argument with the first position that a read wants; the name also stands
+# for a revision and for a key in calls of the store.
+POSITION_ARGUMENT = "after"
+ITEM_ARGUMENT = "id"
 
+# Keys that the operators write.
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
 RETIRE_PREFIX = "op/retire/"
--- a/plumvane/platform/requests.py
+++ b/plumvane/platform/requests.py
@@ -16,6 +16,7 @@
     "decode_answer",
     "decode_request",
     "item_headers",
+    "milliseconds",
     "sent_headers",
 ]
 
@@ -55,7 +56,6 @@
         patience_s: Seconds that the caller waits from the start of its
             request, or None if it does not say.
         last_event_id: Event after which a stream goes on, or None.
-        wait_s: Seconds that a read of a job may wait for a result.
     """
 
     request_id: str
@@ -66,7 +66,6 @@
     headers: HeaderList
     patience_s: float | None
     last_event_id: int | None
-    wait_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,9 +108,8 @@
         path=raw_path.decode("latin-1"),
         host=found.get(b"host", b"").decode("latin-1"),
         headers=_end_to_end(headers, _OWN_HEADERS),
-        patience_s=_seconds(found.get(names.DEADLINE_HEADER)),
+        patience_s=milliseconds(found.get(names.DEADLINE_HEADER)),
         last_event_id=_integer(found.get(names.LAST_EVENT_HEADER)),
-        wait_s=_seconds(found.get(names.WAIT_HEADER)) or 0.0,
     )
 
 
@@ -202,9 +200,10 @@
     return [(name, value) for name, value in headers if name not in dropped]
 
 
-def _seconds(milliseconds: bytes | None) -> float | None:
+def milliseconds(text: bytes | None) -> float | None:
+    """Returns a header's milliseconds in seconds; None if it has no number."""
     try:
-        return float(milliseconds) / 1000 if milliseconds else None
+        return float(text) / 1000 if text else None
     except ValueError:
         return None
 
--- a/plumvane/platform/store.py
+++ b/plumvane/platform/store.py
@@ -6,10 +6,9 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-import anyio
 import msgspec
 
-from plumvane import clock, events
+from plumvane import clock
 from plumvane.errors import (
     BodyTooLargeError,
     ConflictError,
@@ -18,11 +17,7 @@
     ProtocolError,
     StoreUnavailableError,
 )
-from plumvane.httppool import (
-    NETWORK_ERRORS,
-    PROBED_SOCKET_OPTIONS,
-    HttpPool,
-)
+from plumvane.httppool import PROBED_SOCKET_OPTIONS, HttpPool
 from plumvane.store.base import (
     MAX_TRANSACTION_ENTRIES,
     Lease,
@@ -31,6 +26,7 @@
     WatchResult,
     Write,
 )
+from plumvane.store.calls import StoreCalls
 
 __all__ = ["PlatformStore"]
 
@@ -40,7 +36,11 @@
 WATCH_MARGIN_S = 1.5
 # The store's limit on the time of one watch.
 MAX_WATCH_S = 30.0
+# When a caller may come back after a failed call, in seconds: an outage that is
+# over by then costs it one attempt.
 RETRY_AFTER_S = 1.0
+# Statuses that say that nothing was done: over the rate, or not serving.
+REFUSALS = frozenset({429, 503})
 
 T = TypeVar("T")
 
@@ -119,13 +119,16 @@
         Args:
             url: Base URL of the store, without a trailing slash.
         """
-        self._url = url.rstrip("/")
-        self._pool = HttpPool(socket_options=PROBED_SOCKET_OPTIONS)
-        self._failing_since: float | None = None
+        self._calls = StoreCalls(
+            url,
+            HttpPool(socket_options=PROBED_SOCKET_OPTIONS),
+            retry_after_s=RETRY_AFTER_S,
+            refusals=REFUSALS,
+        )
 
     async def aclose(self) -> None:
         """Closes the connections."""
-        await self._pool.aclose()
+        await self._calls.aclose()
 
     async def get(self, key: str) -> Record | None:
         """See base class."""
@@ -237,54 +240,17 @@
         content: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, bytes]:
-        """Sends one call and takes in whether the store answers."""
-        try:
-            answer = await self._send(method, path, content, timeout_s)
-        except StoreUnavailableError as error:
-            if self._failing_since is None:
-                self._failing_since = clock.monotonic()
-                events.log(
-                    events.Event.STORE_UNAVAILABLE,
-                    call=f"{method} {path.partition('?')[0]}",
-                    error=error.detail,
-                )
-            raise
-        if self._failing_since is not None:
-            down_s = clock.monotonic() - self._failing_since
-            events.log(events.Event.STORE_AVAILABLE, down_s=round(down_s, 1))
-        self._failing_since = None
-        return answer
-
-    async def _send(
-        self, method: str, path: str, content: bytes, timeout_s: float
-    ) -> tuple[int, bytes]:
+        """Sends one call; returns the status and the body."""
         headers = [("content-type", "application/json")] if content else []
         if content or method == "POST":
             headers.append(("content-length", str(len(content))))
-        try:
-            with anyio.fail_after(timeout_s):
-                response = await self._pool.request(
-                    method,
-                    self._url + path,
-                    headers=headers,
-                    content=content,
-                )
-        except (TimeoutError, *NETWORK_ERRORS) as error:
-            raise StoreUnavailableError(
-                f"The store did not answer {method}: {type(error).__name__}.",
-                retry_after_s=RETRY_AFTER_S,
-            ) from error
-        if response.status in (429, 503):
-            raise StoreUnavailableError(
-                f"The store refused the call with {response.status}.",
-                not_run=True,
-                retry_after_s=RETRY_AFTER_S,
-            )
-        if response.status >= 500:
-            raise StoreUnavailableError(
-                f"The store answered {response.status}.",
-                retry_after_s=RETRY_AFTER_S,
-            )
+        response = await self._calls.send(
+            method,
+            path,
+            headers=headers,
+            content=content,
+            timeout_s=timeout_s,
+        )
         return response.status, response.content
 
 
--- a/plumvane/store/http.py
+++ b/plumvane/store/http.py
@@ -7,9 +7,7 @@
 from typing import Any
 from urllib.parse import quote
 
-import anyio
-
-from plumvane import clock, events
+from plumvane import clock
 from plumvane.errors import (
     BodyTooLargeError,
     ConflictError,
@@ -17,8 +15,9 @@
     NotFoundError,
     StoreUnavailableError,
 )
-from plumvane.httppool import NETWORK_ERRORS, HttpPool
+from plumvane.httppool import HttpPool
 from plumvane.store.base import Lease, Record, Store, WatchResult
+from plumvane.store.calls import StoreCalls
 
 __all__ = ["HttpStore"]
 
@@ -39,18 +38,15 @@
         Args:
             url: Base URL of the store, without a trailing slash.
         """
-        self._url = url.rstrip("/")
-        self._pool = HttpPool()
-        self._failing_since: float | None = None
+        self._calls = StoreCalls(url, HttpPool(), retry_after_s=RETRY_AFTER_S)
 
     def is_down(self) -> bool:
         """Returns whether calls have only failed for a while."""
-        since = self._failing_since
-        return since is not None and clock.monotonic() - since >= DOWN_AFTER_S
+        return self._calls.failing_s() >= DOWN_AFTER_S
 
     async def aclose(self) -> None:
         """Closes the connections."""
-        await self._pool.aclose()
+        await self._calls.aclose()
 
     async def get(self, key: str) -> Record | None:
         """See base class."""
@@ -148,7 +144,7 @@
         content: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, dict[str, str], bytes]:
-        """Sends one call and takes in whether the store answers.
+        """Sends one call.
 
         Returns:
             The status, the headers by lower-case name and the body.
@@ -156,44 +152,13 @@
         Raises:
             StoreUnavailableError: No answer, or an answer of the 500s.
         """
-        try:
-            answer = await self._send(method, path, headers, content, timeout_s)
-        except StoreUnavailableError:
-            if self._failing_since is None:
-                self._failing_since = clock.monotonic()
-            raise
-        if self._failing_since is not None:
-            down_s = clock.monotonic() - self._failing_since
-            events.log(events.Event.STORE_AVAILABLE, down_s=round(down_s, 1))
-        self._failing_since = None
-        return answer
-
-    async def _send(
-        self,
-        method: str,
-        path: str,
-        headers: dict[str, str] | None,
-        content: bytes,
-        timeout_s: float,
-    ) -> tuple[int, dict[str, str], bytes]:
-        try:
-            with anyio.fail_after(timeout_s):
-                response = await self._pool.request(
-                    method,
-                    self._url + path,
-                    headers=list((headers or {}).items()),
-                    content=content,
-                )
-        except (TimeoutError, *NETWORK_ERRORS) as error:
-            raise StoreUnavailableError(
-                f"The store did not answer {method}: {type(error).__name__}.",
-                retry_after_s=RETRY_AFTER_S,
-            ) from error
-        if response.status >= 500:
-            raise StoreUnavailableError(
-                f"The store answered {response.status}.",
-                retry_after_s=RETRY_AFTER_S,
-            )
+        response = await self._calls.send(
+            method,
+            path,
+            headers=list((headers or {}).items()),
+            content=content,
+            timeout_s=timeout_s,
+        )
         answer = {
             name.decode("ascii").lower(): value.decode("latin-1")
             for name, value in response.headers
