--- a/plumvane/discovery/registration.py
+++ b/plumvane/discovery/registration.py
@@ -12,6 +12,7 @@
 
 __all__ = ["Registration"]
 
+# Pause after a write that failed, in seconds; leases last ten times as long.
 RETRY_S = 0.3
 
 
--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -10,6 +10,7 @@
 
 from plumvane import clock, events
 from plumvane.discovery.mirror import Mirror
+from plumvane.discovery.peer_calls import PEER_WATCH_S, serve_peers
 from plumvane.discovery.registration import Registration
 from plumvane.errors import (
     DeadlineExceededError,
@@ -25,18 +26,15 @@
     RenewStoreLease,
     RevokeStoreLease,
     StoreLease,
-    StoreRecord,
     StoreRecords,
-    StoreWrite,
     StoreWritten,
     WatchStore,
     WriteStore,
 )
-from plumvane.peers.server import Call, PeerServer
+from plumvane.peers.server import PeerServer
 from plumvane.store.base import (
     Lease,
     Record,
-    Store,
     TransactionalStore,
     WatchResult,
     Write,
@@ -50,8 +48,6 @@
 PEER_RENEW_S = 3.0
 # Time for a peer's reply beyond what it waits itself, in seconds.
 PEER_TIMEOUT_S = 1.0
-# Longest watch through a peer, in seconds.
-PEER_WATCH_S = 2.0
 # Time for which a peer that did not reply is asked last, in seconds: cuts last
 # several.
 SILENT_S = 5.0
@@ -108,12 +104,10 @@
         self._cut = anyio.Event()
         self._last_good_address = ""
         self._silent_until_by_address: dict[str, float] = {}
-        self._handle(ReadStore, self._serve_read)
-        self._handle(WatchStore, self._serve_watch)
-        self._handle(WriteStore, self._serve_write)
-        self._handle(GrantStoreLease, self._serve_grant)
-        self._handle(RenewStoreLease, self._serve_renew)
-        self._handle(RevokeStoreLease, self._serve_revoke)
+        serve_peers(self._server, store, self._is_cut)
+
+    def _is_cut(self) -> bool:
+        return self._cut.is_set()
 
     async def run(self) -> None:
         """Serves peers, finds them and watches the way to the store."""
@@ -132,7 +126,7 @@
 
         async def ask() -> Record | None:
             reply = await self._ask(message, StoreRecords)
-            return _record(reply.records[0]) if reply.records else None
+            return reply.records[0] if reply.records else None
 
         return await self._call(lambda: self._direct.get(key), ask)
 
@@ -143,7 +137,8 @@
         message = ReadStore(prefix, True, after_key, limit)
 
         async def ask() -> WatchResult:
-            return _result(await self._ask(message, StoreRecords))
+            reply = await self._ask(message, StoreRecords)
+            return WatchResult(reply.records, reply.revision)
 
         return await self._call(
             lambda: self._direct.list(prefix, after_key=after_key, limit=limit),
@@ -158,7 +153,8 @@
         async def ask() -> WatchResult:
             wait_s = min(clock.remaining(deadline), PEER_WATCH_S)
             message = WatchStore(prefix, after_revision, clock.wall() + wait_s)
-            return _result(await self._ask(message, StoreRecords, wait_s))
+            reply = await self._ask(message, StoreRecords, wait_s)
+            return WatchResult(reply.records, reply.revision)
 
         return await self._call(
             lambda: self._direct.watch(
@@ -171,10 +167,7 @@
         self, writes: Sequence[Write], *, expected_by_key: Mapping[str, int]
     ) -> int:
         """See base class."""
-        message = WriteStore(
-            tuple(StoreWrite(w.key, w.value, w.lease_id) for w in writes),
-            dict(expected_by_key),
-        )
+        message = WriteStore(tuple(writes), dict(expected_by_key))
 
         async def ask() -> int:
             return (await self._ask(message, StoreWritten)).revision
@@ -229,7 +222,7 @@
             is_repeatable: Whether it may be made again if it may have been
                 made already.
         """
-        if not self._cut.is_set():
+        if not self._is_cut():
             try:
                 return await direct()
             except StoreUnavailableError as error:
@@ -281,8 +274,7 @@
                 is_certain = is_certain and error.not_run
             except (DeadlineExceededError, LinkLostError):
                 is_certain = False
-                silent_until = clock.monotonic() + SILENT_S
-                self._silent_until_by_address[address] = silent_until
+                self._take_silence(address)
             else:
                 if not isinstance(reply, kind):
                     raise ProtocolError(f"{type(reply).__name__} from a peer.")
@@ -294,6 +286,15 @@
             "Neither the store nor a peer answers.", not_run=is_certain
         )
 
+    def _take_silence(self, address: str) -> None:
+        now = clock.monotonic()
+        self._silent_until_by_address = {
+            other: until
+            for other, until in self._silent_until_by_address.items()
+            if until > now
+        }
+        self._silent_until_by_address[address] = now + SILENT_S
+
     def _peers_in_turn(self) -> Addresses:
         """Returns the peers, the last good one first, silent ones last."""
         own = PEER_PREFIX + self._own_name
@@ -312,86 +313,6 @@
         )
         return addresses
 
-    # Calls of peers
-
-    def _handle(
-        self,
-        kind: type[R],
-        serve: Callable[[Store, R], Awaitable[Message]],
-    ) -> None:
-        async def handle(call: Call, message: R) -> Message:
-            if self._cut.is_set():
-                raise StoreUnavailableError(
-                    "This instance does not reach the store.", not_run=True
-                )
-            return await serve(self._direct, message)
-
-        self._server.handle(kind, handle)
-
-    @staticmethod
-    async def _serve_read(store: Store, message: ReadStore) -> Message:
-        if message.is_prefix:
-            found = await store.list(
-                message.key, after_key=message.after_key, limit=message.limit
-            )
-            return _records(found)
-        record = await store.get(message.key)
-        return StoreRecords(() if record is None else (_sent(record),))
-
-    @staticmethod
-    async def _serve_watch(store: Store, message: WatchStore) -> Message:
-        wait_s = min(message.deadline - clock.wall(), PEER_WATCH_S)
-        found = await store.watch(
-            message.prefix,
-            message.after_revision,
-            deadline=clock.monotonic() + max(0.0, wait_s),
-        )
-        return _records(found)
-
-    async def _serve_write(self, store: Store, message: WriteStore) -> Message:
-        del store
-        revision = await self._direct.transact(
-            [Write(w.key, w.value, w.lease_id) for w in message.writes],
-            expected_by_key=message.expected_by_key,
-        )
-        return StoreWritten(revision)
-
-    @staticmethod
-    async def _serve_grant(store: Store, message: GrantStoreLease) -> Message:
-        return _sent_lease(await store.grant_lease(message.ttl_s))
-
-    @staticmethod
-    async def _serve_renew(store: Store, message: RenewStoreLease) -> Message:
-        return _sent_lease(await store.renew_lease(message.lease_id))
-
-    @staticmethod
-    async def _serve_revoke(store: Store, message: RevokeStoreLease) -> Message:
-        await store.revoke_lease(message.lease_id)
-        return Done()
-
-
-def _sent(record: Record) -> StoreRecord:
-    return StoreRecord(
-        record.key, record.value, record.revision, record.deleted
-    )
-
-
-def _record(sent: StoreRecord) -> Record:
-    return Record(sent.key, sent.value, sent.revision, sent.deleted)
-
-
-def _records(found: WatchResult) -> StoreRecords:
-    return StoreRecords(tuple(map(_sent, found.records)), found.revision)
-
-
-def _result(reply: StoreRecords) -> WatchResult:
-    return WatchResult(tuple(map(_record, reply.records)), reply.revision)
-
-
-def _sent_lease(lease: Lease) -> StoreLease:
-    wait_s = clock.remaining(lease.deadline)
-    return StoreLease(lease.lease_id, clock.wall() + wait_s)
-
 
 def _lease(reply: StoreLease) -> Lease:
     wait_s = reply.deadline - clock.wall()
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -26,6 +26,8 @@
 # come back, in seconds: about two,
 # as the platform documents.
 RETURN_S = 2.3
+# Pause between two looks for entries whose time to come back has passed, in
+# seconds.
 CHECK_S = 0.25
 
 
@@ -113,6 +115,7 @@
     def _take_entry(self, record: Record) -> None:
         upstream_id = record.key.removeprefix(names.UPSTREAM_PREFIX)
         if record.deleted:
+            self._unreadable_ids.discard(upstream_id)
             self._take_removal(upstream_id)
             return
         try:
--- a/plumvane/gateway/app.py
+++ b/plumvane/gateway/app.py
@@ -13,7 +13,7 @@
     StoreUnavailableError,
 )
 from plumvane.gateway.exchange import (
-    CallerLeftError,
+    CallerDisconnectedError,
     Exchange,
     Message,
     Receive,
@@ -63,7 +63,7 @@
         exchange = Exchange(scope, receive, send, self.is_leaving)
         try:
             await self._serve(exchange, received)
-        except CallerLeftError:
+        except CallerDisconnectedError:
             self._log_cancelled(exchange, received)
         except BrokenAnswerError as error:
             events.log(
@@ -91,23 +91,23 @@
         try:
             routes = self._known_routes()
             body = await exchange.read_body(routes.max_body_bytes)
-            await self._serve_unless_left(exchange, body, received)
+            await self._serve_until_disconnected(exchange, body, received)
         except PlumvaneError as error:
             await self._answer_error(exchange, error, received)
 
-    async def _serve_unless_left(
+    async def _serve_until_disconnected(
         self, exchange: Exchange, body: bytes, received: float
     ) -> None:
-        """Serves the request and stops once its caller has left."""
+        """Serves the request and stops once its caller has disconnected."""
         failure: Exception | None = None
         has_ended = False
 
-        async def stop_when_left() -> None:
-            await exchange.wait_left()
+        async def stop_when_disconnected() -> None:
+            await exchange.wait_disconnected()
             group.cancel_scope.cancel()
 
         async with anyio.create_task_group() as group:
-            group.start_soon(stop_when_left)
+            group.start_soon(stop_when_disconnected)
             try:
                 await self._dispatch(exchange, body, received)
             except (PlumvaneError, BrokenAnswerError) as error:
@@ -115,7 +115,7 @@
             has_ended = True
             group.cancel_scope.cancel()
         if not has_ended:
-            raise CallerLeftError
+            raise CallerDisconnectedError
         if failure is not None:
             raise failure
         events.log(
--- a/plumvane/gateway/exchange.py
+++ b/plumvane/gateway/exchange.py
@@ -9,15 +9,15 @@
 from plumvane.errors import BodyTooLargeError
 from plumvane.platform.requests import CallerRequest, decode_request
 
-__all__ = ["CallerLeftError", "Exchange"]
+__all__ = ["CallerDisconnectedError", "Exchange"]
 
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
 
 
-class CallerLeftError(Exception):
-    """The caller closed its connection before its request was whole."""
+class CallerDisconnectedError(Exception):
+    """The caller closed its connection before its answer was complete."""
 
 
 class Exchange:
@@ -60,14 +60,14 @@
 
         Raises:
             BodyTooLargeError: It is over the limit.
-            CallerLeftError: The caller left.
+            CallerDisconnectedError: The caller disconnected.
         """
         parts: list[bytes] = []
         size = 0
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
-                raise CallerLeftError
+                raise CallerDisconnectedError
             part = message.get("body", b"")
             size += len(part)
             if size > max_bytes:
@@ -76,7 +76,7 @@
             if not message.get("more_body"):
                 return b"".join(parts)
 
-    async def wait_left(self) -> None:
+    async def wait_disconnected(self) -> None:
         """Returns once the caller has closed its connection."""
         while (await self._receive())["type"] != "http.disconnect":
             pass
--- a/plumvane/gateway/jobs.py
+++ b/plumvane/gateway/jobs.py
@@ -26,13 +26,14 @@
 # Time that a call is tried again while the store does not answer, in seconds;
 # callers turn to another instance afterwards.
 STORE_PATIENCE_S = 1.2
+# Pause between two of these tries, in seconds.
 STORE_RETRY_S = 0.2
 # When a refused caller may come back, in seconds; another instance may reach
 # the store at once.
 RETRY_AFTER_S = 0.5
-# Longest wait of a read for a result, in seconds.
+# Longest wait of a read for a result, in seconds; the platform's limit.
 MAX_WAIT_S = 1.0
-# Largest answer to a read, in bytes of text.
+# Largest answer to a read, in bytes of text; the platform allows 1 MB.
 READ_BYTES = 800_000
 # Jobs whose results are kept in memory, those read last.
 CACHED_JOBS = 64
--- a/plumvane/httppool.py
+++ b/plumvane/httppool.py
@@ -23,16 +23,22 @@
 # Shorter than servers usually keep an idle connection.
 KEEPALIVE_S = 4.0
 
-#: Socket options that end a connection whose other side is silent: after
-#: 1.5 s with unacknowledged bytes, or three probes without an answer, so well
-#: within the time for which the platform's rules wait for a machine.
+# Time with unacknowledged bytes after which a connection is lost, in
+# milliseconds; the longest round trips in one region take a few.
+UNACKNOWLEDGED_MS = 1500
+# Idle time before the first probe and between probes, in seconds, and probes
+# without an answer after which the connection is lost.
+PROBE_S = 1
+PROBES = 2
+
+#: Socket options that end a connection whose other side went silent.
 PROBED_SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1500),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
 )
 
 #: What a call raises if the other side is lost or misbehaves.
--- a/plumvane/peers/messages/stores.py
+++ b/plumvane/peers/messages/stores.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from plumvane.peers.messages.base import Message
+from plumvane.store.base import Record, Write
 
 __all__ = [
     "GrantStoreLease",
@@ -12,45 +11,13 @@
     "RenewStoreLease",
     "RevokeStoreLease",
     "StoreLease",
-    "StoreRecord",
     "StoreRecords",
-    "StoreWrite",
     "StoreWritten",
     "WatchStore",
     "WriteStore",
 ]
 
 
-class StoreRecord(msgspec.Struct, frozen=True):
-    """A key with its value.
-
-    Attributes:
-        key: The key.
-        value: Its value.
-        revision: Revision of its last change.
-        deleted: Whether it was deleted at this revision.
-    """
-
-    key: str
-    value: bytes
-    revision: int
-    deleted: bool = False
-
-
-class StoreWrite(msgspec.Struct, frozen=True):
-    """A write of a transaction.
-
-    Attributes:
-        key: The key.
-        value: The new value; None deletes the key.
-        lease_id: Lease whose end deletes the key, if any.
-    """
-
-    key: str
-    value: bytes | None
-    lease_id: str | None = None
-
-
 class ReadStore(Message, frozen=True, tag="storeread"):
     """Reads one key, or all keys below a prefix.
 
@@ -89,7 +56,7 @@
         revision: The store's revision; 0 for the read of one key.
     """
 
-    records: tuple[StoreRecord, ...]
+    records: tuple[Record, ...]
     revision: int = 0
 
 
@@ -101,7 +68,7 @@
         expected_by_key: Revisions that must still stand.
     """
 
-    writes: tuple[StoreWrite, ...]
+    writes: tuple[Write, ...]
     expected_by_key: dict[str, int]
 
 
--- a/plumvane/relay/caller.py
+++ b/plumvane/relay/caller.py
@@ -55,7 +55,8 @@
             None for no limit.
         last_event_id: Event after which a stream goes on, or None.
         is_idempotent: Whether it may run again.
-        gap_s: Longest silence of the upstream, in seconds; None for no limit.
+        max_silence_s: Longest silence of the upstream, in seconds; None for
+            no limit.
     """
 
     request_id: str
@@ -66,7 +67,7 @@
     deadline: float | None
     last_event_id: int | None
     is_idempotent: bool
-    gap_s: float | None = None
+    max_silence_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,27 +131,20 @@
         """
         upstream.in_flight += 1
         try:
-            async with self._stream(upstream, attempt) as response:
+            async with self._pool.stream(
+                attempt.method,
+                _url(upstream, attempt.target),
+                headers=_headers(upstream, attempt),
+                content=attempt.body,
+                extensions={
+                    "timeout": {
+                        "connect": CONNECT_TIMEOUT_S,
+                        "read": attempt.max_silence_s,
+                    }
+                },
+                is_fresh=not attempt.is_idempotent,
+            ) as response:
                 yield _checked(upstream, attempt, response)
-        finally:
-            upstream.in_flight -= 1
-
-    @contextlib.asynccontextmanager
-    async def _stream(
-        self, upstream: Upstream, attempt: Attempt
-    ) -> AsyncIterator[httpcore.Response]:
-        stream = self._pool.stream(
-            attempt.method,
-            _url(upstream, attempt.target),
-            headers=_headers(upstream, attempt),
-            content=attempt.body,
-            extensions={
-                "timeout": {"connect": CONNECT_TIMEOUT_S, "read": attempt.gap_s}
-            },
-            is_fresh=not attempt.is_idempotent,
-        )
-        try:
-            response = await stream.__aenter__()
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise UpstreamUnavailableError(
                 f"Upstream {upstream.upstream_id} does not accept connections: "
@@ -162,9 +156,8 @@
                 f"Upstream {upstream.upstream_id} gave no answer: "
                 f"{type(error).__name__}."
             ) from error
-        async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_exit(stream.__aexit__)
-            yield response
+        finally:
+            upstream.in_flight -= 1
 
 
 def _headers(upstream: Upstream, attempt: Attempt) -> HeaderList:
--- a/plumvane/serving/jobs.py
+++ b/plumvane/serving/jobs.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from plumvane.errors import ProtocolError
+
 __all__ = [
     "Item",
     "ItemProgress",
@@ -144,8 +146,17 @@
 
     @classmethod
     def decode(cls, value: bytes) -> Job:
-        """Reads a job from the store's value."""
-        return _job_decoder.decode(value)
+        """Reads a job from the store's value.
+
+        Raises:
+            ProtocolError: The value is no job of this version.
+        """
+        try:
+            return _job_decoder.decode(value)
+        except msgspec.MsgspecError as error:
+            raise ProtocolError(
+                f"The head of a batch job is not understood: {error}."
+            ) from error
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/plumvane/serving/pacing.py
+++ b/plumvane/serving/pacing.py
@@ -1,4 +1,4 @@
-"""When batch items start at upstreams, and when they give way."""
+"""When batch items start at upstreams, and when they are preempted."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 __all__ = [
     "HOLD_S",
     "PROTECTED_ITEMS",
-    "Place",
+    "UpstreamState",
     "Plan",
     "is_urgent",
     "plan",
@@ -18,7 +18,7 @@
 RESERVED_SLOTS = 1
 # Time after a request had to wait in which no items start at its upstream, in
 # seconds. Bursts of online requests last a few seconds; without the hold items
-# take the slots that they just gave up.
+# take the slots again from which they were just preempted.
 HOLD_S = 0.5
 # Time before its job is due from which an item counts as urgent, in seconds:
 # the longest items run for about so long.
@@ -28,7 +28,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Place:
+class UpstreamState:
     """An upstream as a worker sees it.
 
     Attributes:
@@ -36,7 +36,7 @@
         slots: Requests that it runs at once.
         load: Requests that it is likely to hold.
         waiting: Requests that waited in its queue at the last report.
-        yielding_items: Items that this worker runs there and may stop.
+        preemptible_items: Items of this worker there that it may preempt.
         is_held: Whether requests waited there a short while ago.
     """
 
@@ -44,7 +44,7 @@
     slots: int
     load: int
     waiting: int
-    yielding_items: int
+    preemptible_items: int
     is_held: bool = False
 
 
@@ -55,18 +55,18 @@
     Attributes:
         starts: Upstreams for the next items, one for each, urgent items
             first.
-        stops_by_id: Items to stop, by upstream.
+        preemptions_by_id: Number of items to preempt, by upstream.
     """
 
     starts: tuple[str, ...]
-    stops_by_id: dict[str, int]
+    preemptions_by_id: dict[str, int]
 
 
 def is_urgent(due: float, now: float) -> bool:
     """Returns whether an item is late unless it runs from now on.
 
-    One that is late already gives way again: it is worth less than those
-    that can still be in time.
+    One that is late already is not urgent: it is worth less than those that
+    can still be in time.
 
     Args:
         due: Unix time in seconds at which its job is due.
@@ -76,36 +76,36 @@
 
 
 def plan(
-    places: Sequence[Place], urgent: int, others: int, workers: int
+    states: Sequence[UpstreamState], urgent: int, others: int, workers: int
 ) -> Plan:
-    """Decides which upstreams get items and where items give way.
+    """Decides which upstreams get items and where items are preempted.
 
-    An item is stopped for each request that waits in the queue of an
+    An item is preempted for each request that waits in the queue of an
     upstream. Free slots are shared with the other workers, which see the same
     load, so that together they do not take more than there are. Urgent items
     start at any free slot.
 
     Args:
-        places: The upstreams of the service.
+        states: The upstreams of the service.
         urgent: Urgent items that could start.
         others: Other items that could start.
         workers: Workers that share the upstreams, this one among them.
     """
     stops = {
-        place.upstream_id: min(place.waiting, place.yielding_items)
-        for place in places
-        if place.waiting and place.yielding_items
+        state.upstream_id: min(state.waiting, state.preemptible_items)
+        for state in states
+        if state.waiting and state.preemptible_items
     }
     free_by_id = {
-        place.upstream_id: place.slots - place.load
-        for place in places
-        if not place.waiting
+        state.upstream_id: state.slots - state.load
+        for state in states
+        if not state.waiting
     }
     starts = _fill(free_by_id, urgent, workers)
     calm_by_id = {
-        place.upstream_id: free_by_id[place.upstream_id] - RESERVED_SLOTS
-        for place in places
-        if not place.waiting and not place.is_held
+        state.upstream_id: free_by_id[state.upstream_id] - RESERVED_SLOTS
+        for state in states
+        if not state.waiting and not state.is_held
     }
     if len(starts) == urgent:
         starts += _fill(calm_by_id, others, workers)
--- a/plumvane/worker/items.py
+++ b/plumvane/worker/items.py
@@ -18,7 +18,7 @@
 
 # Longest silence of a running item before it goes on elsewhere, in seconds;
 # items may wait in an upstream's queue for as long.
-ITEM_GAP_S = 2.0
+ITEM_SILENCE_S = 2.0
 # Pause of an item after a run that broke off or was refused, in seconds.
 RETRY_S = 0.2
 # Status of an item that can never be done.
@@ -76,7 +76,7 @@
             deadline=None,
             last_event_id=run.last_event_id,
             is_idempotent=True,
-            gap_s=ITEM_GAP_S,
+            max_silence_s=ITEM_SILENCE_S,
         )
         self._log(events.Event.ITEM_STARTED, owned, run)
         async with self._caller.send(upstream, attempt) as reply:
--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -23,7 +23,7 @@
         last_event_id: Number of the last of them, or None.
         upstream_id: Upstream that runs it now, or empty.
         scope: Cancels its run.
-        is_stopping: Whether its run was told to give way.
+        is_stopping: Whether its run was told to end.
         started: Monotonic time in seconds at which its run started.
         is_done: Whether it has an outcome.
         retry_at: Monotonic time in seconds before which it does not start.
--- a/plumvane/worker/pacer.py
+++ b/plumvane/worker/pacer.py
@@ -1,4 +1,4 @@
-"""Starts items of batch jobs at upstreams, and stops them for callers."""
+"""Starts items of batch jobs at upstreams, and preempts them for callers."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 from plumvane.serving.pacing import (
     HOLD_S,
     PROTECTED_ITEMS,
-    Place,
+    UpstreamState,
     is_urgent,
     plan,
 )
@@ -55,7 +55,7 @@
         workers: int,
         group: anyio.abc.TaskGroup,
     ) -> None:
-        """Starts and stops items once.
+        """Starts and preempts items once.
 
         Args:
             jobs: The jobs of this worker.
@@ -93,16 +93,17 @@
         }
         await self._reports.read(list(upstreams_by_id.values()))
         now = clock.monotonic()
+        self._forget_holds(now)
         running_by_upstream = _running_by_upstream(jobs)
-        places = [
-            self._place(upstream, running_by_upstream.get(upstream_id, []), now)
+        states = [
+            self._state(upstream, running_by_upstream.get(upstream_id, []), now)
             for upstream_id, upstream in upstreams_by_id.items()
         ]
         waiting = _waiting(jobs, now)
         urgent = sum(_is_urgent(owned) for owned, _ in waiting)
-        todo = plan(places, urgent, len(waiting) - urgent, workers)
-        for upstream_id, count in todo.stops_by_id.items():
-            for run in _yielding(running_by_upstream[upstream_id])[:count]:
+        todo = plan(states, urgent, len(waiting) - urgent, workers)
+        for upstream_id, count in todo.preemptions_by_id.items():
+            for run in _preemptible(running_by_upstream[upstream_id])[:count]:
                 run.stop()
         for (owned, run), upstream_id in zip(
             waiting, todo.starts, strict=False
@@ -112,20 +113,27 @@
                 self._runner.run, owned, run, upstreams_by_id[upstream_id]
             )
 
-    def _place(
+    def _forget_holds(self, now: float) -> None:
+        self._held_until_by_id = {
+            upstream_id: until
+            for upstream_id, until in self._held_until_by_id.items()
+            if until > now
+        }
+
+    def _state(
         self, upstream: Upstream, running: list[_Running], now: float
-    ) -> Place:
+    ) -> UpstreamState:
         upstream_id = upstream.upstream_id
         waiting = upstream.waiting(now)
         if waiting:
             self._held_until_by_id[upstream_id] = now + HOLD_S
-        return Place(
+        return UpstreamState(
             upstream_id=upstream_id,
             slots=upstream.slots,
             load=upstream.estimated_load(now),
             waiting=waiting,
-            yielding_items=len(_yielding(running)),
-            is_held=self._held_until_by_id.get(upstream_id, 0.0) > now,
+            preemptible_items=len(_preemptible(running)),
+            is_held=upstream_id in self._held_until_by_id,
         )
 
 
@@ -159,8 +167,8 @@
     return found
 
 
-def _yielding(running: list[_Running]) -> list[ItemRun]:
-    """Returns an upstream's items that may be stopped, newest first.
+def _preemptible(running: list[_Running]) -> list[ItemRun]:
+    """Returns an upstream's items that may be preempted, newest first.
 
     The oldest of the urgent ones stay, up to a bound: if more did, online
     requests would wait for all of them.
--- a/plumvane/worker/retirement.py
+++ b/plumvane/worker/retirement.py
@@ -17,6 +17,7 @@
 
 __all__ = ["Retirement"]
 
+# Pause after a write that failed, in seconds; the operators wait for it.
 RETRY_S = 0.3
 
 
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -23,6 +23,7 @@
     ConflictError,
     NotFoundError,
     PlumvaneError,
+    ProtocolError,
     StoreUnavailableError,
 )
 from plumvane.relay.caller import UpstreamCaller
@@ -40,6 +41,7 @@
 # Time after which a silent worker's jobs go to others, in seconds; jobs are
 # due in 18 s.
 LEASE_TTL_S = 3.0
+# Pause between two renewals, in seconds: two may be lost before the lease ends.
 RENEW_S = 1.0
 # Pause between two readings of changed jobs, in seconds.
 JOB_PAUSE_S = 0.3
@@ -48,6 +50,7 @@
 PACE_S = 0.1
 # How long results are gathered for one transaction, in seconds.
 COMMIT_S = 0.25
+# Pause after a claim that failed, in seconds; refused calls are charged too.
 STORE_RETRY_S = 0.3
 # Pause between two looks whether stopped items have ended, in seconds.
 STOP_POLL_S = 0.02
@@ -161,7 +164,16 @@
         if record.deleted:
             self._heads_by_id.pop(job_id, None)
             return
-        job = Job.decode(record.value)
+        try:
+            job = Job.decode(record.value)
+        except ProtocolError as error:
+            events.log(
+                events.Event.JOB_UNREADABLE,
+                job=job_id,
+                revision=record.revision,
+                error=error.detail,
+            )
+            return
         if job.is_open():
             self._heads_by_id[job_id] = (job, record.revision)
         else:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -10,7 +10,7 @@
 import dataclasses
 import random
 
-from plumvane.serving.pacing import HOLD_S, Place, is_urgent, plan
+from plumvane.serving.pacing import HOLD_S, UpstreamState, is_urgent, plan
 
 STEP_S = 0.05
 ONLINE_S = 0.75
@@ -80,14 +80,14 @@
     def urgent(piece: Work) -> bool:
         return protects_urgent and is_urgent(piece.due, now)
 
-    places = []
+    states = []
     for number, work in enumerate(engines.work_by_engine):
         queued = max(0, len(work) - SLOTS)
         if queued:
             held_until[number] = now + HOLD_S
         yielding = sum(p.is_batch and not urgent(p) for p in work)
-        places.append(
-            Place(
+        states.append(
+            UpstreamState(
                 str(number),
                 SLOTS,
                 len(work),
@@ -98,8 +98,8 @@
         )
     waiting.sort(key=lambda piece: (piece.due < now, piece.due))
     pressing = sum(urgent(piece) for piece in waiting)
-    todo = plan(places, pressing, len(waiting) - pressing, 1)
-    for engine, count in todo.stops_by_id.items():
+    todo = plan(states, pressing, len(waiting) - pressing, 1)
+    for engine, count in todo.preemptions_by_id.items():
         work = engines.work_by_engine[int(engine)]
         mine = [p for p in work if p.is_batch and not urgent(p)]
         for piece in mine[-count:]:
@@ -126,31 +126,35 @@
 
 
 def test_urgent_items_are_not_stopped_and_start_at_any_free_slot() -> None:
-    full = Place("a", SLOTS, SLOTS + 3, 3, yielding_items=0)
-    last_slot = Place("b", SLOTS, SLOTS - 1, 0, yielding_items=2, is_held=True)
+    full = UpstreamState("a", SLOTS, SLOTS + 3, 3, preemptible_items=0)
+    last_slot = UpstreamState(
+        "b", SLOTS, SLOTS - 1, 0, preemptible_items=2, is_held=True
+    )
     todo = plan([full, last_slot], urgent=1, others=5, workers=1)
     assert todo.starts == ("b",)
-    assert todo.stops_by_id == {}
+    assert todo.preemptions_by_id == {}
 
 
 def test_other_items_leave_a_slot_free_and_respect_the_hold() -> None:
-    held = Place("a", SLOTS, 0, 0, yielding_items=0, is_held=True)
-    busy = Place("b", SLOTS, SLOTS - 1, 0, yielding_items=0)
+    held = UpstreamState("a", SLOTS, 0, 0, preemptible_items=0, is_held=True)
+    busy = UpstreamState("b", SLOTS, SLOTS - 1, 0, preemptible_items=0)
     assert plan([held, busy], urgent=0, others=9, workers=1).starts == ()
-    calm = Place("c", SLOTS, SLOTS - 3, 0, yielding_items=0)
+    calm = UpstreamState("c", SLOTS, SLOTS - 3, 0, preemptible_items=0)
     assert plan([calm], urgent=0, others=9, workers=1).starts == ("c", "c")
 
 
 def test_workers_share_the_free_slots_that_all_of_them_see() -> None:
-    places = [Place(n, SLOTS, 0, 0, yielding_items=0) for n in "abcd"]
-    starts = plan(places, urgent=0, others=99, workers=4).starts
+    states = [
+        UpstreamState(n, SLOTS, 0, 0, preemptible_items=0) for n in "abcd"
+    ]
+    starts = plan(states, urgent=0, others=99, workers=4).starts
     assert len(starts) == ENGINES * (SLOTS - 1) / 4
     assert len(set(starts)) == ENGINES, "the emptiest goes first"
 
 
 def test_items_give_way_one_for_each_request_that_waits() -> None:
-    place = Place("a", SLOTS, SLOTS + 2, 2, yielding_items=5)
-    assert plan([place], 0, 9, 1).stops_by_id == {"a": 2}
+    state = UpstreamState("a", SLOTS, SLOTS + 2, 2, preemptible_items=5)
+    assert plan([state], 0, 9, 1).preemptions_by_id == {"a": 2}
 
 
 def test_item_that_is_late_already_is_not_urgent() -> None:
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -452,3 +452,16 @@
         assert owned.add_failure("i1"), "two failures are the most"
 
     play(steps)
+
+
+def test_head_that_cannot_be_read_stops_no_other_job() -> None:
+    async def steps() -> None:
+        store, engine = MemoryStore(), Engine()
+        await store.put(JOB_PREFIX + "bad", b"?", expected_revision=None)
+        await JobStore(store).accept("j", "h", items(2), JOB_ROUTE)
+        async with anyio.create_task_group() as group:
+            group.start_soon(make_worker("w1", store, engine).run)
+            await until_listed(store, "j", 2)
+            group.cancel_scope.cancel()
+
+    play(steps)
