Start gateways and workers without pydantic and OpenTelemetry

A gateway's start took 0.5 s of processor time for imports, a third of it pydantic, and then 0.25 s for OpenTelemetry before its first connection was served; entry machines have 0.39 to 0.82 cores.

Ruled out: listening before the imports. A caller whose connection is refused goes to another gateway at once, one that waits in the backlog is late.

Change: settings are checked by msgspec; metrics are configured in a thread five seconds after the start, or at the first read-out, and what was recorded until then is kept.

--- a/plumvane/metrics.py
+++ b/plumvane/metrics.py
@@ -1,16 +1,20 @@
 """Catalogue of metrics, kept by OpenTelemetry and read out for Prometheus.
 
-Recording does nothing until `configure` is called, and OpenTelemetry is
-imported only then.
+OpenTelemetry is imported by `configure`. What is recorded before is lost,
+unless `keep_until_configured` was called.
 """
 
 from __future__ import annotations
 
+import collections
 import enum
+import threading
 import time
 from collections.abc import Awaitable, Callable, Iterable, MutableMapping
 from typing import Any
 
+import anyio.to_thread
+
 from plumvane import events
 
 __all__ = [
@@ -21,6 +25,7 @@
     "add",
     "configure",
     "exposition",
+    "keep_until_configured",
     "observe",
     "record",
 ]
@@ -32,6 +37,9 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.039, 0.05, 0.075, 0.1, 0.2,
     0.3, 0.45, 0.6, 0.9, 1.2, 2.0, 5.0, 10.0, 30.0, 60.0,
 )  # fmt: skip
+# Recordings that are kept before the metrics are configured: a busy gateway
+# makes some hundred a second.
+KEPT_RECORDINGS = 4096
 TIMED_PREFIXES = {
     "/v1/completions": "completions",
     "/v1/services": "services",
@@ -191,12 +199,40 @@
 
 _instruments_by_metric: dict[Metric, Any] = {}
 _callbacks_by_metric: dict[Metric, Callable[[], Observed]] = {}
+_kept: collections.deque[Callable[[], None]] | None = None
+_configure_lock = threading.Lock()
+
+
+def keep_until_configured() -> None:
+    """Keeps recordings, up to a bound, until the metrics are configured."""
+    global _kept
+    _kept = collections.deque(maxlen=KEPT_RECORDINGS)
+    events.count_by(_count_event)
 
 
 def configure() -> None:
-    """Starts the metrics of this process; later calls do nothing."""
-    if _instruments_by_metric:
-        return
+    """Starts the metrics of this process; later calls do nothing.
+
+    It may run in a thread: the import takes some tenths of a second.
+    """
+    global _kept
+    with _configure_lock:
+        if _instruments_by_metric:
+            return
+        made_by_metric = _make_instruments()
+        if _kept is None:
+            events.count_by(_count_event)
+        _instruments_by_metric.update(made_by_metric)
+        kept, _kept = _kept or (), None
+    for record_again in kept:
+        record_again()
+
+
+def _count_event(event: events.Event) -> None:
+    add(Metric.EVENTS, event=event.name.lower())
+
+
+def _make_instruments() -> dict[Metric, Any]:
     from opentelemetry.exporter.prometheus import PrometheusMetricReader
     from opentelemetry.sdk.metrics import MeterProvider
 
@@ -204,6 +240,7 @@
         disable_target_info=True, scope_info_enabled=False
     )
     meter = MeterProvider([reader]).get_meter("plumvane")
+    made_by_metric: dict[Metric, Any] = {}
     for metric in Metric:
         name, meaning = metric.full_name, metric.meaning
         if metric.kind is Kind.COUNTER:
@@ -218,8 +255,8 @@
             made = meter.create_observable_gauge(
                 name, [_observer(metric)], description=meaning
             )
-        _instruments_by_metric[metric] = made
-    events.count_by(lambda event: add(Metric.EVENTS, event=event.name.lower()))
+        made_by_metric[metric] = made
+    return made_by_metric
 
 
 def add(metric: Metric, amount: int = 1, **labels: str) -> None:
@@ -227,6 +264,8 @@
     instrument = _instruments_by_metric.get(metric)
     if instrument is not None:
         instrument.add(amount, labels)
+    elif _kept is not None:
+        _kept.append(lambda: add(metric, amount, **labels))
 
 
 def record(metric: Metric, seconds: float, **labels: str) -> None:
@@ -234,6 +273,8 @@
     instrument = _instruments_by_metric.get(metric)
     if instrument is not None:
         instrument.record(seconds, labels)
+    elif _kept is not None:
+        _kept.append(lambda: record(metric, seconds, **labels))
 
 
 def observe(metric: Metric, callback: Callable[[], Observed]) -> None:
@@ -271,6 +312,8 @@
     ) -> None:
         """Serves one call."""
         known = scope.get("path") == "/metrics" and scope["method"] == "GET"
+        if known:
+            await anyio.to_thread.run_sync(configure)
         body = exposition() if known else b""
         await send(
             {
--- a/plumvane/process.py
+++ b/plumvane/process.py
@@ -11,6 +11,7 @@
 
 import anyio
 import anyio.abc
+import anyio.to_thread
 from absl import app, flags
 
 from plumvane import events, metrics, settings, web
@@ -20,6 +21,9 @@
 
 EXIT_SETTINGS = 78
 RESTART_S = 0.5
+# Time after the start at which metrics are configured, in seconds: the import
+# takes processor time that a restarted process needs for its callers.
+METRICS_DELAY_S = 5.0
 
 _SETTINGS = flags.DEFINE_string(
     "settings",
@@ -134,9 +138,12 @@
 
 
 async def _serve_metrics(address: settings.Address) -> None:
-    metrics.configure()
+    metrics.keep_until_configured()
     bound = web.bind(address.host, address.port)
-    await web.HttpServer(metrics.MetricsEndpoint(), bound).run()
+    async with anyio.create_task_group() as group:
+        group.start_soon(web.HttpServer(metrics.MetricsEndpoint(), bound).run)
+        await anyio.sleep(METRICS_DELAY_S)
+        await anyio.to_thread.run_sync(metrics.configure)
 
 
 async def _wait_for_signal(stopping: anyio.Event) -> None:
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -6,10 +6,13 @@
 import ipaddress
 import os
 import pathlib
+import re
+import typing
 import urllib.parse
-from typing import Annotated, Any, TypeVar
+from collections.abc import Callable
+from typing import Annotated, Any, Literal, TypeVar
 
-import pydantic
+import msgspec
 
 from plumvane.errors import SettingsError
 
@@ -26,8 +29,23 @@
     "load",
 ]
 
+Parse = Callable[[str], Any]
+P = TypeVar("P", bound=Parse)
+# Readers of values that are more than text, by the type of their field.
+_PARSERS_BY_TYPE: dict[type, Parse] = {}
 
-class Address(pydantic.BaseModel):
+
+def _parses(kind: type) -> Callable[[P], P]:
+    """Registers the reader of a type of value."""
+
+    def register(parse: P) -> P:
+        _PARSERS_BY_TYPE[kind] = parse
+        return parse
+
+    return register
+
+
+class Address:
     """An IP number and a port.
 
     Attributes:
@@ -35,43 +53,62 @@
         port: TCP port, 1 to 65535.
     """
 
-    model_config = pydantic.ConfigDict(frozen=True)
+    __slots__ = ("host", "port")
 
-    host: str
-    port: int = pydantic.Field(ge=1, le=65535)
+    def __init__(self, host: str, port: int) -> None:
+        """Creates the address."""
+        self.host = host
+        self.port = port
 
-    @pydantic.model_validator(mode="before")
-    @classmethod
-    def _parse(cls, value: Any) -> Any:
-        if not isinstance(value, str):
-            return value
-        host, _, port = value.rpartition(":")
-        host = host.strip("[]")
-        try:
-            ipaddress.ip_address(host)
-        except ValueError:
-            raise ValueError("write it as IP:PORT with an IP number") from None
-        return {"host": host, "port": port}
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Address) and str(self) == str(other)
+
+    def __hash__(self) -> int:
+        return hash(str(self))
 
     def __str__(self) -> str:
         if ":" in self.host:
             return f"[{self.host}]:{self.port}"
         return f"{self.host}:{self.port}"
 
+    __repr__ = __str__
 
-def _existing_folder(path: pathlib.Path) -> pathlib.Path:
-    if not path.is_dir():
-        raise ValueError(f"the folder {path} does not exist; create it")
-    if not os.access(path, os.W_OK | os.X_OK):
-        raise ValueError(f"the folder {path} is not writable")
-    return path
 
+class Url(str):
+    """An http or https URL."""
+
+    __slots__ = ()
 
-Folder = Annotated[pathlib.Path, pydantic.AfterValidator(_existing_folder)]
 
+class FilePath(type(pathlib.Path())):  # type: ignore[misc]
+    """Path of a file that exists."""
 
-def _http_url(url: str) -> str:
-    parts = urllib.parse.urlsplit(url)
+
+class FolderPath(type(pathlib.Path())):  # type: ignore[misc]
+    """Path of a folder that exists."""
+
+
+class DataFolderPath(FolderPath):
+    """Path of a folder that exists and can be written to."""
+
+
+@_parses(Address)
+def _parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    host = host.strip("[]")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        raise ValueError("write it as IP:PORT with an IP number") from None
+    if not 1 <= number <= 65535:
+        raise ValueError("the port must be 1 to 65535")
+    return Address(host, number)
+
+
+@_parses(Url)
+def _parse_url(text: str) -> Url:
+    parts = urllib.parse.urlsplit(text)
     try:
         port_is_valid = parts.port is None or parts.port > 0
     except ValueError:
@@ -79,19 +116,43 @@
     known = parts.scheme in ("http", "https")
     if not (known and parts.hostname and port_is_valid):
         raise ValueError("write it as http://IP:PORT or https://IP:PORT")
-    return url
+    return Url(text)
 
 
-Url = Annotated[str, pydantic.AfterValidator(_http_url)]
+@_parses(FilePath)
+def _parse_file(text: str) -> FilePath:
+    path = FilePath(text)
+    if not path.is_file():
+        raise ValueError(f"the file {path} does not exist")
+    return path
 
 
-class _Section(pydantic.BaseModel):
-    """A section whose unknown keys are errors."""
+@_parses(FolderPath)
+def _parse_folder(text: str) -> FolderPath:
+    path = FolderPath(text)
+    if not path.is_dir():
+        raise ValueError(f"the folder {path} does not exist; create it")
+    return path
+
+
+@_parses(DataFolderPath)
+def _parse_data_folder(text: str) -> DataFolderPath:
+    path = DataFolderPath(_parse_folder(text))
+    if not os.access(path, os.W_OK | os.X_OK):
+        raise ValueError(f"the folder {path} is not writable")
+    return path
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
+Text = Annotated[str, msgspec.Meta(min_length=1)]
 
-class InstanceSection(_Section):
+
+class _Section(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """A section whose unknown keys are errors."""
+
+
+class InstanceSection(_Section, frozen=True, kw_only=True):
     """Section [process]: what every program has.
 
     Attributes:
@@ -99,11 +160,11 @@
         data_centre: Data centre that the instance stands in.
     """
 
-    name: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9.-]*$")
-    data_centre: str = pydantic.Field(min_length=1)
+    name: Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$")]
+    data_centre: Text
 
 
-class ProcessSection(InstanceSection):
+class ProcessSection(InstanceSection, frozen=True, kw_only=True):
     """Section [process] of a program with peers.
 
     Attributes:
@@ -120,7 +181,7 @@
         return self.listen_address or self.peer_address
 
 
-class PlatformSection(_Section):
+class PlatformSection(_Section, frozen=True, kw_only=True):
     """Section [platform]: the platform's services.
 
     Attributes:
@@ -132,7 +193,7 @@
     store_url: Url | None = None
 
 
-class HttpSection(_Section):
+class HttpSection(_Section, frozen=True, kw_only=True):
     """Section [http]: the interface for callers and operators.
 
     Attributes:
@@ -142,17 +203,16 @@
     """
 
     address: Address
-    certificate_file: pydantic.FilePath | None = None
-    key_file: pydantic.FilePath | None = None
+    certificate_file: FilePath | None = None
+    key_file: FilePath | None = None
 
-    @pydantic.model_validator(mode="after")
-    def _check_pair(self) -> HttpSection:
+    def __post_init__(self) -> None:
+        """Checks that a certificate comes with its key."""
         if (self.certificate_file is None) != (self.key_file is None):
             raise ValueError("certificate_file and key_file go together")
-        return self
 
 
-class UpstreamSection(_Section):
+class UpstreamSection(_Section, frozen=True, kw_only=True):
     """Section [upstream]: the back end beside a sidecar.
 
     Attributes:
@@ -162,21 +222,21 @@
     """
 
     url: Url
-    kind: str = pydantic.Field(pattern=r"^(engine|service)$")
-    serves: str = pydantic.Field(min_length=1)
+    kind: Literal["engine", "service"]
+    serves: Text
 
 
-class DataSection(_Section):
+class DataSection(_Section, frozen=True, kw_only=True):
     """Section [data]: the disk of a bulk instance.
 
     Attributes:
         folder: Data folder; it must exist.
     """
 
-    folder: Folder
+    folder: DataFolderPath
 
 
-class MetricsSection(_Section):
+class MetricsSection(_Section, frozen=True, kw_only=True):
     """Section [metrics]: the read-out of metrics.
 
     Attributes:
@@ -186,7 +246,7 @@
     address: Address
 
 
-class KeysSection(_Section):
+class KeysSection(_Section, frozen=True, kw_only=True):
     """Section [keys]: CURVE keys of the connections between processes.
 
     Attributes:
@@ -197,13 +257,13 @@
         allowed_folder: Folder of the public keys of allowed callers.
     """
 
-    server_secret_file: pydantic.FilePath
-    server_public_files: str = pydantic.Field(min_length=1)
-    client_secret_file: pydantic.FilePath
-    allowed_folder: pydantic.DirectoryPath
+    server_secret_file: FilePath
+    server_public_files: Text
+    client_secret_file: FilePath
+    allowed_folder: FolderPath
 
 
-class ProgramSettings(_Section):
+class ProgramSettings(_Section, frozen=True, kw_only=True):
     """Sections that every program has.
 
     Attributes:
@@ -215,7 +275,7 @@
     metrics: MetricsSection | None = None
 
 
-class CommonSettings(ProgramSettings):
+class CommonSettings(ProgramSettings, frozen=True, kw_only=True):
     """Sections of programs with peers.
 
     Attributes:
@@ -229,7 +289,7 @@
     keys: KeysSection | None = None
 
 
-class EntrySettings(CommonSettings):
+class EntrySettings(CommonSettings, frozen=True, kw_only=True):
     """Settings of plumvane-entry.
 
     Attributes:
@@ -238,15 +298,16 @@
 
     http: HttpSection
 
-    @pydantic.field_validator("platform")
-    @classmethod
-    def _check_store(cls, platform: PlatformSection) -> PlatformSection:
-        if platform.store_url is None:
-            raise ValueError("store_url: an entry needs the store's URL")
-        return platform
+    def __post_init__(self) -> None:
+        """Checks that the entry has a store."""
+        if self.platform.store_url is None:
+            raise ValueError(
+                "section [platform], key store_url: an entry needs the "
+                "store's URL"
+            )
 
 
-class SidecarSettings(CommonSettings):
+class SidecarSettings(CommonSettings, frozen=True, kw_only=True):
     """Settings of plumvane-sidecar.
 
     Attributes:
@@ -256,7 +317,7 @@
     upstream: UpstreamSection
 
 
-class BulkSettings(CommonSettings):
+class BulkSettings(CommonSettings, frozen=True, kw_only=True):
     """Settings of plumvane-bulk.
 
     Attributes:
@@ -266,7 +327,7 @@
     data: DataSection
 
 
-class StoreSection(_Section):
+class StoreSection(_Section, frozen=True, kw_only=True):
     """Section [store]: the platform's store.
 
     Attributes:
@@ -276,7 +337,7 @@
     url: Url
 
 
-class AddressSection(_Section):
+class AddressSection(_Section, frozen=True, kw_only=True):
     """A section that names where the process listens.
 
     Attributes:
@@ -286,7 +347,7 @@
     address: Address
 
 
-class WorkerSettings(ProgramSettings):
+class WorkerSettings(ProgramSettings, frozen=True, kw_only=True):
     """Settings of plumvane-worker.
 
     Attributes:
@@ -298,7 +359,7 @@
     peers: AddressSection
 
 
-class GatewaySettings(WorkerSettings):
+class GatewaySettings(WorkerSettings, frozen=True, kw_only=True):
     """Settings of plumvane-gateway.
 
     Attributes:
@@ -348,32 +409,80 @@
             remedy="Write sections as [name] and keys as key = value.",
         ) from error
     values = {name: dict(parser[name]) for name in parser.sections()}
-    try:
-        return model.model_validate(values)
-    except pydantic.ValidationError as error:
-        raise _settings_error(path, error) from error
-
-
-def _settings_error(path: str, error: pydantic.ValidationError) -> Exception:
-    faults = error.errors(include_input=False, include_url=False)
-    details = []
-    remedies = []
-    for fault in faults:
-        where = _place([str(part) for part in fault["loc"]])
-        text = fault["msg"].removeprefix("Value error, ")
-        details.append(f"{where}: {text}")
-        if fault["type"] == "extra_forbidden":
-            remedies.append(f"Remove {where}, or correct its name.")
-        elif fault["type"] == "missing":
-            remedies.append(f"Add {where}.")
-        else:
-            remedies.append(f"Correct {where}: {text}.")
-    return SettingsError(
-        f"{path}: " + "; ".join(details) + ".", remedy=" ".join(remedies)
+    return _convert(path, values, model)
+
+
+def _convert(path: str, values: dict[str, dict[str, str]], model: type[S]) -> S:
+    """Checks the sections one by one, so that each one's fault is told."""
+    sections: dict[str, Any] = {}
+    faults: list[_Fault] = []
+    for field in msgspec.structs.fields(model):
+        if field.name in values:
+            try:
+                sections[field.name] = msgspec.convert(
+                    values.pop(field.name),
+                    field.type,
+                    strict=False,
+                    dec_hook=_parse_value,
+                )
+            except msgspec.ValidationError as error:
+                faults.append(_section_fault(field.name, str(error)))
+        elif field.required:
+            place = f"section [{field.name}]"
+            faults.append(_Fault(f"{place}: it is missing", f"Add {place}."))
+    for name in values:
+        place = f"section [{name}]"
+        faults.append(
+            _Fault(
+                f"{place}: it is unknown",
+                f"Remove {place}, or correct its name.",
+            )
+        )
+    if not faults:
+        try:
+            return model(**sections)
+        except ValueError as error:
+            faults.append(_Fault(str(error), f"Correct {error}."))
+    raise SettingsError(
+        f"{path}: " + "; ".join(fault.detail for fault in faults) + ".",
+        remedy=" ".join(fault.remedy for fault in faults),
+    )
+
+
+class _Fault(typing.NamedTuple):
+    """Something wrong in a settings file.
+
+    Attributes:
+        detail: Where it is and what is wrong.
+        remedy: What to do about it.
+    """
+
+    detail: str
+    remedy: str
+
+
+def _section_fault(section: str, message: str) -> _Fault:
+    """Returns the fault that msgspec found in a section.
+
+    Args:
+        section: Name of the section.
+        message: What msgspec says, with the key in back quotes.
+    """
+    text, _, at = message.partition(" - at `$")
+    key = at.strip(".`")
+    field = re.search("(unknown|required) field `(.*)`", text)
+    place = f"section [{section}]"
+    if field is None:
+        place += f", key {key}" if key else ""
+        return _Fault(f"{place}: {text}", f"Correct {place}: {text}.")
+    place += f", key {field[2]}"
+    if field[1] == "required":
+        return _Fault(f"{place}: it is missing", f"Add {place}.")
+    return _Fault(
+        f"{place}: it is unknown", f"Remove {place}, or correct its name."
     )
 
 
-def _place(location: list[str]) -> str:
-    section = location[0] if location else "?"
-    key = location[1] if len(location) > 1 else None
-    return f"section [{section}]" + (f", key {key}" if key else "")
+def _parse_value(kind: type, value: Any) -> Any:
+    """Reads a value of a type that msgspec does not know."""
+    return _PARSERS_BY_TYPE[kind](value)
