Take no answer that names no request for the answer to a request

An upstream had sent a second answer on a kept connection; it carried a signature and no request id, and only an id that differed was refused.

Ruled out: crossed answers with another id, which were refused before; the pool, whose check sees only bytes that are still in the socket.

Change: an answer must name the request, also one that says not run or 421.

--- a/plumvane/relay/caller.py
+++ b/plumvane/relay/caller.py
@@ -186,8 +186,17 @@
 def _checked(
     upstream: Upstream, attempt: Attempt, response: httpcore.Response
 ) -> Reply:
-    """Returns an answer that belongs to the request and can be passed on."""
+    """Returns an answer that belongs to the request and can be passed on.
+
+    Upstreams name the request in each answer. One that names none is a second
+    answer to an earlier request on the same connection.
+    """
     head = decode_answer(response.headers)
+    if head.request_id != attempt.request_id:
+        raise UpstreamLostError(
+            f"Upstream {upstream.upstream_id} sent the answer to request "
+            f"{head.request_id or 'unknown'}."
+        )
     if response.status == MISDIRECTED:
         raise WrongUpstreamError(
             f"Upstream {upstream.upstream_id} is no longer at its address; "
@@ -196,11 +205,6 @@
         )
     if head.load is not None:
         upstream.take_load(head.load, clock.monotonic())
-    if head.request_id and head.request_id != attempt.request_id:
-        raise UpstreamLostError(
-            f"Upstream {upstream.upstream_id} sent the answer to request "
-            f"{head.request_id}."
-        )
     if head.is_not_run:
         raise OverloadedError(
             f"Upstream {upstream.upstream_id} refused the request with "
