Read batch jobs at the worker that runs them, and write results together

Ruled out: watches of upstreams; heartbeats cause no change and so no answer.

Change: gateways ask the worker that runs a job. It answers from memory, and says that nothing more is listed only while its copy of the heads is younger than 0.8 s; otherwise the store is asked as before. Workers write the results of all their jobs in one transaction. Watches last 25 s.

A job that ended before anybody owned it was read from its head's revision on, which the store had forgotten, again and again.

--- a/plumvane/batch/jobstore.py
+++ b/plumvane/batch/jobstore.py
@@ -75,6 +75,10 @@
         """Entries that it takes in a transaction."""
         return 2 + len(self.results_by_position) + bool(self.progress)
 
+    def text_size(self) -> int:
+        """Returns the bytes of the results' texts."""
+        return sum(len(r.text) for r in self.results_by_position.values())
+
 
 class JobStore:
     """Reads and changes batch jobs; each change is one transaction."""
--- a/plumvane/discovery/connect.py
+++ b/plumvane/discovery/connect.py
@@ -13,7 +13,7 @@
 
 
 def connect(
-    settings: WorkerSettings, rng: random.Random
+    settings: WorkerSettings, rng: random.Random, role: str
 ) -> tuple[RelayedStore, FleetView]:
     """Returns the store, through peers if need be, and the fleet's view.
 
@@ -22,6 +22,7 @@
     Args:
         settings: Checked settings of the program.
         rng: Chooses peers and upstreams.
+        role: What the program does, for its peers.
     """
     process = settings.process
     store = RelayedStore(
@@ -29,5 +30,6 @@
         process.name,
         str(settings.peers.address),
         rng,
+        role,
     )
     return store, FleetView(store, process.data_centre, rng)
--- a/plumvane/discovery/mirror.py
+++ b/plumvane/discovery/mirror.py
@@ -10,11 +10,11 @@
 from plumvane.errors import HistoryLostError, PlumvaneError
 from plumvane.store.base import Record, Store
 
-__all__ = ["Mirror"]
+__all__ = ["WATCH_S", "Mirror"]
 
-# Time of one watch, in seconds; a connection that went silent is also found
-# by its probes.
-WATCH_S = 10.0
+# Time of one watch, in seconds, below the platform's limit of 30; a connection
+# that went silent is found by its probes.
+WATCH_S = 25.0
 # Time without an answer after which entries may have lapsed, in seconds; a
 # connection that is reset is followed by a success well within it.
 OUTAGE_S = 1.0
@@ -36,6 +36,7 @@
         on_change: Callable[[Record], None],
         *,
         pause_s: float = 0.0,
+        watch_s: Callable[[], float] = lambda: WATCH_S,
     ) -> None:
         """Creates an empty copy.
 
@@ -45,17 +46,21 @@
             on_change: Told each changed or deleted record.
             pause_s: Seconds between a change and the next watch, so that
                 frequent changes are read together.
+            watch_s: Returns the longest time of the next watch, in seconds.
         """
         self.records_by_key: dict[str, Record] = {}
         self.loaded = anyio.Event()
         self.is_failing = True
         # Monotonic time at which the store was back after an outage.
         self.returned_at = float("-inf")
+        # Monotonic time as of which the copy is complete.
+        self.current_at = float("-inf")
         self._failing_since = clock.monotonic()
         self._store = store
         self._prefix = prefix
         self._on_change = on_change
         self._pause_s = pause_s
+        self._watch_s = watch_s
         self._revision: int | None = None
 
     async def run(self) -> None:
@@ -81,6 +86,7 @@
             await self._watch(self._revision)
 
     async def _load(self) -> None:
+        sent = clock.monotonic()
         found = await self._store.list(self._prefix)
         self._take_success()
         keys = {record.key for record in found.records}
@@ -90,19 +96,22 @@
         for record in found.records:
             self._take(record)
         self._revision = found.revision
+        self.current_at = sent
         self.loaded.set()
 
     async def _watch(self, revision: int) -> None:
         # After a failure a watch that waits would not tell when the store is
         # back, but only when something changes.
-        wait_s = 0.0 if self.is_failing else WATCH_S
+        wait_s = 0.0 if self.is_failing else self._watch_s()
+        sent = clock.monotonic()
         found = await self._store.watch(
-            self._prefix, revision, deadline=clock.monotonic() + wait_s
+            self._prefix, revision, deadline=sent + wait_s
         )
         self._take_success()
         for record in found.records:
             self._take(record)
         self._revision = max(revision, found.revision)
+        self.current_at = sent
         if found.records:
             await anyio.sleep(self._pause_s)
 
--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 import anyio
+import msgspec
 
 from plumvane import clock, events
 from plumvane.discovery.mirror import Mirror
@@ -40,9 +41,11 @@
     Write,
 )
 
-__all__ = ["PEER_PREFIX", "RelayedStore"]
+__all__ = ["PEER_PREFIX", "PeerEntry", "RelayedStore"]
 
 PEER_PREFIX = "plumvane/peers/"
+# Pause between two readings of changed entries, in seconds: they outlive it.
+PEER_PAUSE_S = 1.0
 # Entries of peers outlive short outages; a stale one costs one failed call.
 PEER_TTL_S = 10.0
 PEER_RENEW_S = 3.0
@@ -58,6 +61,32 @@
 # A key that does not exist; reading it shows whether the store answers.
 PROBE_KEY = "plumvane/probe"
 
+
+class PeerEntry(msgspec.Struct, frozen=True):
+    """What an instance lists of itself.
+
+    Attributes:
+        address: Where peers reach it.
+        role: What it does.
+    """
+
+    address: str
+    role: str
+
+    def encode(self) -> bytes:
+        """Returns its value for the store."""
+        return msgspec.msgpack.encode(self)
+
+    @classmethod
+    def decode(cls, value: bytes) -> PeerEntry:
+        """Reads an entry from the store's value.
+
+        Raises:
+            msgspec.MsgspecError: The value is no entry.
+        """
+        return msgspec.msgpack.decode(value, type=cls)
+
+
 T = TypeVar("T")
 R = TypeVar("R", bound=Message)
 Addresses = list[str]
@@ -77,6 +106,7 @@
         name: str,
         address: str,
         rng: random.Random,
+        role: str = "",
     ) -> None:
         """Creates the store.
 
@@ -85,18 +115,23 @@
             name: Name of this instance.
             address: Where peers reach this instance.
             rng: Chooses peers.
+            role: What this instance does, for those who look for peers.
         """
+        self.links = LinkPool(name)
+        self.server = PeerServer(address)
         self._direct = store
         self._own_name = name
         self._rng = rng
-        self._links = LinkPool(name)
-        self._server = PeerServer(address)
-        self._peers = Mirror(self, PEER_PREFIX, lambda record: None)
+        # Instances that are listed, this one among them.
+        self.peers_by_name: dict[str, PeerEntry] = {}
+        self._peers = Mirror(
+            self, PEER_PREFIX, self._take_peer, pause_s=PEER_PAUSE_S
+        )
         key = PEER_PREFIX + name
         self._registration = Registration(
             self,
             key,
-            address.encode(),
+            PeerEntry(address, role).encode(),
             ttl_s=PEER_TTL_S,
             renew_s=PEER_RENEW_S,
             is_present=lambda: key in self._peers.records_by_key,
@@ -104,7 +139,7 @@
         self._cut = anyio.Event()
         self._last_good_address = ""
         self._silent_until_by_address: dict[str, float] = {}
-        serve_peers(self._server, store, self._is_cut)
+        serve_peers(self.server, store, self._is_cut)
 
     def _is_cut(self) -> bool:
         return self._cut.is_set()
@@ -112,12 +147,27 @@
     async def run(self) -> None:
         """Serves peers, finds them and watches the way to the store."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._links.run)
-            group.start_soon(self._server.run)
+            group.start_soon(self.links.run)
+            group.start_soon(self.server.run)
             group.start_soon(self._peers.run)
             group.start_soon(self._registration.run)
             group.start_soon(self._probe)
 
+    def _take_peer(self, record: Record) -> None:
+        name = record.key.removeprefix(PEER_PREFIX)
+        self.peers_by_name.pop(name, None)
+        if record.deleted:
+            return
+        try:
+            self.peers_by_name[name] = PeerEntry.decode(record.value)
+        except msgspec.MsgspecError as error:
+            events.log(
+                events.Event.PEER_UNREADABLE,
+                peer=name,
+                revision=record.revision,
+                error=str(error),
+            )
+
     # Calls of this instance
 
     async def get(self, key: str) -> Record | None:
@@ -267,7 +317,7 @@
         for address in self._peers_in_turn()[:PEERS_ASKED]:
             deadline = clock.monotonic() + wait_s + PEER_TIMEOUT_S
             try:
-                reply = await self._links.call(
+                reply = await self.links.call(
                     address, message, deadline=deadline
                 )
             except StoreUnavailableError as error:
@@ -297,11 +347,10 @@
 
     def _peers_in_turn(self) -> Addresses:
         """Returns the peers, the last good one first, silent ones last."""
-        own = PEER_PREFIX + self._own_name
         addresses = [
-            record.value.decode()
-            for key, record in self._peers.records_by_key.items()
-            if key != own
+            entry.address
+            for name, entry in self.peers_by_name.items()
+            if name != self._own_name
         ]
         self._rng.shuffle(addresses)
         now = clock.monotonic()
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -21,7 +21,7 @@
 
 # Pause between two readings of the upstreams' entries, in seconds; a drain
 # must be known within 2 s.
-UPSTREAM_PAUSE_S = 0.2
+UPSTREAM_PAUSE_S = 0.5
 # How long after an outage of the store an entry that lapsed in it may take to
 # come back, in seconds: about two,
 # as the platform documents.
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -75,6 +75,8 @@
     REQUEST_CANCELLED = (4106, "The caller left before its answer.")
     PEER_SILENT = (6001, "A connection went silent; a new one is opened.")
     PEER_REFUSED = (6002, "A peer speaks another protocol version.")
+    PEER_UNREADABLE = (6004, "An instance's entry for peers cannot be read.")
+    WORKER_SILENT = (6003, "A worker did not reply; the store is asked.")
     UPSTREAM_FAILED = (7001, "The upstream does not answer or failed.")
     BATCH_PREEMPTED = (7002, "Batch streams gave way to online requests.")
     UPSTREAM_LISTED = (7004, "An upstream's entry is new or has changed.")
--- a/plumvane/gateway/jobs.py
+++ b/plumvane/gateway/jobs.py
@@ -2,23 +2,16 @@
 
 from __future__ import annotations
 
-import collections
-import dataclasses
-
 import anyio
 
 from plumvane import clock, events
 from plumvane.batch.jobstore import JobStore
-from plumvane.errors import (
-    ConflictError,
-    HistoryLostError,
-    NotFoundError,
-    StoreUnavailableError,
-)
+from plumvane.errors import ConflictError, StoreUnavailableError
 from plumvane.gateway.exchange import Exchange
+from plumvane.gateway.reads import JobReader
 from plumvane.platform.calls import EndJob, JobCall, ReadItem, ReadJob
 from plumvane.platform.jobs import decode_submission, encode_results
-from plumvane.serving.jobs import ItemResult, Job
+from plumvane.serving.jobs import ItemResult
 from plumvane.serving.routes import Route
 
 __all__ = ["JobCalls"]
@@ -35,43 +28,21 @@
 MAX_WAIT_S = 1.0
 # Largest answer to a read, in bytes of text; the platform allows 1 MB.
 READ_BYTES = 800_000
-# Jobs whose results are kept in memory, those read last.
-CACHED_JOBS = 64
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
-@dataclasses.dataclass(slots=True)
-class _KnownJob:
-    """What this instance has read of a job.
-
-    Attributes:
-        total: Number of its items.
-        results_by_position: Results; their positions never change.
-        revision: Revision up to which results are known.
-    """
-
-    total: int
-    results_by_position: dict[int, ItemResult]
-    revision: int
-
-    def is_complete(self) -> bool:
-        """Returns whether all results are known."""
-        return len(self.results_by_position) >= self.total
-
-
 class JobCalls:
     """Serves batch calls from the store, by any instance alike."""
 
-    def __init__(self, jobs: JobStore) -> None:
+    def __init__(self, jobs: JobStore, reader: JobReader) -> None:
         """Creates the calls.
 
         Args:
             jobs: The jobs in the store.
+            reader: Reads jobs.
         """
         self._jobs = jobs
-        self._known_by_id: collections.OrderedDict[str, _KnownJob] = (
-            collections.OrderedDict()
-        )
+        self._reader = reader
 
     async def submit(
         self, exchange: Exchange, route: Route, body: bytes, received: float
@@ -139,7 +110,7 @@
         """
         position = call.position
         wait_s = min(call.wait_s, MAX_WAIT_S)
-        known = await self._known_with(
+        known = await self._reader.results(
             call.job_id, position, clock.monotonic() + wait_s
         )
         results: list[ItemResult] = []
@@ -159,13 +130,7 @@
             NotFoundError: No such item exists.
             StoreUnavailableError: No answer of the store.
         """
-        item_id = call.item_id
-        job, _ = await self._jobs.head(call.job_id)
-        if item_id not in job.item_ids:
-            raise NotFoundError(f"Job {call.job_id} has no item {item_id}.")
-        chunk = job.chunk_by_item[job.item_ids.index(item_id)]
-        items = await self._jobs.items(job, chunk)
-        body = next(item.body for item in items if item.item_id == item_id)
+        body = await self._reader.body(call.job_id, call.item_id)
         await exchange.answer(
             200, body, [(b"content-type", b"application/octet-stream")]
         )
@@ -180,45 +145,3 @@
         was_open = await self._jobs.end(job_id)
         events.log(events.Event.JOB_ENDED, job=job_id, was_open=was_open)
         await exchange.answer(200)
-
-    async def _known_with(
-        self, job_id: str, position: int, deadline: float
-    ) -> _KnownJob:
-        """Returns a job once it has a result at a position, or in time."""
-        known = self._known_by_id.get(job_id)
-        if known is None:
-            known = await self._load(job_id)
-        while position not in known.results_by_position:
-            if known.is_complete():
-                break
-            try:
-                found, revision = await self._jobs.later_results(
-                    job_id, known.revision, deadline=deadline
-                )
-            except HistoryLostError:
-                known = await self._load(job_id)
-                continue
-            known.results_by_position.update(found)
-            known.revision = max(known.revision, revision)
-            if clock.monotonic() >= deadline:
-                break
-        return known
-
-    async def _load(self, job_id: str) -> _KnownJob:
-        job, _ = await self._jobs.head(job_id)
-        results, revision = await self._jobs.results(job_id)
-        return self._keep(job, results, revision)
-
-    def _keep(
-        self, job: Job, results: dict[int, ItemResult], revision: int
-    ) -> _KnownJob:
-        known = self._known_by_id.get(job.job_id)
-        if known is None:
-            known = _KnownJob(len(job.item_ids), {}, revision)
-            self._known_by_id[job.job_id] = known
-        known.results_by_position.update(results)
-        known.revision = max(known.revision, revision)
-        self._known_by_id.move_to_end(job.job_id)
-        while len(self._known_by_id) > CACHED_JOBS:
-            self._known_by_id.popitem(last=False)
-        return known
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -13,6 +13,7 @@
 from plumvane.gateway.app import GatewayApp, ReadyApp
 from plumvane.gateway.forwarder import Forwarder
 from plumvane.gateway.jobs import JobCalls
+from plumvane.gateway.reads import JobReader
 from plumvane.process import run_program
 from plumvane.relay.caller import UpstreamCaller
 from plumvane.settings import GatewaySettings
@@ -39,9 +40,11 @@
     # The application logs each error itself, with the request's id.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     rng = random.Random()
-    store, view = connect(settings, rng)
+    store, view = connect(settings, rng, "gateway")
     forwarder = Forwarder(view, UpstreamCaller(), rng)
-    app = GatewayApp(view, forwarder, JobCalls(JobStore(store)))
+    jobs = JobStore(store)
+    calls = JobCalls(jobs, JobReader(jobs, store))
+    app = GatewayApp(view, forwarder, calls)
     ready = ReadyApp(view)
     callers, balancer = settings.callers, settings.balancer
     server = web.HttpServer(
--- a/plumvane/peers/messages/codec.py
+++ b/plumvane/peers/messages/codec.py
@@ -14,6 +14,7 @@
     jobs,
     orders,
     partitions,
+    reads,
     requests,
     runs,
     stores,
@@ -23,7 +24,17 @@
 __all__ = ["decode", "encode"]
 
 # Each module registers its messages as subclasses when it is imported.
-MODULES = (chunks, instances, jobs, orders, partitions, requests, runs, stores)
+MODULES = (
+    chunks,
+    instances,
+    jobs,
+    orders,
+    partitions,
+    reads,
+    requests,
+    runs,
+    stores,
+)
 
 _Union: Any = functools.reduce(operator.or_, Message.__subclasses__())
 _decoder = msgspec.msgpack.Decoder(_Union)
--- a/plumvane/worker/committer.py
+++ b/plumvane/worker/committer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Sequence
 
 import anyio
@@ -12,27 +13,47 @@
 from plumvane.metrics import Metric
 from plumvane.serving.jobs import ItemProgress, ItemResult
 from plumvane.store.base import MAX_TRANSACTION_ENTRIES
+from plumvane.worker.board import ResultBoard
 from plumvane.worker.owned import OwnedJob
 
 __all__ = ["Committer", "log_delay"]
 
 # Pause after a write that failed, in seconds.
 RETRY_S = 0.3
+# Text of results in one transaction, in bytes, so that one call stays short.
+MAX_TRANSACTION_BYTES = 500_000
 # Results in one transaction, beside the head's condition, the head and the
 # progress.
 MAX_RESULTS = MAX_TRANSACTION_ENTRIES - 3
 
 
+@dataclasses.dataclass(slots=True)
+class _Draft:
+    """A job's next state and what it lists.
+
+    Attributes:
+        owned: The job.
+        commit: What is written.
+        taken: Outcomes that are in it.
+    """
+
+    owned: OwnedJob
+    commit: Commit
+    taken: Sequence[ItemResult]
+
+
 class Committer:
     """Writes what owned jobs have, and settles writes that failed."""
 
-    def __init__(self, jobs: JobStore) -> None:
+    def __init__(self, jobs: JobStore, board: ResultBoard) -> None:
         """Creates the committer.
 
         Args:
             jobs: The jobs in the store.
+            board: Told what is listed.
         """
         self._jobs = jobs
+        self._board = board
 
     async def commit(
         self, owned: OwnedJob, progress: Sequence[ItemProgress] = ()
@@ -47,19 +68,26 @@
             ConflictError: The head stands at another revision.
             StoreUnavailableError: No answer; the results may be listed.
         """
-        job = owned.copy_head()
-        job.has_progress = bool(progress)
-        results: dict[int, ItemResult] = {}
-        taken = owned.outcomes[:MAX_RESULTS]
-        for result in taken:
-            position = job.list_result(result.item_id)
-            if position is not None:
-                results[position] = result
-        commit = Commit(job, owned.revision, results, list(progress))
-        revision = await self._jobs.commit([commit])
-        owned.take_commit(commit, revision, taken)
-        for position, result in results.items():
-            _note_listed(owned, position, result)
+        await self._write([_draft(owned, progress)])
+
+    async def commit_all(self, unsaved: Sequence[OwnedJob]) -> None:
+        """Writes the new results of some jobs in few transactions.
+
+        After a failure each job is written by itself or its head is read, so
+        that one job's conflict does not hold the others up.
+        """
+        for group in _groups([_draft(owned) for owned in unsaved]):
+            try:
+                await self._write(group)
+            except ConflictError:
+                for draft in group:
+                    await self.commit_and_settle(draft.owned)
+            except PlumvaneError as error:
+                for draft in group:
+                    log_delay(draft.owned, error)
+                await anyio.sleep(RETRY_S)
+                for draft in group:
+                    await self._settle(draft.owned)
 
     async def commit_and_settle(self, owned: OwnedJob) -> None:
         """Writes a job's new results; after a failure its head is read."""
@@ -75,10 +103,57 @@
         except PlumvaneError as error:
             log_delay(owned, error)
             await anyio.sleep(RETRY_S)
+        await self._settle(owned)
+
+    async def _write(self, drafts: Sequence[_Draft]) -> None:
+        revision = await self._jobs.commit([draft.commit for draft in drafts])
+        for draft in drafts:
+            owned, results = draft.owned, draft.commit.results_by_position
+            owned.take_commit(draft.commit, revision, draft.taken)
+            self._board.take_commit(owned.job, results)
+            for position, result in results.items():
+                _note_listed(owned, position, result)
+
+    async def _settle(self, owned: OwnedJob) -> None:
         try:
-            owned.take_head(*await self._jobs.head(owned.job.job_id))
+            job, revision = await self._jobs.head(owned.job.job_id)
         except PlumvaneError as error:
             log_delay(owned, error)
+            return
+        self._board.settle(owned, job)
+        owned.take_head(job, revision)
+
+
+def _draft(owned: OwnedJob, progress: Sequence[ItemProgress] = ()) -> _Draft:
+    job = owned.copy_head()
+    job.has_progress = bool(progress)
+    results: dict[int, ItemResult] = {}
+    taken = owned.outcomes[:MAX_RESULTS]
+    for result in taken:
+        position = job.list_result(result.item_id)
+        if position is not None:
+            results[position] = result
+    commit = Commit(job, owned.revision, results, list(progress))
+    return _Draft(owned, commit, taken)
+
+
+def _groups(drafts: Sequence[_Draft]) -> list[list[_Draft]]:
+    """Parts drafts so that each group fits a transaction."""
+    groups: list[list[_Draft]] = []
+    entries = size = 0
+    for draft in drafts:
+        draft_size = draft.commit.text_size()
+        entries += draft.commit.entries
+        size += draft_size
+        if (
+            not groups
+            or entries > MAX_TRANSACTION_ENTRIES
+            or size > MAX_TRANSACTION_BYTES
+        ):
+            groups.append([])
+            entries, size = draft.commit.entries, draft_size
+        groups[-1].append(draft)
+    return groups
 
 
 def log_delay(owned: OwnedJob, error: PlumvaneError) -> None:
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -34,7 +34,7 @@
         stopping: Set when the process is to stop.
     """
     rng = random.Random()
-    store, view = connect(settings, rng)
+    store, view = connect(settings, rng, "worker")
     worker = Worker(
         settings.process.name,
         store,
@@ -43,6 +43,7 @@
         ReportReader(),
         rng,
     )
+    worker.board.serve(store.server)
     retirement = Retirement(settings.process.name, store, worker.leave)
     view.on_operator_change = retirement.take_operator_change
     async with anyio.create_task_group() as group:
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -16,7 +16,7 @@
     Commit,
     JobStore,
 )
-from plumvane.discovery.mirror import Mirror
+from plumvane.discovery.mirror import WATCH_S, Mirror
 from plumvane.discovery.registration import Registration
 from plumvane.discovery.view import FleetView
 from plumvane.errors import (
@@ -29,8 +29,9 @@
 from plumvane.relay.caller import UpstreamCaller
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.assignment import chosen_worker
-from plumvane.serving.jobs import Item, Job
+from plumvane.serving.jobs import Item, ItemResult, Job
 from plumvane.store.base import Record, TransactionalStore
+from plumvane.worker.board import ResultBoard
 from plumvane.worker.committer import Committer, log_delay
 from plumvane.worker.items import ItemRunner
 from plumvane.worker.owned import ItemRun, OwnedJob
@@ -43,13 +44,20 @@
 LEASE_TTL_S = 3.0
 # Pause between two renewals, in seconds: two may be lost before the lease ends.
 RENEW_S = 1.0
-# Pause between two readings of changed jobs, in seconds.
-JOB_PAUSE_S = 0.3
+# Pause between two readings of changed jobs, and time of a watch while this
+# worker has jobs, in seconds; together they stay below the age at which it is
+# no longer certain of its jobs.
+JOB_PAUSE_S = 0.4
+OWNER_WATCH_S = 0.2
+# Age of the known heads up to which nobody else can have listed a result that
+# a caller may rely on, in seconds: callers may count on what another instance
+# told them after one.
+CERTAIN_S = 0.8
 # How often items are started and stopped, in seconds: online requests wait
 # for a slot at most so long.
 PACE_S = 0.1
 # How long results are gathered for one transaction, in seconds.
-COMMIT_S = 0.25
+COMMIT_S = 0.3
 # Pause after a claim that failed, in seconds; refused calls are charged too.
 STORE_RETRY_S = 0.3
 # Pause between two looks whether stopped items have ended, in seconds.
@@ -83,13 +91,20 @@
         self._jobs = JobStore(store)
         self._view = view
         self._live = Mirror(
-            store, LIVE_PREFIX, self._take_change, pause_s=JOB_PAUSE_S
+            store,
+            LIVE_PREFIX,
+            self._take_change,
+            pause_s=JOB_PAUSE_S,
+            watch_s=self._watch_s,
         )
         self._pacer = Pacer(view, reports, ItemRunner(view, caller), rng)
-        self._committer = Committer(self._jobs)
         self._incarnations_by_name: dict[str, str] = {}
         self._heads_by_id: dict[str, tuple[Job, int]] = {}
         self._owned_by_id: dict[str, OwnedJob] = {}
+        self.board = ResultBoard(
+            self._owned_by_id, self._is_certain, self._owner_name
+        )
+        self._committer = Committer(self._jobs, self.board)
         self._claiming_ids: set[str] = set()
         self._is_leaving = False
         self._registration = Registration(
@@ -105,6 +120,17 @@
         found = self._incarnations_by_name.get(self._name)
         return found == self._incarnation
 
+    def _watch_s(self) -> float:
+        return OWNER_WATCH_S if self._owned_by_id else WATCH_S
+
+    def _is_certain(self) -> bool:
+        age_s = clock.monotonic() - self._live.current_at
+        return age_s < CERTAIN_S and not self._is_leaving
+
+    def _owner_name(self, job_id: str) -> str:
+        found = self._heads_by_id.get(job_id)
+        return found[0].owner.rpartition("/")[0] if found else ""
+
     async def run(self) -> None:
         """Works until it is cancelled."""
         async with anyio.create_task_group() as group:
@@ -209,7 +235,7 @@
             for job_id in list(self._heads_by_id):
                 if self._should_claim(job_id):
                     self._claiming_ids.add(job_id)
-                    group.start_soon(self._claim, job_id)
+                    group.start_soon(self._claim, *self._heads_by_id[job_id])
             await anyio.sleep(PACE_S)
 
     def _should_claim(self, job_id: str) -> bool:
@@ -224,17 +250,20 @@
         chosen = chosen_worker(job_id, self._incarnations_by_name)
         return chosen == self._name
 
-    async def _claim(self, job_id: str) -> None:
+    async def _claim(self, job: Job, revision: int) -> None:
+        job_id, before = job.job_id, job.owner
         try:
-            job, revision = self._heads_by_id[job_id]
-            before = job.owner
             job = Job.decode(job.encode())
             job.owner = self._incarnation
             revision = await self._jobs.commit([Commit(job, revision, {})])
             items = await self._items(job)
             progress = await self._jobs.progress(job)
+            results: dict[int, ItemResult] = {}
+            if job.listed_ids:
+                results, _ = await self._jobs.results(job_id)
             owned = OwnedJob(job, revision, items, progress)
             self._owned_by_id[job_id] = owned
+            self.board.put(job, results)
             events.log(
                 events.Event.JOB_CLAIMED,
                 job=job_id,
@@ -295,7 +324,7 @@
     async def _commit_results(self) -> None:
         while True:
             await anyio.sleep(COMMIT_S)
-            for owned in list(self._owned_by_id.values()):
-                if owned.has_unsaved():
-                    await self._committer.commit_and_settle(owned)
-                    self._drop_if_lost(owned)
+            unsaved = [o for o in self._owned_by_id.values() if o.has_unsaved()]
+            await self._committer.commit_all(unsaved)
+            for owned in unsaved:
+                self._drop_if_lost(owned)
--- a/tests/test_gateway_app.py
+++ b/tests/test_gateway_app.py
@@ -16,6 +16,7 @@
 from plumvane.gateway.app import GatewayApp, ReadyApp
 from plumvane.gateway.forwarder import Forwarder
 from plumvane.gateway.jobs import JobCalls
+from plumvane.gateway.reads import JobReader
 from plumvane.relay.caller import Attempt, UpstreamCaller
 from plumvane.serving.jobs import ItemResult
 from plumvane.serving.routes import Kind, RouteTable, Service
@@ -60,10 +61,11 @@
         rng = random.Random(1)
         self.view = FleetView(self.store, "a", rng)
         self.caller = HangingCaller()
+        jobs = JobStore(self.store)
         self.app = GatewayApp(
             self.view,
             Forwarder(self.view, self.caller, rng),
-            JobCalls(JobStore(self.store)),
+            JobCalls(jobs, JobReader(jobs, None)),
         )
 
     def configure(self) -> None:
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -9,7 +9,7 @@
 import anyio
 
 from plumvane import clock
-from plumvane.discovery.relayed import PEER_PREFIX, RelayedStore
+from plumvane.discovery.relayed import PEER_PREFIX, PeerEntry, RelayedStore
 from plumvane.errors import ConflictError, StoreUnavailableError
 from plumvane.store.base import ABSENT, Write
 from plumvane.store.memory import MemoryStore
@@ -162,14 +162,27 @@
     with_peers(steps, 3)
 
 
+def test_entry_that_cannot_be_read_names_no_peer() -> None:
+    async def steps(stores: list[RelayedStore], ways: list[Way]) -> None:
+        await stores[1].put(f"{PEER_PREFIX}x", b"?", expected_revision=None)
+        while len(stores[0]._peers.records_by_key) < 3:
+            await anyio.sleep(POLL_S)
+        ways[0].is_cut = True
+        assert sorted(stores[0].peers_by_name) == ["n0", "n1"]
+        assert await stores[0].get("a") is None
+
+    with_peers(steps)
+
+
 def test_silent_peers_are_left_out_and_the_last_good_one_is_first() -> None:
     async def steps(stores: list[RelayedStore], ways: list[Way]) -> None:
         ways[0].is_cut = True
         # Links to addresses where nobody listens are silent.
         for number in range(6):
+            address = f"127.0.0.1:{free_port('127.0.0.1')}"
             await stores[1].put(
                 f"{PEER_PREFIX}silent{number}",
-                f"127.0.0.1:{free_port('127.0.0.1')}".encode(),
+                PeerEntry(address, "gateway").encode(),
                 expected_revision=None,
             )
         while len(stores[0]._peers.records_by_key) < 8:
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 
 from plumvane import clock
 from plumvane.batch.jobstore import JOB_PREFIX, Commit, JobStore
@@ -438,6 +439,30 @@
     play(steps)
 
 
+def test_head_that_goes_before_its_claim_begins_ends_no_worker() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
+        worker = make_worker("w1", store, Engine())
+        await JobStore(store).accept("j", "h", items(2), JOB_ROUTE)
+        worker._heads_by_id["j"] = await JobStore(store).head("j")
+        worker._incarnations_by_name["w1"] = "w1/0"
+        worker._live.loaded.set()
+
+        async def forget() -> None:
+            while not worker._claiming_ids:
+                await anyio.lowlevel.checkpoint()
+            worker._heads_by_id.clear()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(forget)
+            group.start_soon(worker._claim_jobs, group)
+            while "j" not in worker._owned_by_id:
+                await anyio.sleep(POLL_S)
+            group.cancel_scope.cancel()
+
+    play(steps)
+
+
 def test_failures_that_are_counted_during_a_commit_are_kept() -> None:
     async def steps() -> None:
         store = MemoryStore()
