--- a/plumvane/serving/pacing.py
+++ b/plumvane/serving/pacing.py
@@ -25,7 +25,8 @@
 # Time before its job is due from which an item counts as urgent, in seconds:
 # the longest items run for about so long.
 URGENT_S = 8.0
-# Urgent items that each worker keeps at an upstream while requests wait there.
+# Urgent items that all workers together keep at an upstream while requests
+# wait there; one worker keeps them for all.
 PROTECTED_ITEMS = 1
 
 
@@ -95,7 +96,9 @@
     started: float
 
 
-def preemptible(running: Sequence[RunningItem[T]]) -> list[T]:
+def preemptible(
+    running: Sequence[RunningItem[T]], *, keeps_urgent: bool
+) -> list[T]:
     """Returns an upstream's items that may be preempted, in that order.
 
     The newest come first, urgent ones after all others. The oldest of the
@@ -104,9 +107,12 @@
 
     Args:
         running: Items of this worker at the upstream.
+        keeps_urgent: Whether this worker keeps urgent items there.
     """
     in_turn = sorted(running, key=lambda item: (item.is_urgent, -item.started))
-    kept = min(sum(item.is_urgent for item in running), PROTECTED_ITEMS)
+    kept = 0
+    if keeps_urgent:
+        kept = min(sum(item.is_urgent for item in running), PROTECTED_ITEMS)
     return [item.run for item in in_turn[: len(in_turn) - kept]]
 
 
--- a/plumvane/worker/pacer.py
+++ b/plumvane/worker/pacer.py
@@ -11,6 +11,7 @@
 from plumvane import clock
 from plumvane.discovery.view import FleetView
 from plumvane.relay.reports import ReportReader
+from plumvane.serving.assignment import chosen_worker
 from plumvane.serving.pacing import (
     HOLD_S,
     RunningItem,
@@ -31,6 +32,7 @@
 
     def __init__(
         self,
+        name: str,
         view: FleetView,
         reports: ReportReader,
         runner: ItemRunner,
@@ -39,11 +41,13 @@
         """Creates the pacer.
 
         Args:
+            name: Name of this worker.
             view: Routes and upstreams in force.
             reports: Asks upstreams for their load.
             runner: Runs items.
             rng: Draws services of split routes.
         """
+        self._name = name
         self._view = view
         self._reports = reports
         self._runner = runner
@@ -53,14 +57,15 @@
     async def pace(
         self,
         jobs: Collection[OwnedJob],
-        workers: int,
+        workers: Collection[str],
         group: anyio.abc.TaskGroup,
     ) -> None:
         """Starts and preempts items once.
 
         Args:
             jobs: The jobs of this worker.
-            workers: Workers that share the upstreams, this one among them.
+            workers: Names of the workers that share the upstreams, this one
+                among them.
             group: Runs the items that start.
         """
         jobs_by_service: dict[str, list[OwnedJob]] = {}
@@ -83,7 +88,7 @@
         self,
         service: str,
         jobs: list[OwnedJob],
-        workers: int,
+        workers: Collection[str],
         group: anyio.abc.TaskGroup,
     ) -> None:
         now = clock.monotonic()
@@ -96,15 +101,22 @@
         now = clock.monotonic()
         self._forget_holds(now)
         running_by_upstream = _running_by_upstream(jobs)
+        preemptible_by_id = {
+            upstream_id: preemptible(
+                running_by_upstream.get(upstream_id, []),
+                keeps_urgent=chosen_worker(upstream_id, workers) == self._name,
+            )
+            for upstream_id in upstreams_by_id
+        }
         states = [
-            self._state(upstream, running_by_upstream.get(upstream_id, []), now)
+            self._state(upstream, len(preemptible_by_id[upstream_id]), now)
             for upstream_id, upstream in upstreams_by_id.items()
         ]
         waiting = _waiting(jobs, now)
         urgent = sum(_is_urgent(owned) for owned, _ in waiting)
-        todo = plan(states, urgent, len(waiting) - urgent, workers)
+        todo = plan(states, urgent, len(waiting) - urgent, len(workers))
         for upstream_id, count in todo.preemptions_by_id.items():
-            for run in preemptible(running_by_upstream[upstream_id])[:count]:
+            for run in preemptible_by_id[upstream_id][:count]:
                 run.stop()
         for (owned, run), upstream_id in zip(
             waiting, todo.starts, strict=False
@@ -122,10 +134,7 @@
         }
 
     def _state(
-        self,
-        upstream: Upstream,
-        running: list[RunningItem[ItemRun]],
-        now: float,
+        self, upstream: Upstream, preemptible_items: int, now: float
     ) -> UpstreamState:
         upstream_id = upstream.upstream_id
         waiting = upstream.waiting(now)
@@ -136,7 +145,7 @@
             slots=upstream.slots,
             load=upstream.estimated_load(now),
             waiting=waiting,
-            preemptible_items=len(preemptible(running)),
+            preemptible_items=preemptible_items,
             is_held=upstream_id in self._held_until_by_id,
         )
 
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -97,7 +97,7 @@
             pause_s=JOB_PAUSE_S,
             watch_s=self._watch_s,
         )
-        self._pacer = Pacer(view, reports, ItemRunner(view, caller), rng)
+        self._pacer = Pacer(name, view, reports, ItemRunner(view, caller), rng)
         self._incarnations_by_name: dict[str, str] = {}
         self._heads_by_id: dict[str, tuple[Job, int]] = {}
         self._owned_by_id: dict[str, OwnedJob] = {}
@@ -317,7 +317,7 @@
             if self._owned_by_id and self._view.is_known():
                 await self._pacer.pace(
                     list(self._owned_by_id.values()),
-                    len(self._incarnations_by_name),
+                    list(self._incarnations_by_name),
                     group,
                 )
 
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -95,7 +95,7 @@
             for p in work
             if p.is_batch
         ]
-        preemptible_by_engine.append(preemptible(running))
+        preemptible_by_engine.append(preemptible(running, keeps_urgent=True))
         states.append(
             UpstreamState(
                 str(number),
@@ -156,7 +156,11 @@
         RunningItem("urgent new", True, 4.0),
         RunningItem("new", False, 3.0),
     ]
-    assert preemptible(running) == ["new", "old", "urgent new"]
+    assert preemptible(running, keeps_urgent=True) == [
+        "new",
+        "old",
+        "urgent new",
+    ]
 
 
 def test_urgent_items_are_not_stopped_and_start_at_any_free_slot() -> None:
