Share the loads that workers read; spread requests evenly and around queues

A load over 1 s old counted as the own requests alone, so the engine that was heard of least looked emptiest.

Change: each engine is read by one worker, chosen by rendezvous hashing, which sends the loads to all other workers and gateways that follow it. A gateway takes the upstream with the fewest of its own requests plus those that wait there.

--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -77,6 +77,7 @@
     PEER_REFUSED = (6002, "A peer speaks another protocol version.")
     PEER_UNREADABLE = (6004, "An instance's entry for peers cannot be read.")
     WORKER_SILENT = (6003, "A worker did not reply; the store is asked.")
+    LOADS_LOST = (6005, "A worker's loads of upstreams are not followed.")
     UPSTREAM_FAILED = (7001, "The upstream does not answer or failed.")
     BATCH_PREEMPTED = (7002, "Batch streams gave way to online requests.")
     UPSTREAM_LISTED = (7004, "An upstream's entry is new or has changed.")
--- a/plumvane/gateway/app.py
+++ b/plumvane/gateway/app.py
@@ -122,6 +122,7 @@
             events.Event.REQUEST_ANSWERED,
             request=exchange.request.request_id,
             status=exchange.status,
+            first_s=round(exchange.started_at - received, 3),
             took_s=round(clock.monotonic() - received, 3),
         )
 
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -10,6 +10,7 @@
 from plumvane import web
 from plumvane.batch.jobstore import JobStore
 from plumvane.discovery.connect import connect
+from plumvane.discovery.loads import LoadFollower
 from plumvane.gateway.app import GatewayApp, ReadyApp
 from plumvane.gateway.forwarder import Forwarder
 from plumvane.gateway.jobs import JobCalls
@@ -53,8 +54,10 @@
     ready_server = web.HttpServer(
         ready, web.bind(balancer.address.host, balancer.address.port)
     )
+    loads = LoadFollower(settings.process.name, store, view.upstreams)
     async with anyio.create_task_group() as group:
         group.start_soon(store.run)
+        group.start_soon(loads.run)
         group.start_soon(view.run)
         group.start_soon(server.run)
         group.start_soon(ready_server.run)
--- a/plumvane/gateway/reads.py
+++ b/plumvane/gateway/reads.py
@@ -7,6 +7,7 @@
 
 from plumvane import clock, events
 from plumvane.batch.jobstore import JobStore
+from plumvane.discovery.loads import WORKER_ROLE
 from plumvane.discovery.relayed import RelayedStore
 from plumvane.errors import (
     HistoryLostError,
@@ -24,10 +25,8 @@
 from plumvane.serving.assignment import chosen_worker
 from plumvane.serving.jobs import ItemResult, Job, decode_result
 
-__all__ = ["WORKER_ROLE", "JobReader", "KnownJob"]
+__all__ = ["JobReader", "KnownJob"]
 
-# Role under which workers list themselves to their peers.
-WORKER_ROLE = "worker"
 # Jobs whose results are kept in memory, those read last; a job has about
 # 100 KB of results.
 CACHED_JOBS = 16
--- a/plumvane/serving/upstreams.py
+++ b/plumvane/serving/upstreams.py
@@ -16,9 +16,6 @@
 # Reports in a row that a silent upstream leaves out; a single one may be lost
 # with its connection.
 SILENT_REPORTS = 3
-# Loads that are closer than this, as a share of the slots, count as equal, so
-# that upstreams in the own data centre go first.
-EQUAL_LOAD = 0.1
 # A reported load older than this says nothing, in seconds; requests last
 # about a second.
 LOAD_FRESH_S = 1.0
@@ -58,12 +55,12 @@
     Attributes:
         running: Requests that it runs.
         waiting: Requests in its queue.
-        slots: Requests that it can run at once.
+        slots: Requests that it can run at once; 0 if it did not tell.
     """
 
     running: int
     waiting: int
-    slots: int
+    slots: int = 0
 
 
 class Upstream:
@@ -80,6 +77,8 @@
         self.batch_in_flight = 0
         self.missing_deadline: float | None = None
         self._load: Load | None = None
+        # Slots that it reported; 0 before.
+        self._slots = 0
         self._load_at = 0.0
         self._in_flight_at_load = 0
         self._failures = 0
@@ -94,20 +93,27 @@
     @property
     def slots(self) -> int:
         """Requests that it runs at once."""
-        if self._load is not None and self._load.slots:
-            return self._load.slots
-        return max(1, self.listed.slots)
+        return self._slots or max(1, self.listed.slots)
+
+    @property
+    def load(self) -> Load | None:
+        """The newest load that it reported."""
+        return self._load
 
-    def take_load(self, load: Load, now: float) -> None:
-        """Takes a reported load in.
+    def take_load(self, load: Load, read_at: float) -> None:
+        """Takes a reported load in, unless a newer one is known.
 
         Args:
-            load: The load.
-            now: Monotonic time in seconds at which it was read.
+            load: The load; without its slots, the known ones stay.
+            read_at: Monotonic time in seconds at which it was read.
         """
+        if read_at < self._load_at:
+            return
         self._load = load
-        self._load_at = now
+        self._load_at = read_at
         self._in_flight_at_load = self.in_flight
+        if load.slots:
+            self._slots = load.slots
 
     def take_report(self, load: Load, now: float) -> None:
         """Takes in a report that was asked for; it does not tell the slots.
@@ -251,7 +257,11 @@
     def choose(
         self, service: str, now: float, excluded_ids: Iterable[str] = ()
     ) -> Upstream | None:
-        """Returns the least loaded upstream of a service.
+        """Returns the upstream of a service that has the next request soonest.
+
+        Each instance spreads its own requests evenly and avoids queues. All
+        see the same loads some tenths of a second late, so if each took the
+        least loaded upstream they would all send to it until the next reading.
 
         Args:
             service: Name of the service.
@@ -272,9 +282,9 @@
         return min(candidates, key=lambda u: self._rank(u, now))
 
     def _rank(self, upstream: Upstream, now: float) -> tuple[int, bool, float]:
-        share = upstream.estimated_load(now) / upstream.slots
+        expected = upstream.in_flight + upstream.waiting(now)
         is_remote = upstream.listed.data_centre != self._data_centre
-        return int(share / EQUAL_LOAD), is_remote, self._rng.random()
+        return expected, is_remote, self._rng.random()
 
     @staticmethod
     def _is_restart(known: ListedUpstream, listed: ListedUpstream) -> bool:
--- /dev/null
+++ b/plumvane/worker/feed.py
@@ -0,0 +1,62 @@
+"""Sends the loads that a worker reads to the instances that follow them."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+import anyio
+
+from plumvane import clock
+from plumvane.peers.messages import Message
+from plumvane.peers.messages.loads import (
+    FollowLoads,
+    UpstreamLoad,
+    UpstreamLoads,
+)
+from plumvane.peers.server import Call, PeerServer
+from plumvane.serving.upstreams import Upstream
+
+__all__ = ["LoadFeed"]
+
+
+class LoadFeed:
+    """The calls of those who follow this worker's loads."""
+
+    def __init__(self) -> None:
+        """Creates a feed that nobody follows."""
+        self._calls: set[Call] = set()
+
+    def serve(self, server: PeerServer) -> None:
+        """Registers the handler of the followers' calls."""
+        server.handle(FollowLoads, self._follow)
+
+    def send(self, upstreams: Collection[Upstream], sent_before: float) -> None:
+        """Sends the loads that were read since some time.
+
+        Args:
+            upstreams: Upstreams whose loads this worker reads.
+            sent_before: Monotonic time in seconds; older loads are known.
+        """
+        now = clock.monotonic()
+        rows = []
+        for upstream in upstreams:
+            load = upstream.load
+            age_s = upstream.load_age(now)
+            if load is not None and age_s < now - sent_before:
+                rows.append(
+                    UpstreamLoad(
+                        upstream.upstream_id, load.running, load.waiting, age_s
+                    )
+                )
+        if rows:
+            message = UpstreamLoads(tuple(rows))
+            for call in self._calls:
+                call.send_part(message)
+
+    async def _follow(self, call: Call, message: FollowLoads) -> Message:
+        self._calls.add(call)
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self._calls.discard(call)
+        raise AssertionError("The call ends by its cancellation.")
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -7,6 +7,7 @@
 import anyio
 
 from plumvane.discovery.connect import connect
+from plumvane.discovery.loads import WORKER_ROLE, LoadFollower
 from plumvane.process import run_program
 from plumvane.relay.caller import UpstreamCaller
 from plumvane.relay.reports import ReportReader
@@ -34,7 +35,7 @@
         stopping: Set when the process is to stop.
     """
     rng = random.Random()
-    store, view = connect(settings, rng, "worker")
+    store, view = connect(settings, rng, WORKER_ROLE)
     worker = Worker(
         settings.process.name,
         store,
@@ -44,10 +45,13 @@
         rng,
     )
     worker.board.serve(store.server)
+    worker.feed.serve(store.server)
+    loads = LoadFollower(settings.process.name, store, view.upstreams)
     retirement = Retirement(settings.process.name, store, worker.leave)
     view.on_operator_change = retirement.take_operator_change
     async with anyio.create_task_group() as group:
         group.start_soon(store.run)
+        group.start_soon(loads.run)
         group.start_soon(view.run)
         group.start_soon(worker.run)
         group.start_soon(retirement.run)
--- a/plumvane/worker/pacer.py
+++ b/plumvane/worker/pacer.py
@@ -26,6 +26,10 @@
 
 __all__ = ["Pacer"]
 
+# Age of a load that another worker should have sent from which on it is read
+# here too, in seconds: three of its readings.
+UNHEARD_S = 0.3
+
 
 class Pacer:
     """Applies the policy of pacing to the jobs of one worker."""
@@ -54,6 +58,45 @@
         self._rng = rng
         self._held_until_by_id: dict[str, float] = {}
 
+    async def read_loads(self, workers: Collection[str]) -> list[Upstream]:
+        """Reads the loads of the engines that fall to this worker.
+
+        Others are read by the other workers, which send what they read; those
+        that are not heard of are read too.
+
+        Args:
+            workers: Names of the workers that share the upstreams, this one
+                among them.
+
+        Returns:
+            The engines that fall to this worker.
+        """
+        now = clock.monotonic()
+        engines = self._engines()
+        own = [
+            upstream
+            for upstream in engines
+            if chosen_worker(upstream.upstream_id, workers) == self._name
+        ]
+        unheard = [
+            upstream
+            for upstream in engines
+            if upstream not in own and upstream.load_age(now) > UNHEARD_S
+        ]
+        await self._reports.read([*own, *unheard])
+        return own
+
+    def _engines(self) -> list[Upstream]:
+        routes = self._view.routes
+        if routes is None:
+            return []
+        return [
+            upstream
+            for service in routes.services_by_name.values()
+            if service.is_engine
+            for upstream in self._view.upstreams.ready(service.name)
+        ]
+
     async def pace(
         self,
         jobs: Collection[OwnedJob],
@@ -97,8 +140,6 @@
             for upstream in self._view.upstreams.ready(service)
             if not upstream.is_ejected(now)
         }
-        await self._reports.read(list(upstreams_by_id.values()))
-        now = clock.monotonic()
         self._forget_holds(now)
         running_by_upstream = _running_by_upstream(jobs)
         preemptible_by_id = {
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -33,6 +33,7 @@
 from plumvane.store.base import Record, TransactionalStore
 from plumvane.worker.board import ResultBoard
 from plumvane.worker.committer import Committer, log_delay
+from plumvane.worker.feed import LoadFeed
 from plumvane.worker.items import ItemRunner
 from plumvane.worker.owned import ItemRun, OwnedJob
 from plumvane.worker.pacer import Pacer
@@ -104,6 +105,7 @@
         self.board = ResultBoard(
             self._owned_by_id, self._is_certain, self._owner_name
         )
+        self.feed = LoadFeed()
         self._committer = Committer(self._jobs, self.board)
         self._claiming_ids: set[str] = set()
         self._is_leaving = False
@@ -314,11 +316,14 @@
     async def _pace(self, group: anyio.abc.TaskGroup) -> None:
         while not self._is_leaving:
             await anyio.sleep(PACE_S)
-            if self._owned_by_id and self._view.is_known():
+            if not self._view.is_known():
+                continue
+            started = clock.monotonic()
+            workers = list(self._incarnations_by_name)
+            self.feed.send(await self._pacer.read_loads(workers), started)
+            if self._owned_by_id:
                 await self._pacer.pace(
-                    list(self._owned_by_id.values()),
-                    list(self._incarnations_by_name),
-                    group,
+                    list(self._owned_by_id.values()), workers, group
                 )
 
     async def _commit_results(self) -> None:
--- a/tests/test_job_reads.py
+++ b/tests/test_job_reads.py
@@ -13,13 +13,14 @@
 
 from plumvane import clock
 from plumvane.batch.jobstore import JobStore
+from plumvane.discovery.loads import WORKER_ROLE
 from plumvane.discovery.relayed import PeerEntry
 from plumvane.errors import (
     DeadlineExceededError,
     HistoryLostError,
     NotFoundError,
 )
-from plumvane.gateway.reads import WORKER_ROLE, JobReader
+from plumvane.gateway.reads import JobReader
 from plumvane.peers.messages import Message
 from plumvane.peers.messages.reads import (
     ItemBody,
