--- a/plumvane/web.py
+++ b/plumvane/web.py
@@ -80,6 +80,7 @@
         config = uvicorn.Config(
             app,
             log_config=None,
+            log_level="warning",
             access_log=False,
             lifespan="off",
             ws="none",
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real programs on one machine under faults from outside."""
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,175 @@
+"""The processes of a soak: store, servers, gateways, workers and the proxy."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from typing import Any
+
+import anyio
+import msgspec
+
+from plumvane.errors import StoreUnavailableError
+from plumvane.platform.store import PlatformStore
+from standins.launcher import Fleet, Process, free_port
+
+__all__ = ["HOST", "SoakFleet"]
+
+HOST = "soak.example"
+DATA_CENTRES = ("a", "b")
+ENGINES, SERVICES, GATEWAYS, WORKERS = 4, 2, 3, 2
+# Pause before a refused write is made again, in seconds.
+RETRY_S = 0.2
+# Route names with what is special about them; `extra` routes come and go.
+ROUTES: tuple[dict[str, Any], ...] = (
+    {"name": "note", "kind": "streaming", "resumable": True},
+    {"name": "quote", "kind": "streaming"},
+    {"name": "slip", "kind": "safe"},
+    {"name": "pay", "kind": "unsafe"},
+    {
+        "name": "plan",
+        "kind": "batch",
+        "completion-target-ms": 10_000,
+        "retention-s": 600,
+    },
+)
+ENGINE_ROUTES = frozenset({"note", "quote", "plan"})
+
+
+class SoakFleet:
+    """Starts the processes; each way between two of them has a proxy route."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Starts all processes.
+
+        Args:
+            folder: Folder for settings and logs.
+        """
+        self.fleet = Fleet(folder)
+        self.version = 0
+        self.extra_routes: list[str] = []
+        self.routes_by_process: dict[str, list[str]] = {}
+        self.fleet.start_standin("store", "platform_store")
+        self.fleet.start_proxy()
+        self.store = PlatformStore(self.fleet["store"].url)
+        self.servers = [
+            *(self._start_server(f"engine-{n}", "lm") for n in range(ENGINES)),
+            *(self._start_server(f"app-{n}", "app") for n in range(SERVICES)),
+        ]
+        self.gateways = [
+            self._start_program(f"gateway-{n}", n) for n in range(GATEWAYS)
+        ]
+        self.workers = [
+            self._start_program(f"worker-{n}", n) for n in range(WORKERS)
+        ]
+
+    @property
+    def programs(self) -> list[Process]:
+        """The system's own processes."""
+        return [*self.gateways, *self.workers]
+
+    def close(self) -> None:
+        """Kills what this soak started."""
+        self.fleet.kill_all()
+
+    async def write_configuration(self) -> None:
+        """Writes the next version of the configuration."""
+        self.version += 3
+        extra = [{"name": name, "kind": "safe"} for name in self.extra_routes]
+        routes = [
+            {
+                "host": HOST,
+                "path-prefix": f"/{route['name']}/",
+                "service": "lm" if route["name"] in ENGINE_ROUTES else "app",
+                "timeout-ms": 5000,
+                "target-latency-ms": 300,
+                "max-attempts": 2 if route["kind"] != "batch" else 3,
+                **route,
+            }
+            for route in (*ROUTES, *extra)
+        ]
+        value = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": "lm", "engine": {}}, {"name": "app"}],
+            "limits": {},
+        }
+        encoded = msgspec.json.encode(value)
+        while True:
+            try:
+                await self.store.put(
+                    "op/config", encoded, expected_revision=None
+                )
+                return
+            except StoreUnavailableError:
+                # A fault refuses calls at the moment; operators try again.
+                await anyio.sleep(RETRY_S)
+
+    def set_faults(self, route: str, **faults: Any) -> None:
+        """Sets the faults of a proxy route."""
+        self.fleet.peer_faults(route, **faults)
+
+    def store_faults(self, **faults: Any) -> None:
+        """Sets the faults of the store itself."""
+        self.fleet.call("POST", f"{self.fleet['store'].url}/faults", faults)
+
+    def _route(self, name: str, target: str) -> str:
+        """Opens a proxy route and returns its address."""
+        port = free_port(self.fleet.host)
+        proxy = self.fleet["proxy"].url
+        wanted = {"port": port, "target": target}
+        self.fleet.call("PUT", f"{proxy}/routes/{name}", wanted)
+        return f"{self.fleet.host}:{port}"
+
+    def _start_server(self, name: str, service: str) -> Process:
+        store = self._route(f"{name}-store", self._address("store"))
+        port = free_port(self.fleet.host)
+        address = self._route(name, f"{self.fleet.host}:{port}")
+        process = self.fleet.start_standin(
+            name,
+            "platform_server",
+            f"--port={port}",
+            f"--name={name}",
+            f"--service={service}",
+            f"--address={address}",
+            f"--store=http://{store}",
+        )
+        process.http_port = port
+        self.routes_by_process[name] = [name, f"{name}-store"]
+        return process
+
+    def _start_program(self, name: str, number: int) -> Process:
+        role = name.partition("-")[0]
+        store = self._route(f"{name}-store", self._address("store"))
+        self.routes_by_process[name] = [f"{name}-store"]
+        http_port = free_port(self.fleet.host)
+        sections: dict[str, dict[str, Any]] = {
+            "process": {
+                "name": name,
+                "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
+            },
+            "store": {"url": f"http://{store}"},
+            "peers": {"address": self._free_address()},
+        }
+        if role == "gateway":
+            callers = f"{self.fleet.host}:{http_port}"
+            sections["callers"] = {"address": callers}
+            sections["balancer"] = {"address": self._free_address()}
+        return self.fleet.start_on_platform(
+            name, role, sections, http_port=http_port
+        )
+
+    def _address(self, name: str) -> str:
+        return f"{self.fleet.host}:{self.fleet[name].http_port}"
+
+    def _free_address(self) -> str:
+        return f"{self.fleet.host}:{free_port(self.fleet.host)}"
+
+    def runs(self) -> list[dict[str, Any]]:
+        """Returns the runs that the servers printed, in the order of time."""
+        found = []
+        for server in self.servers:
+            for line in server.log.read_text(errors="replace").splitlines():
+                if line.startswith('{"run"'):
+                    found.append({**json.loads(line), "server": server.name})
+        return sorted(found, key=lambda row: row["at"])
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -244,6 +244,28 @@
         data.mkdir(exist_ok=True)
         return self._start_program(name, "bulk", {"data": {"folder": data}})
 
+    def start_on_platform(
+        self, name: str, role: str, sections: Sections, *, http_port: int = 0
+    ) -> Process:
+        """Starts a program that finds its fleet in the platform's store.
+
+        Args:
+            name: Name of the instance.
+            role: `gateway` or `worker`.
+            sections: Its settings.
+            http_port: Port that it serves callers on.
+        """
+        path = self.folder / f"{name}.ini"
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
+        with open(path, "w", encoding="utf-8") as file:
+            parser.write(file)
+        command = [str(self._bin / f"plumvane-{role}"), f"--settings={path}"]
+        process = self._add(name, role, command)
+        process.http_port = http_port
+        process.start()
+        return process
+
     def restart(self, name: str) -> None:
         """Starts a process that has ended again, and waits for its ports."""
         process = self[name]
