Put items that cannot be in time last, and keep checkpoints of running items

Cause: items were taken by due time alone.

Change: workers learn how long items run, and put those that cannot be in time behind all others. Every two seconds the texts of running items are written with the results, in the same transaction.

Ruled out: least slack first, urgent from 2.5 s of slack on.

--- a/plumvane/batch/jobstore.py
+++ b/plumvane/batch/jobstore.py
@@ -76,8 +76,11 @@
         return 2 + len(self.results_by_position) + bool(self.progress)
 
     def text_size(self) -> int:
-        """Returns the bytes of the results' texts."""
-        return sum(len(r.text) for r in self.results_by_position.values())
+        """Returns the bytes of all texts, which are in ASCII."""
+        texts = [r.text for r in self.results_by_position.values()]
+        for item in self.progress:
+            texts += item.texts
+        return sum(len(text) for text in texts)
 
 
 class JobStore:
--- a/plumvane/platform/jobs.py
+++ b/plumvane/platform/jobs.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from plumvane.errors import InvalidJsonError
+from plumvane.platform import names
 from plumvane.serving.jobs import Item, ItemResult, Submission
 
 __all__ = ["decode_submission", "encode_results"]
@@ -79,10 +80,24 @@
             f"The job has {len(found.items)} items; "
             f"1 to {MAX_ITEMS} are allowed."
         )
-    items = [Item(i.id, i.path, i.headers, i.body) for i in found.items]
+    items = [
+        Item(i.id, i.path, i.headers, i.body, _output_tokens(i.headers))
+        for i in found.items
+    ]
     return Submission(job_id, host, tuple(items))
 
 
+def _output_tokens(headers: dict[str, str]) -> int:
+    """Returns the most tokens that an item generates; 0 if it says none."""
+    for name, value in headers.items():
+        if name.lower() == names.TOKEN_USAGE_HEADER:
+            try:
+                return max(0, int(value.partition(",")[2]))
+            except ValueError:
+                return 0
+    return 0
+
+
 def encode_results(
     total: int, position: int, results: Sequence[ItemResult]
 ) -> bytes:
--- a/plumvane/platform/names.py
+++ b/plumvane/platform/names.py
@@ -20,6 +20,7 @@
     "RETIRE_PREFIX",
     "RETIRE_STATUS_PREFIX",
     "SIGNATURE_HEADER",
+    "TOKEN_USAGE_HEADER",
     "UPSTREAM_ID_HEADER",
     "UPSTREAM_PREFIX",
     "WAIT_HEADER",
@@ -36,6 +37,8 @@
 LOAD_HEADER = b"x-server-load"
 # Present in an answer if the upstream did not run the request.
 NOT_RUN_HEADER = b"x-not-executed"
+# Tokens of the prompt and most tokens of the output, separated by a comma.
+TOKEN_USAGE_HEADER = "x-token-usage"
 UPSTREAM_ID_HEADER = b"x-instance-id"
 # Milliseconds for which a read of a job may wait for a result.
 WAIT_HEADER = b"x-wait-ms"
--- a/plumvane/serving/jobs.py
+++ b/plumvane/serving/jobs.py
@@ -33,12 +33,14 @@
         path: Path that it is sent to.
         headers: Headers that it is sent with, by name.
         body: Its body.
+        output_tokens: Most tokens that it generates; 0 if unknown.
     """
 
     item_id: str
     path: str
     headers: dict[str, str]
     body: bytes
+    output_tokens: int = 0
 
 
 class Submission(msgspec.Struct, frozen=True):
--- a/plumvane/serving/pacing.py
+++ b/plumvane/serving/pacing.py
@@ -8,12 +8,14 @@
 
 __all__ = [
     "HOLD_S",
+    "ItemSpeed",
     "Plan",
     "RunningItem",
+    "Turn",
     "UpstreamState",
-    "is_urgent",
     "plan",
     "preemptible",
+    "turn",
 ]
 
 # Slots of an upstream that batch items leave free for online requests.
@@ -25,11 +27,18 @@
 # Time before its job is due from which an item counts as urgent, in seconds:
 # the longest items run for about so long.
 URGENT_S = 8.0
+# Share of its remaining time by which an item may be short of time and still
+# count as one that can be in time, since the remaining time is an estimate.
+REMAINING_ERROR = 0.15
 # Urgent items that all workers together keep at an upstream while requests
 # wait there; one worker keeps them for all.
 PROTECTED_ITEMS = 1
 
 
+# Weight of the newest observation of a speed, and fewest events of one.
+LEARNING_RATE = 0.1
+LEARNED_EVENTS = 5
+
 T = TypeVar("T")
 
 
@@ -68,17 +77,72 @@
     preemptions_by_id: dict[str, int]
 
 
-def is_urgent(due: float, now: float) -> bool:
-    """Returns whether an item is late unless it runs from now on.
+class ItemSpeed:
+    """How fast upstreams run items, learned from those that have run.
+
+    Attributes:
+        token_s: Seconds for each token.
+        tokens_per_event: Tokens in each event of a stream.
+    """
+
+    def __init__(self) -> None:
+        """Creates an estimate, about right for the engines of the sheets."""
+        self.token_s = 0.004
+        self.tokens_per_event = 10.0
+
+    def take_run(self, events: int, seconds: float) -> None:
+        """Takes in how long a run took for its events."""
+        if events >= LEARNED_EVENTS:
+            token_s = seconds / (events * self.tokens_per_event)
+            self.token_s += LEARNING_RATE * (token_s - self.token_s)
+
+    def take_item(self, output_tokens: int, events: int) -> None:
+        """Takes in how many events a complete item had."""
+        if events >= LEARNED_EVENTS and output_tokens:
+            found = output_tokens / events
+            error = found - self.tokens_per_event
+            self.tokens_per_event += LEARNING_RATE * error
+
+    def remaining_s(self, output_tokens: int, events: int) -> float:
+        """Returns how long an item still runs, in seconds.
+
+        Args:
+            output_tokens: Most tokens that it generates; 0 if unknown.
+            events: Events that it has.
+        """
+        left = output_tokens - events * self.tokens_per_event
+        return max(0.0, left) * self.token_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Turn:
+    """Place of an item among those that wait; lesser ones start first.
+
+    The item that is due first is first. Items that cannot be in time any more
+    come last: served first, they would make others late one by one.
+
+    Attributes:
+        is_late: Whether it cannot be in time.
+        due: Unix time in seconds at which its job is due.
+        is_urgent: Whether it is late unless it runs from now on.
+    """
+
+    is_late: bool
+    due: float
+    is_urgent: bool = dataclasses.field(compare=False)
+
 
-    One that is late already is not urgent: it is worth less than those that
-    can still be in time.
+def turn(due: float, remaining_s: float, now: float) -> Turn:
+    """Returns the place of an item.
 
     Args:
         due: Unix time in seconds at which its job is due.
+        remaining_s: Seconds that it still runs.
         now: Unix time in seconds.
     """
-    return 0.0 <= due - now < URGENT_S
+    left_s = due - now
+    is_late = left_s <= 0 or left_s < remaining_s * (1 - REMAINING_ERROR)
+    return Turn(is_late, due, not is_late and left_s < URGENT_S)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plumvane/worker/committer.py
+++ b/plumvane/worker/committer.py
@@ -70,13 +70,23 @@
         """
         await self._write([_draft(owned, progress)])
 
-    async def commit_all(self, unsaved: Sequence[OwnedJob]) -> None:
+    async def commit_all(
+        self, unsaved: Sequence[OwnedJob], *, with_progress: bool = False
+    ) -> None:
         """Writes the new results of some jobs in few transactions.
 
         After a failure each job is written by itself or its head is read, so
         that one job's conflict does not hold the others up.
+
+        Args:
+            unsaved: The jobs.
+            with_progress: Whether how far their items are is written too.
         """
-        for group in _groups([_draft(owned) for owned in unsaved]):
+        drafts = [
+            _draft(owned, owned.progress() if with_progress else ())
+            for owned in unsaved
+        ]
+        for group in _groups(drafts):
             try:
                 await self._write(group)
             except ConflictError:
@@ -110,6 +120,7 @@
         for draft in drafts:
             owned, results = draft.owned, draft.commit.results_by_position
             owned.take_commit(draft.commit, revision, draft.taken)
+            owned.take_saved(draft.commit.progress)
             self._board.take_commit(owned.job, results)
             for position, result in results.items():
                 _note_listed(owned, position, result)
@@ -126,7 +137,7 @@
 
 def _draft(owned: OwnedJob, progress: Sequence[ItemProgress] = ()) -> _Draft:
     job = owned.copy_head()
-    job.has_progress = bool(progress)
+    job.has_progress = job.has_progress or bool(progress)
     results: dict[int, ItemResult] = {}
     taken = owned.outcomes[:MAX_RESULTS]
     for result in taken:
--- a/plumvane/worker/items.py
+++ b/plumvane/worker/items.py
@@ -11,6 +11,7 @@
 from plumvane.relay.caller import Attempt, Reply, UpstreamCaller
 from plumvane.relay.events import EventReader
 from plumvane.relay.health import note_answer, note_failure
+from plumvane.serving.pacing import ItemSpeed
 from plumvane.serving.upstreams import Upstream
 from plumvane.worker.owned import ItemRun, OwnedJob
 
@@ -28,15 +29,19 @@
 class ItemRunner:
     """Runs one item at one upstream and takes its progress in."""
 
-    def __init__(self, view: FleetView, caller: UpstreamCaller) -> None:
+    def __init__(
+        self, view: FleetView, caller: UpstreamCaller, speed: ItemSpeed
+    ) -> None:
         """Creates the runner.
 
         Args:
             view: Routes and upstreams in force.
             caller: Sends to upstreams.
+            speed: Told how fast items run.
         """
         self._view = view
         self._caller = caller
+        self._speed = speed
 
     async def run(
         self, owned: OwnedJob, run: ItemRun, upstream: Upstream
@@ -83,19 +88,25 @@
             note_answer(upstream)
             if reply.status == 200:
                 await self._read_events(run, reply)
+                self._speed.take_item(run.item.output_tokens, len(run.texts))
                 owned.complete(run)
             else:
                 self._take_failure(owned, run, reply)
 
     async def _read_events(self, run: ItemRun, reply: Reply) -> None:
         reader = EventReader(run.last_event_id)
-        async for part in reply.parts():
-            for event in reader.feed(part):
-                if event.event_id is None:
-                    continue
-                run.texts.append(event.data)
-                run.last_event_id = event.event_id
-        reader.finish()
+        before, began = len(run.texts), clock.monotonic()
+        try:
+            async for part in reply.parts():
+                for event in reader.feed(part):
+                    if event.event_id is None:
+                        continue
+                    run.texts.append(event.data)
+                    run.last_event_id = event.event_id
+            reader.finish()
+        finally:
+            took_s = clock.monotonic() - began
+            self._speed.take_run(len(run.texts) - before, took_s)
 
     def _take_failure(
         self, owned: OwnedJob, run: ItemRun, reply: Reply
--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -27,6 +27,7 @@
         started: Monotonic time in seconds at which its run started.
         is_done: Whether it has an outcome.
         retry_at: Monotonic time in seconds before which it does not start.
+        saved_events: Events that the store has of it.
     """
 
     item: Item
@@ -38,6 +39,7 @@
     started: float = 0.0
     is_done: bool = False
     retry_at: float = 0.0
+    saved_events: int = 0
 
     def stop(self) -> None:
         """Ends its run, if it has one; what it has so far stays."""
@@ -81,6 +83,22 @@
             if run is not None:
                 run.texts = list(left.texts)
                 run.last_event_id = left.last_event_id
+                run.saved_events = len(run.texts)
+
+    def unsaved_events(self) -> int:
+        """Returns the events of its items that the store does not have."""
+        return sum(
+            len(run.texts) - run.saved_events
+            for run in self.runs_by_id.values()
+            if not run.is_done
+        )
+
+    def take_saved(self, progress: Sequence[ItemProgress]) -> None:
+        """Takes in that the progress of some items was written."""
+        for item in progress:
+            run = self.runs_by_id.get(item.item_id)
+            if run is not None:
+                run.saved_events = len(item.texts)
 
     def has_unsaved(self) -> bool:
         """Returns whether the head in the store lacks something."""
@@ -109,21 +127,20 @@
     def progress(self) -> list[ItemProgress]:
         """Returns how far the items are that have no outcome yet."""
         return [
-            ItemProgress(run.item.item_id, run.last_event_id, run.texts)
+            ItemProgress(run.item.item_id, run.last_event_id, list(run.texts))
             for run in self.runs_by_id.values()
             if run.last_event_id is not None and not run.is_done
         ]
 
     def waiting(self, now: float) -> list[ItemRun]:
-        """Returns the items that could start, those with progress first."""
+        """Returns the items that could start."""
         if self.job.is_ended:
             return []
-        found = [
+        return [
             run
             for run in self.runs_by_id.values()
             if not run.is_done and run.scope is None and run.retry_at <= now
         ]
-        return sorted(found, key=lambda run: -len(run.texts))
 
     def running(self) -> list[ItemRun]:
         """Returns the items that run."""
--- a/plumvane/worker/pacer.py
+++ b/plumvane/worker/pacer.py
@@ -14,11 +14,13 @@
 from plumvane.serving.assignment import chosen_worker
 from plumvane.serving.pacing import (
     HOLD_S,
+    ItemSpeed,
     RunningItem,
+    Turn,
     UpstreamState,
-    is_urgent,
     plan,
     preemptible,
+    turn,
 )
 from plumvane.serving.upstreams import Upstream
 from plumvane.worker.items import ItemRunner
@@ -40,6 +42,7 @@
         view: FleetView,
         reports: ReportReader,
         runner: ItemRunner,
+        speed: ItemSpeed,
         rng: random.Random,
     ) -> None:
         """Creates the pacer.
@@ -49,12 +52,14 @@
             view: Routes and upstreams in force.
             reports: Asks upstreams for their load.
             runner: Runs items.
+            speed: How fast items run.
             rng: Draws services of split routes.
         """
         self._name = name
         self._view = view
         self._reports = reports
         self._runner = runner
+        self._speed = speed
         self._rng = rng
         self._held_until_by_id: dict[str, float] = {}
 
@@ -141,7 +146,7 @@
             if not upstream.is_ejected(now)
         }
         self._forget_holds(now)
-        running_by_upstream = _running_by_upstream(jobs)
+        running_by_upstream = self._running_by_upstream(jobs)
         preemptible_by_id = {
             upstream_id: preemptible(
                 running_by_upstream.get(upstream_id, []),
@@ -153,13 +158,13 @@
             self._state(upstream, len(preemptible_by_id[upstream_id]), now)
             for upstream_id, upstream in upstreams_by_id.items()
         ]
-        waiting = _waiting(jobs, now)
-        urgent = sum(_is_urgent(owned) for owned, _ in waiting)
+        waiting = self._waiting(jobs, now)
+        urgent = sum(place.is_urgent for place, _, _ in waiting)
         todo = plan(states, urgent, len(waiting) - urgent, len(workers))
         for upstream_id, count in todo.preemptions_by_id.items():
             for run in preemptible_by_id[upstream_id][:count]:
                 run.stop()
-        for (owned, run), upstream_id in zip(
+        for (_, owned, run), upstream_id in zip(
             waiting, todo.starts, strict=False
         ):
             run.scope = anyio.CancelScope()
@@ -190,32 +195,31 @@
             is_held=upstream_id in self._held_until_by_id,
         )
 
+    def _turn(self, owned: OwnedJob, run: ItemRun) -> Turn:
+        remaining_s = self._speed.remaining_s(
+            run.item.output_tokens, len(run.texts)
+        )
+        return turn(owned.job.due_ms / 1000, remaining_s, clock.wall())
+
+    def _waiting(
+        self, jobs: Iterable[OwnedJob], now: float
+    ) -> list[tuple[Turn, OwnedJob, ItemRun]]:
+        """Returns the items that could start, in the order of their turn."""
+        found = [
+            (self._turn(owned, run), owned, run)
+            for owned in jobs
+            for run in owned.waiting(now)
+        ]
+        return sorted(found, key=lambda row: row[0])
 
-def _is_urgent(owned: OwnedJob) -> bool:
-    return is_urgent(owned.job.due_ms / 1000, clock.wall())
-
-
-def _waiting(
-    jobs: Iterable[OwnedJob], now: float
-) -> list[tuple[OwnedJob, ItemRun]]:
-    """Returns the items that could start, in the order of their turn.
-
-    The job that is due first is first; late ones come last.
-    """
-    wall_ms = clock.wall() * 1000
-    in_turn = sorted(
-        jobs, key=lambda owned: (owned.job.due_ms < wall_ms, owned.job.due_ms)
-    )
-    return [(owned, run) for owned in in_turn for run in owned.waiting(now)]
-
-
-def _running_by_upstream(
-    jobs: Iterable[OwnedJob],
-) -> dict[str, list[RunningItem[ItemRun]]]:
-    found: dict[str, list[RunningItem[ItemRun]]] = {}
-    for owned in jobs:
-        for run in owned.running():
-            if not run.is_stopping:
-                item = RunningItem(run, _is_urgent(owned), run.started)
-                found.setdefault(run.upstream_id, []).append(item)
-    return found
+    def _running_by_upstream(
+        self, jobs: Iterable[OwnedJob]
+    ) -> dict[str, list[RunningItem[ItemRun]]]:
+        found: dict[str, list[RunningItem[ItemRun]]] = {}
+        for owned in jobs:
+            for run in owned.running():
+                if not run.is_stopping:
+                    is_urgent = self._turn(owned, run).is_urgent
+                    item = RunningItem(run, is_urgent, run.started)
+                    found.setdefault(run.upstream_id, []).append(item)
+        return found
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -30,6 +30,7 @@
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.assignment import chosen_worker
 from plumvane.serving.jobs import Item, ItemResult, Job
+from plumvane.serving.pacing import ItemSpeed
 from plumvane.store.base import Record, TransactionalStore
 from plumvane.worker.board import ResultBoard
 from plumvane.worker.committer import Committer, log_delay
@@ -59,6 +60,10 @@
 PACE_S = 0.1
 # How long results are gathered for one transaction, in seconds.
 COMMIT_S = 0.3
+# Time between two writings of how far items are, in seconds: so much of each
+# item's run is lost with its worker. A job with fewer new events is left out.
+CHECKPOINT_S = 2.0
+SAVED_EVENTS = 20
 # Pause after a claim that failed, in seconds; refused calls are charged too.
 STORE_RETRY_S = 0.3
 # Pause between two looks whether stopped items have ended, in seconds.
@@ -98,7 +103,9 @@
             pause_s=JOB_PAUSE_S,
             watch_s=self._watch_s,
         )
-        self._pacer = Pacer(name, view, reports, ItemRunner(view, caller), rng)
+        speed = ItemSpeed()
+        runner = ItemRunner(view, caller, speed)
+        self._pacer = Pacer(name, view, reports, runner, speed, rng)
         self._incarnations_by_name: dict[str, str] = {}
         self._heads_by_id: dict[str, tuple[Job, int]] = {}
         self._owned_by_id: dict[str, OwnedJob] = {}
@@ -327,9 +334,20 @@
                 )
 
     async def _commit_results(self) -> None:
+        next_checkpoint = clock.monotonic() + CHECKPOINT_S
         while True:
             await anyio.sleep(COMMIT_S)
-            unsaved = [o for o in self._owned_by_id.values() if o.has_unsaved()]
-            await self._committer.commit_all(unsaved)
+            is_checkpoint = clock.remaining(next_checkpoint) <= 0
+            if is_checkpoint:
+                next_checkpoint = clock.monotonic() + CHECKPOINT_S
+            unsaved = [
+                owned
+                for owned in self._owned_by_id.values()
+                if owned.has_unsaved()
+                or (is_checkpoint and owned.unsaved_events() >= SAVED_EVENTS)
+            ]
+            await self._committer.commit_all(
+                unsaved, with_progress=is_checkpoint
+            )
             for owned in unsaved:
                 self._drop_if_lost(owned)
