Use an engine again once any worker has heard of it; page results in one place

Cause, found while reading: a worker that missed three reports of an engine took it for silent until it read a report itself, which since loads are shared it may never do.

Change: any newer load ends the silence. tests/test_loads.py failed without it and covers who reads which engine. Gateways and workers share the paging of results.

--- a/plumvane/discovery/loads.py
+++ b/plumvane/discovery/loads.py
@@ -10,9 +10,9 @@
 from plumvane.errors import PlumvaneError
 from plumvane.peers.messages import Message
 from plumvane.peers.messages.loads import FollowLoads, UpstreamLoads
-from plumvane.serving.upstreams import Load, UpstreamTable
+from plumvane.serving.upstreams import Load, Upstream, UpstreamTable
 
-__all__ = ["WORKER_ROLE", "LoadFollower"]
+__all__ = ["WORKER_ROLE", "LoadFollower", "take_load"]
 
 # Role under which the instances that read loads list themselves.
 WORKER_ROLE = "worker"
@@ -77,5 +77,19 @@
         for row in part.loads:
             upstream = self._upstreams.upstreams_by_id.get(row.upstream_id)
             if upstream is not None:
-                load = Load(row.running, row.waiting, 0)
-                upstream.take_load(load, now - row.age_s)
+                load = Load(row.running, row.waiting)
+                take_load(upstream, load, now - row.age_s)
+
+
+def take_load(upstream: Upstream, load: Load, read_at: float) -> None:
+    """Takes a load in; an upstream that was silent is used again.
+
+    Args:
+        upstream: The upstream.
+        load: Its load.
+        read_at: Monotonic time in seconds at which it was read.
+    """
+    was_silent = upstream.is_silent()
+    upstream.take_load(load, read_at)
+    if was_silent and not upstream.is_silent():
+        events.log(events.Event.UPSTREAM_BACK, upstream=upstream.upstream_id)
--- a/plumvane/gateway/jobs.py
+++ b/plumvane/gateway/jobs.py
@@ -11,7 +11,7 @@
 from plumvane.gateway.reads import JobReader
 from plumvane.platform.calls import EndJob, JobCall, ReadItem, ReadJob
 from plumvane.platform.jobs import decode_submission, encode_results
-from plumvane.serving.jobs import ItemResult
+from plumvane.serving.jobs import page_of
 from plumvane.serving.routes import Route
 
 __all__ = ["JobCalls"]
@@ -26,8 +26,6 @@
 RETRY_AFTER_S = 0.5
 # Longest wait of a read for a result, in seconds; the platform's limit.
 MAX_WAIT_S = 1.0
-# Largest answer to a read, in bytes of text; the platform allows 1 MB.
-READ_BYTES = 800_000
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -113,13 +111,7 @@
         known = await self._reader.results(
             call.job_id, position, clock.monotonic() + wait_s
         )
-        results: list[ItemResult] = []
-        size = 0
-        while found := known.results_by_position.get(position + len(results)):
-            size += len(found.text)
-            if results and size > READ_BYTES:
-                break
-            results.append(found)
+        results = page_of(known.results_by_position, position)
         body = encode_results(known.total, position, results)
         await exchange.answer(200, body, JSON_HEADERS)
 
--- a/plumvane/relay/reports.py
+++ b/plumvane/relay/reports.py
@@ -8,6 +8,7 @@
 import httpcore
 
 from plumvane import clock, events
+from plumvane.discovery.loads import take_load
 from plumvane.errors import ProtocolError
 from plumvane.httppool import (
     NETWORK_ERRORS,
@@ -59,7 +60,7 @@
                 # Counted below; the load that is known grows old.
                 load = None
             if load is not None:
-                self._take(upstream, load)
+                take_load(upstream, load, clock.monotonic())
                 return
         if upstream.miss_report():
             events.log(
@@ -67,11 +68,3 @@
                 upstream=upstream.upstream_id,
                 load_age_s=round(upstream.load_age(clock.monotonic()), 2),
             )
-
-    @staticmethod
-    def _take(upstream: Upstream, load: Load) -> None:
-        if upstream.is_silent():
-            events.log(
-                events.Event.UPSTREAM_BACK, upstream=upstream.upstream_id
-            )
-        upstream.take_report(load, clock.monotonic())
--- a/plumvane/serving/jobs.py
+++ b/plumvane/serving/jobs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import msgspec
 
 from plumvane.errors import ProtocolError
@@ -19,10 +21,14 @@
     "encode_progress",
     "encode_result",
     "pack_items",
+    "page_of",
 ]
 
 # Largest encoded value for items, in bytes: the store takes 1 MiB.
 ITEMS_VALUE_BYTES = 600_000
+# Largest text of the results in one answer to a read, in bytes: the platform
+# allows answers of 1 MB.
+PAGE_BYTES = 800_000
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -186,6 +192,25 @@
     return runs
 
 
+def page_of(
+    results_by_position: Mapping[int, ItemResult], position: int
+) -> list[ItemResult]:
+    """Returns the results from a position on that fit one answer.
+
+    Args:
+        results_by_position: Results that are known.
+        position: First position that is wanted.
+    """
+    found: list[ItemResult] = []
+    size = 0
+    while result := results_by_position.get(position + len(found)):
+        size += len(result.text)
+        if found and size > PAGE_BYTES:
+            break
+        found.append(result)
+    return found
+
+
 def _headers_size(item: Item) -> int:
     return sum(len(name) + len(value) for name, value in item.headers.items())
 
--- a/plumvane/serving/upstreams.py
+++ b/plumvane/serving/upstreams.py
@@ -109,22 +109,13 @@
         """
         if read_at < self._load_at:
             return
+        self._missed_reports = 0
         self._load = load
         self._load_at = read_at
         self._in_flight_at_load = self.in_flight
         if load.slots:
             self._slots = load.slots
 
-    def take_report(self, load: Load, now: float) -> None:
-        """Takes in a report that was asked for; it does not tell the slots.
-
-        Args:
-            load: The load.
-            now: Monotonic time in seconds at which it was read.
-        """
-        self._missed_reports = 0
-        self.take_load(load, now)
-
     def miss_report(self) -> bool:
         """Takes in that it did not answer when it was asked for its load.
 
--- a/plumvane/worker/board.py
+++ b/plumvane/worker/board.py
@@ -18,7 +18,7 @@
     ReadResults,
 )
 from plumvane.peers.server import Call, PeerServer
-from plumvane.serving.jobs import ItemResult, Job, encode_result
+from plumvane.serving.jobs import ItemResult, Job, encode_result, page_of
 from plumvane.worker.owned import OwnedJob
 
 __all__ = ["ResultBoard"]
@@ -26,8 +26,6 @@
 # Jobs without open items whose results are kept, those that ended last; a job
 # has about 100 KB of results.
 KEPT_JOBS = 32
-# Largest text of one reply, in bytes; the platform allows answers of 1 MB.
-REPLY_BYTES = 800_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -173,12 +171,7 @@
 
 
 def _page(entry: _Entry, position: int) -> JobResults:
-    """Returns the results from a position on that fit one reply."""
-    found: list[bytes] = []
-    size = 0
-    while result := entry.results_by_position.get(position + len(found)):
-        size += len(result.text)
-        if found and size > REPLY_BYTES:
-            break
-        found.append(encode_result(result))
-    return JobResults(len(entry.job.item_ids), tuple(found))
+    found = page_of(entry.results_by_position, position)
+    return JobResults(
+        len(entry.job.item_ids), tuple(encode_result(r) for r in found)
+    )
--- a/plumvane/worker/feed.py
+++ b/plumvane/worker/feed.py
@@ -30,19 +30,19 @@
         """Registers the handler of the followers' calls."""
         server.handle(FollowLoads, self._follow)
 
-    def send(self, upstreams: Collection[Upstream], sent_before: float) -> None:
+    def send(self, upstreams: Collection[Upstream], since: float) -> None:
         """Sends the loads that were read since some time.
 
         Args:
             upstreams: Upstreams whose loads this worker reads.
-            sent_before: Monotonic time in seconds; older loads are known.
+            since: Monotonic time in seconds; older loads are known.
         """
         now = clock.monotonic()
         rows = []
         for upstream in upstreams:
             load = upstream.load
             age_s = upstream.load_age(now)
-            if load is not None and age_s < now - sent_before:
+            if load is not None and age_s < now - since:
                 rows.append(
                     UpstreamLoad(
                         upstream.upstream_id, load.running, load.waiting, age_s
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -12,6 +12,7 @@
 
 from plumvane import clock
 from plumvane.httppool import NETWORK_ERRORS, PROBED_SOCKET_OPTIONS, HttpPool
+from plumvane.platform import names
 from soak.fleet import HOST, SoakFleet
 from standins.platform_server import event_data
 
@@ -117,7 +118,7 @@
         self.observed.kind_by_request[request_id] = kind
         more = {"x_deadline_ms": str(int(PATIENCE_S * 1000))}
         if kind in ("note", "quote"):
-            more["x_token_usage"] = f"100,{EVENTS * 10}"
+            more[names.TOKEN_USAGE_HEADER] = f"100,{EVENTS * 10}"
         path = f"/{kind}/{request_id}"
         status, body = await self.send("POST", path, request_id, b"x", **more)
         self.observed.note(kind, status)
@@ -245,7 +246,9 @@
             {
                 "id": item_id,
                 "path": path,
-                "headers": {"X-Token-Usage": f"100,{ITEM_EVENTS * 10}"},
+                "headers": {
+                    names.TOKEN_USAGE_HEADER: f"100,{ITEM_EVENTS * 10}"
+                },
                 "body": base64.b64encode(item_id.encode()).decode(),
                 "tokens": 300,
             }
--- /dev/null
+++ b/tests/test_loads.py
@@ -0,0 +1,122 @@
+"""Loads of engines: read by one worker, taken in by all instances."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import Any
+
+import anyio
+
+from plumvane import clock
+from plumvane.discovery.loads import LoadFollower, take_load
+from plumvane.discovery.view import FleetView
+from plumvane.peers.messages.loads import UpstreamLoad, UpstreamLoads
+from plumvane.relay.reports import ReportReader
+from plumvane.serving.pacing import ItemSpeed
+from plumvane.serving.routes import RouteTable, Service
+from plumvane.serving.upstreams import (
+    SILENT_REPORTS,
+    Load,
+    Upstream,
+    UpstreamTable,
+)
+from plumvane.store.memory import MemoryStore
+from plumvane.worker.feed import LoadFeed
+from plumvane.worker.pacer import Pacer
+from tests.gateways import SERVICE, listed
+
+ENGINES = 12
+WORKERS = ("w1", "w2", "w3")
+
+
+class Reports(ReportReader):
+    """Notes which upstreams are asked, and finds all idle but silent ones."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+        self.silent_ids: set[str] = set()
+
+    async def read(self, upstreams: Sequence[Upstream]) -> None:
+        for upstream in upstreams:
+            self.asked.append(upstream.upstream_id)
+            if upstream.upstream_id not in self.silent_ids:
+                take_load(upstream, Load(1, 0), clock.monotonic())
+
+
+def pacer(name: str, reports: Reports) -> Pacer:
+    rng = random.Random(1)
+    view = FleetView(MemoryStore(), "a", rng)
+    view.routes = RouteTable(1, [], [Service(SERVICE, "/h", True)], 1, 1.0)
+    for number in range(ENGINES):
+        view.upstreams.put(listed(f"u{number}"))
+    runner: Any = None
+    return Pacer(name, view, reports, runner, ItemSpeed(), rng)
+
+
+def test_each_engine_falls_to_one_worker() -> None:
+    async def run() -> None:
+        own_ids = []
+        for name in WORKERS:
+            own = await pacer(name, Reports()).read_loads(WORKERS)
+            own_ids += [upstream.upstream_id for upstream in own]
+        assert sorted(own_ids) == sorted(f"u{n}" for n in range(ENGINES))
+
+    anyio.run(run)
+
+
+def test_engine_that_no_other_worker_tells_of_is_asked_here() -> None:
+    async def run() -> None:
+        reports = Reports()
+        one = pacer("w1", reports)
+        own = await one.read_loads(WORKERS)
+        assert len(reports.asked) == ENGINES, "nothing was heard yet"
+        reports.asked.clear()
+        await one.read_loads(WORKERS)
+        assert reports.asked == [upstream.upstream_id for upstream in own]
+
+    anyio.run(run)
+
+
+def test_followers_take_the_loads_that_were_just_read() -> None:
+    class Call:
+        def __init__(self) -> None:
+            self.parts: list[UpstreamLoads] = []
+
+        def send_part(self, part: UpstreamLoads) -> None:
+            self.parts.append(part)
+
+    read, old = Upstream(listed("u0")), Upstream(listed("u1"))
+    now = clock.monotonic()
+    take_load(read, Load(5, 2), now)
+    take_load(old, Load(7, 0), now - 5.0)
+    feed, call = LoadFeed(), Call()
+    follower: Any = call
+    feed._calls.add(follower)
+    feed.send([read, old], now - 0.1)
+    assert [row.upstream_id for row in call.parts[0].loads] == ["u0"]
+    table = UpstreamTable("a", random.Random(1))
+    table.put(listed("u0"))
+    peers: Any = None
+    LoadFollower("g", peers, table)._take(call.parts[0])
+    known = table.upstreams_by_id["u0"]
+    assert known.estimated_load(now + 0.1) == 7
+    assert known.waiting(now + 0.1) == 2
+
+
+def test_row_of_an_unknown_upstream_is_left_out() -> None:
+    table = UpstreamTable("a", random.Random(1))
+    peers: Any = None
+    rows = UpstreamLoads((UpstreamLoad("gone", 1, 0, 0.0),))
+    LoadFollower("g", peers, table)._take(rows)
+    assert table.upstreams_by_id == {}
+
+
+def test_silent_engine_is_used_again_once_anybody_has_heard_of_it() -> None:
+    upstream = Upstream(listed("u0"))
+    now = clock.monotonic()
+    for _ in range(SILENT_REPORTS):
+        upstream.miss_report()
+    assert upstream.is_ejected(now)
+    take_load(upstream, Load(0, 0), now)
+    assert not upstream.is_ejected(now)
