--- a/plumvane/serving/pacing.py
+++ b/plumvane/serving/pacing.py
@@ -11,11 +11,11 @@
     "ItemSpeed",
     "Plan",
     "RunningItem",
-    "Turn",
+    "ItemPriority",
     "UpstreamState",
     "plan",
     "preemptible",
-    "turn",
+    "item_priority",
 ]
 
 # Slots of an upstream that batch items leave free for online requests.
@@ -115,8 +115,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
-class Turn:
-    """Place of an item among those that wait; lesser ones start first.
+class ItemPriority:
+    """Priority of an item among those that wait; lower ones start first.
 
     The item that is due first is first. Items that cannot be in time any more
     come last: served first, they would make others late one by one.
@@ -132,8 +132,8 @@
     is_urgent: bool = dataclasses.field(compare=False)
 
 
-def turn(due: float, remaining_s: float, now: float) -> Turn:
-    """Returns the place of an item.
+def item_priority(due: float, remaining_s: float, now: float) -> ItemPriority:
+    """Returns the priority of an item.
 
     Args:
         due: Unix time in seconds at which its job is due.
@@ -142,7 +142,7 @@
     """
     left_s = due - now
     is_late = left_s <= 0 or left_s < remaining_s * (1 - REMAINING_ERROR)
-    return Turn(is_late, due, not is_late and left_s < URGENT_S)
+    return ItemPriority(is_late, due, not is_late and left_s < URGENT_S)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plumvane/worker/committer.py
+++ b/plumvane/worker/committer.py
@@ -13,8 +13,8 @@
 from plumvane.metrics import Metric
 from plumvane.serving.jobs import ItemProgress, ItemResult
 from plumvane.store.base import MAX_TRANSACTION_ENTRIES
-from plumvane.worker.board import ResultBoard
 from plumvane.worker.owned import OwnedJob
+from plumvane.worker.results import ResultCache
 
 __all__ = ["Committer", "log_delay"]
 
@@ -45,15 +45,15 @@
 class Committer:
     """Writes what owned jobs have, and settles writes that failed."""
 
-    def __init__(self, jobs: JobStore, board: ResultBoard) -> None:
+    def __init__(self, jobs: JobStore, results: ResultCache) -> None:
         """Creates the committer.
 
         Args:
             jobs: The jobs in the store.
-            board: Told what is listed.
+            results: Told what is listed.
         """
         self._jobs = jobs
-        self._board = board
+        self._results = results
 
     async def commit(
         self, owned: OwnedJob, progress: Sequence[ItemProgress] = ()
@@ -121,7 +121,7 @@
             owned, results = draft.owned, draft.commit.results_by_position
             owned.take_commit(draft.commit, revision, draft.taken)
             owned.take_saved(draft.commit.progress)
-            self._board.take_commit(owned.job, results)
+            self._results.take_commit(owned.job, results)
             for position, result in results.items():
                 _note_listed(owned, position, result)
 
@@ -131,7 +131,7 @@
         except PlumvaneError as error:
             log_delay(owned, error)
             return
-        self._board.settle(owned, job)
+        self._results.settle(owned, job)
         owned.take_head(job, revision)
 
 
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -44,7 +44,7 @@
         ReportReader(),
         rng,
     )
-    worker.board.serve(store.server)
+    worker.results.serve(store.server)
     worker.feed.serve(store.server)
     loads = LoadFollower(settings.process.name, store, view.upstreams)
     retirement = Retirement(settings.process.name, store, worker.leave)
--- a/plumvane/worker/pacer.py
+++ b/plumvane/worker/pacer.py
@@ -14,13 +14,13 @@
 from plumvane.serving.assignment import chosen_worker
 from plumvane.serving.pacing import (
     HOLD_S,
+    ItemPriority,
     ItemSpeed,
     RunningItem,
-    Turn,
     UpstreamState,
+    item_priority,
     plan,
     preemptible,
-    turn,
 )
 from plumvane.serving.upstreams import Upstream
 from plumvane.worker.items import ItemRunner
@@ -30,7 +30,7 @@
 
 # Age of a load that another worker should have sent from which on it is read
 # here too, in seconds: three of its readings.
-UNHEARD_S = 0.3
+STALE_LOAD_S = 0.3
 
 
 class Pacer:
@@ -67,7 +67,7 @@
         """Reads the loads of the engines that fall to this worker.
 
         Others are read by the other workers, which send what they read; those
-        that are not heard of are read too.
+        whose load is stale are read too.
 
         Args:
             workers: Names of the workers that share the upstreams, this one
@@ -83,12 +83,12 @@
             for upstream in engines
             if chosen_worker(upstream.upstream_id, workers) == self._name
         ]
-        unheard = [
+        stale = [
             upstream
             for upstream in engines
-            if upstream not in own and upstream.load_age(now) > UNHEARD_S
+            if upstream not in own and upstream.load_age(now) > STALE_LOAD_S
         ]
-        await self._reports.read([*own, *unheard])
+        await self._reports.read([*own, *stale])
         return own
 
     def _engines(self) -> list[Upstream]:
@@ -159,7 +159,7 @@
             for upstream_id, upstream in upstreams_by_id.items()
         ]
         waiting = self._waiting(jobs, now)
-        urgent = sum(place.is_urgent for place, _, _ in waiting)
+        urgent = sum(priority.is_urgent for priority, _, _ in waiting)
         todo = plan(states, urgent, len(waiting) - urgent, len(workers))
         for upstream_id, count in todo.preemptions_by_id.items():
             for run in preemptible_by_id[upstream_id][:count]:
@@ -195,18 +195,18 @@
             is_held=upstream_id in self._held_until_by_id,
         )
 
-    def _turn(self, owned: OwnedJob, run: ItemRun) -> Turn:
+    def _priority(self, owned: OwnedJob, run: ItemRun) -> ItemPriority:
         remaining_s = self._speed.remaining_s(
             run.item.output_tokens, len(run.texts)
         )
-        return turn(owned.job.due_ms / 1000, remaining_s, clock.wall())
+        return item_priority(owned.job.due_ms / 1000, remaining_s, clock.wall())
 
     def _waiting(
         self, jobs: Iterable[OwnedJob], now: float
-    ) -> list[tuple[Turn, OwnedJob, ItemRun]]:
-        """Returns the items that could start, in the order of their turn."""
+    ) -> list[tuple[ItemPriority, OwnedJob, ItemRun]]:
+        """Returns the items that could start, by priority."""
         found = [
-            (self._turn(owned, run), owned, run)
+            (self._priority(owned, run), owned, run)
             for owned in jobs
             for run in owned.waiting(now)
         ]
@@ -219,7 +219,7 @@
         for owned in jobs:
             for run in owned.running():
                 if not run.is_stopping:
-                    is_urgent = self._turn(owned, run).is_urgent
+                    is_urgent = self._priority(owned, run).is_urgent
                     item = RunningItem(run, is_urgent, run.started)
                     found.setdefault(run.upstream_id, []).append(item)
         return found
--- a/plumvane/worker/board.py
+++ b/plumvane/worker/results.py
@@ -21,7 +21,7 @@
 from plumvane.serving.jobs import ItemResult, Job, encode_result, page_of
 from plumvane.worker.owned import OwnedJob
 
-__all__ = ["ResultBoard"]
+__all__ = ["ResultCache"]
 
 # Jobs without open items whose results are kept, those that ended last; a job
 # has about 100 KB of results.
@@ -52,7 +52,7 @@
         self.changed = anyio.Event()
 
 
-class ResultBoard:
+class ResultCache:
     """Answers reads of jobs from memory where that is certain.
 
     A result that is listed stays at its position, so it may be told at any
@@ -66,7 +66,7 @@
         is_certain: Callable[[], bool],
         owner_name: Callable[[str], str],
     ) -> None:
-        """Creates an empty board.
+        """Creates an empty cache.
 
         Args:
             owned_by_id: Jobs that this worker runs.
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -32,12 +32,12 @@
 from plumvane.serving.jobs import Item, ItemResult, Job
 from plumvane.serving.pacing import ItemSpeed
 from plumvane.store.base import Record, TransactionalStore
-from plumvane.worker.board import ResultBoard
 from plumvane.worker.committer import Committer, log_delay
 from plumvane.worker.feed import LoadFeed
 from plumvane.worker.items import ItemRunner
 from plumvane.worker.owned import ItemRun, OwnedJob
 from plumvane.worker.pacer import Pacer
+from plumvane.worker.results import ResultCache
 
 __all__ = ["Worker"]
 
@@ -109,11 +109,11 @@
         self._incarnations_by_name: dict[str, str] = {}
         self._heads_by_id: dict[str, tuple[Job, int]] = {}
         self._owned_by_id: dict[str, OwnedJob] = {}
-        self.board = ResultBoard(
+        self.results = ResultCache(
             self._owned_by_id, self._is_certain, self._owner_name
         )
         self.feed = LoadFeed()
-        self._committer = Committer(self._jobs, self.board)
+        self._committer = Committer(self._jobs, self.results)
         self._claiming_ids: set[str] = set()
         self._is_leaving = False
         self._registration = Registration(
@@ -272,7 +272,7 @@
                 results, _ = await self._jobs.results(job_id)
             owned = OwnedJob(job, revision, items, progress)
             self._owned_by_id[job_id] = owned
-            self.board.put(job, results)
+            self.results.put(job, results)
             events.log(
                 events.Event.JOB_CLAIMED,
                 job=job_id,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -165,7 +165,7 @@
 
 
 @fault
-async def hang_up(context: Context) -> str:
+async def reload(context: Context) -> str:
     """Has a program read its settings again."""
     process = context.free(context.fleet.programs)
     if process is None:
--- a/tests/test_job_reads.py
+++ b/tests/test_job_reads.py
@@ -32,9 +32,9 @@
 from plumvane.serving.jobs import Item, ItemResult, decode_result
 from plumvane.serving.routes import Kind
 from plumvane.store.memory import MemoryStore
-from plumvane.worker.board import ResultBoard
 from plumvane.worker.committer import Committer
 from plumvane.worker.owned import OwnedJob
+from plumvane.worker.results import ResultCache
 from tests.gateways import route
 
 OUTER_DEADLINE_S = 15.0
@@ -63,7 +63,7 @@
 
 
 class WorkerParts:
-    """A worker's jobs, board and committer, without pacing."""
+    """A worker's jobs, results and committer, without pacing."""
 
     def __init__(self, name: str, store: MemoryStore) -> None:
         self.name = name
@@ -72,19 +72,19 @@
         self.is_silent = False
         self.owned_by_id: dict[str, OwnedJob] = {}
         self.jobs = JobStore(store)
-        self.board = ResultBoard(
+        self.results = ResultCache(
             self.owned_by_id,
             lambda: self.is_certain,
             lambda job_id: self.owner_name,
         )
-        self.committer = Committer(self.jobs, self.board)
+        self.committer = Committer(self.jobs, self.results)
 
     async def own(self, job_id: str) -> OwnedJob:
         """Owns a job from its acceptance on."""
         job, revision = await self.jobs.head(job_id)
         owned = OwnedJob(job, revision, list(ITEMS))
         self.owned_by_id[job_id] = owned
-        self.board.put(job, {})
+        self.results.put(job, {})
         return owned
 
     async def list_item(self, owned: OwnedJob, item_id: str) -> None:
@@ -96,9 +96,9 @@
         """Serves one call."""
         call: Any = None
         if isinstance(message, ReadResults):
-            return await self.board._read_results(call, message)
+            return await self.results._read_results(call, message)
         assert isinstance(message, ReadBody)
-        return await self.board._read_body(call, message)
+        return await self.results._read_body(call, message)
 
 
 class Peers:
@@ -224,11 +224,11 @@
         for owner, other in (parts, reversed(parts)):
             other.owner_name, owner.owner_name = owner.name, ""
             other.owned_by_id.clear()
-            other.board._entries_by_id.clear()
+            other.results._entries_by_id.clear()
             job, revision = await owner.jobs.head("j")
             owned = OwnedJob(job, revision, list(ITEMS))
             owner.owned_by_id["j"] = owned
-            owner.board.put(job, (await owner.jobs.results("j"))[0])
+            owner.results.put(job, (await owner.jobs.results("j"))[0])
             await owner.list_item(owned, f"i{len(job.listed_ids)}")
             store.reads = 0
             one = reader(store, *parts)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -15,9 +15,9 @@
     ItemSpeed,
     RunningItem,
     UpstreamState,
+    item_priority,
     plan,
     preemptible,
-    turn,
 )
 
 STEP_S = 0.05
@@ -93,7 +93,9 @@
             held_until[number] = now + HOLD_S
         running = [
             RunningItem(
-                p, turn(p.due, p.left_s, now).is_urgent, p.started or now
+                p,
+                item_priority(p.due, p.left_s, now).is_urgent,
+                p.started or now,
             )
             for p in work
             if p.is_batch
@@ -109,8 +111,8 @@
                 held_until[number] > now,
             )
         )
-    waiting.sort(key=lambda piece: turn(piece.due, piece.left_s, now))
-    urgent = sum(turn(p.due, p.left_s, now).is_urgent for p in waiting)
+    waiting.sort(key=lambda piece: item_priority(piece.due, piece.left_s, now))
+    urgent = sum(item_priority(p.due, p.left_s, now).is_urgent for p in waiting)
     todo = plan(states, urgent, len(waiting) - urgent, 1)
     for engine, count in todo.preemptions_by_id.items():
         for piece in preemptible_by_engine[int(engine)][:count]:
@@ -200,17 +202,17 @@
 
 def test_due_first_is_first_and_items_that_are_late_anyway_are_last() -> None:
     now = 100.0
-    places = {
-        "later": turn(118.0, 4.0, now),
-        "soon": turn(110.0, 2.0, now),
-        "tight": turn(104.0, 4.2, now),
-        "hopeless": turn(102.0, 5.0, now),
-        "over": turn(99.0, 0.1, now),
+    priorities = {
+        "later": item_priority(118.0, 4.0, now),
+        "soon": item_priority(110.0, 2.0, now),
+        "tight": item_priority(104.0, 4.2, now),
+        "hopeless": item_priority(102.0, 5.0, now),
+        "over": item_priority(99.0, 0.1, now),
     }
-    in_turn = sorted(places, key=lambda name: places[name])
+    in_turn = sorted(priorities, key=lambda name: priorities[name])
     assert in_turn[:3] == ["tight", "soon", "later"]
     assert set(in_turn[3:]) == {"hopeless", "over"}
-    urgent = {name for name, place in places.items() if place.is_urgent}
+    urgent = {name for name, p in priorities.items() if p.is_urgent}
     assert urgent == {"tight"}
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,7 +23,7 @@
         "kill_all_programs",
         "terminate",
         "pause",
-        "hang_up",
+        "reload",
         "cut",
         "silence",
         "silence_one_way",
