Log the source of job reads and the digest of listed results

Gateways now log 5020 for each read that finds a result (position, digest, source), workers log 5021 after a failed commit, and 5013 has the digest of the listed result.

--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -95,6 +95,11 @@
         "Results are not committed while the store does not respond.",
     )
     JOB_UNREADABLE = (5019, "The head of a batch job cannot be decoded.")
+    JOB_READ = (5020, "Results of a batch job were returned to a caller.")
+    RESULTS_RECONCILED = (
+        5021,
+        "A batch job's listed results were compared after a failed commit.",
+    )
     RETIRE_STARTED = (
         5017,
         "The operator requested that the instance hand over its work.",
--- a/plumvane/gateway/reads.py
+++ b/plumvane/gateway/reads.py
@@ -107,6 +107,7 @@
         if cached is not None:
             self._cached_by_id.move_to_end(job_id)
             if position in cached.results_by_position or cached.is_complete():
+                _log_read(job_id, position, cached, "cache")
                 return cached
         message = ReadResults(job_id, position, _to_wall_time(deadline))
         reply = await self._call_owner(job_id, message, deadline)
@@ -115,8 +116,16 @@
                 position + offset: decode_result(value)
                 for offset, value in enumerate(reply.results)
             }
-            return self._cache_results(job_id, reply.total, results_by_position)
-        return await self._read_store(job_id, position, deadline)
+            cached = self._cache_results(
+                job_id, reply.total, results_by_position
+            )
+            _log_read(
+                job_id, position, cached, self._owner_by_job.get(job_id, "")
+            )
+            return cached
+        cached = await self._read_store(job_id, position, deadline)
+        _log_read(job_id, position, cached, "store")
+        return cached
 
     async def body(self, job_id: str, item_id: str) -> bytes:
         """Returns the body of an item.
@@ -272,3 +281,25 @@
 
 def _to_wall_time(deadline: float) -> float:
     return clock.wall() + max(0.0, clock.remaining(deadline))
+
+
+def _log_read(
+    job_id: str, position: int, cached: CachedJob, source: str
+) -> None:
+    """Logs a read that found a result.
+
+    Args:
+        job_id: Identifier of the job.
+        position: First position that the caller has not read.
+        cached: The job with the results that are returned.
+        source: Name of the worker that replied, `cache` or `store`.
+    """
+    result = cached.results_by_position.get(position)
+    if result is not None:
+        events.log(
+            events.Event.JOB_READ,
+            job=job_id,
+            position=position,
+            digest=result.digest(),
+            source=source,
+        )
--- a/plumvane/serving/jobs.py
+++ b/plumvane/serving/jobs.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 import msgspec
+import xxhash
 
 from plumvane.errors import ProtocolError
 
@@ -78,6 +79,11 @@
     is_completed: bool
     text: str
 
+    def digest(self) -> str:
+        """Returns a digest that identifies the result in logs."""
+        fields = f"{self.item_id}\0{self.is_completed}\0{self.text}"
+        return xxhash.xxh3_64_hexdigest(fields.encode())
+
 
 class ItemProgress(msgspec.Struct, frozen=True):
     """Checkpoint of an unfinished item, for the job's next owner.
--- a/plumvane/worker/committer.py
+++ b/plumvane/worker/committer.py
@@ -198,5 +198,6 @@
         item=result.item_id,
         position=position,
         completed=result.is_completed,
+        digest=result.digest(),
         revision=owned.revision,
     )
--- a/plumvane/worker/results.py
+++ b/plumvane/worker/results.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from plumvane import clock
+from plumvane import clock, events
 from plumvane.peers.messages import Message
 from plumvane.peers.messages.reads import (
     ItemBody,
@@ -125,6 +125,16 @@
                 entry.notify_changed()
                 return
             listed_results[position] = outcomes_by_id[item_id]
+        events.log(
+            events.Event.RESULTS_RECONCILED,
+            job=job.job_id,
+            owner=job.owner,
+            listed=len(job.listed_ids),
+            digest_by_position={
+                str(position): result.digest()
+                for position, result in listed_results.items()
+            },
+        )
         self.apply_commit(job, listed_results)
 
     async def _read_results(self, call: Call, message: ReadResults) -> Message:
--- a/tests/test_job_reads.py
+++ b/tests/test_job_reads.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import anyio
+import eliot
 
 from plumvane import clock
 from plumvane.batch.jobstore import JobStore
@@ -286,6 +287,33 @@
     run_with_timeout(steps)
 
 
+def test_log_names_the_source_of_a_read_and_the_listed_result() -> None:
+    async def steps() -> None:
+        store = CountingStore()
+        await accept_job(store, "logged")
+        worker = WorkerParts("w1", store)
+        owned = await worker.own("logged")
+        reader = make_reader(store, worker)
+        await worker.list_item(owned, "i1")
+        for _ in range(2):
+            await reader.results("logged", 0, deadline_in())
+        await make_reader(store).results("logged", 0, deadline_in())
+
+    lines: list[dict[str, Any]] = []
+    eliot.add_destinations(lines.append)
+    try:
+        run_with_timeout(steps)
+    finally:
+        eliot.remove_destination(lines.append)
+    # The first destination also receives the lines of earlier tests.
+    lines = [line for line in lines if line.get("job") == "logged"]
+    listed = [line for line in lines if line["event"] == 5013]
+    reads = [line for line in lines if line["event"] == 5020]
+    assert len(listed) == 1
+    assert [line["source"] for line in reads] == ["w1", "cache", "store"]
+    assert {line["digest"] for line in reads} == {listed[0]["digest"]}
+
+
 def test_conflict_of_one_job_does_not_block_the_others() -> None:
     async def steps() -> None:
         store = CountingStore()
