Test that a former owner does not serve its own run (fails: TWICE)

A read from the first worker then returns its own run. On this code:

assert known.results_by_position[0].text == 'run of w2' AssertionError

--- a/tests/test_job_reads.py
+++ b/tests/test_job_reads.py
@@ -287,6 +287,28 @@
     run_with_timeout(steps)
 
 
+# Guards against a former owner that serves its own run of an item in place of
+# the run that the new owner listed: two results at one position.
+def test_former_owner_does_not_serve_its_own_run_of_a_listed_item() -> None:
+    async def steps() -> None:
+        store = CountingStore()
+        await accept_job(store)
+        former = WorkerParts("w1", store)
+        frozen = await former.own("j")
+        frozen.outcomes.append(ItemResult("i1", True, "run of w1"))
+        owner = WorkerParts("w2", store)
+        taken_over = await owner.own("j")
+        taken_over.job.owner = "w2/1"
+        taken_over.outcomes.append(ItemResult("i1", True, "run of w2"))
+        await owner.committer.commit_all([taken_over])
+        # The former owner wakes up and commits its run.
+        await former.committer.commit_all([frozen])
+        known = await make_reader(store, former).results("j", 0, deadline_in())
+        assert known.results_by_position[0].text == "run of w2"
+
+    run_with_timeout(steps)
+
+
 def test_log_names_the_source_of_a_read_and_the_listed_result() -> None:
     async def steps() -> None:
         store = CountingStore()
