Deny a result only where all listed results are known

Cause: the owner's commit was applied but its answer was lost. The watch of the heads then reported the new head, and OwnedJob.apply_head dropped the outcomes that it lists, while the result cache never got them. The owner was still the owner and its view current, so it answered "none" at a position that the store lists and that other gateways had read there; a later commit even made the gap permanent until the job was complete.

Change: a worker denies a result only if it knows all results that the head lists; otherwise the gateway reads the store. The worker reads what it lacks after the next round of commits. Entries are merged, never replaced by an older listing.

The fix holds since the count is taken from the head that the worker last saw, and a head that it has not seen yet is ruled out by the age of its view.

--- a/plumvane/worker/committer.py
+++ b/plumvane/worker/committer.py
@@ -106,6 +106,21 @@
                 for draft in group:
                     await self._reconcile(draft.owned)
 
+    async def read_missing_results(self, owned: OwnedJob) -> None:
+        """Reads a job's results if its head lists some that are not known.
+
+        The watch of the heads may report a write of this worker before its
+        outcome is known.
+        """
+        if self._results.has_all_listed(owned.job):
+            return
+        try:
+            results, _ = await self._jobs.results(owned.job.job_id)
+        except PlumvaneError as error:
+            log_commit_delayed(owned, error)
+            return
+        self._results.put(owned.job, results)
+
     async def commit_and_reconcile(self, owned: OwnedJob) -> None:
         """Commits a job's new results; after a failure, reads its head."""
         try:
--- a/plumvane/worker/results.py
+++ b/plumvane/worker/results.py
@@ -88,8 +88,13 @@
         server.handle(ReadBody, self._read_body)
 
     def put(self, job: Job, results_by_position: dict[int, ItemResult]) -> None:
-        """Adds a claimed job with all its results."""
-        self._entries_by_id[job.job_id] = _Entry(job, dict(results_by_position))
+        """Adds a job with the results that the store lists."""
+        known = self._entries_by_id.pop(job.job_id, None)
+        results = dict(results_by_position)
+        if known is not None:
+            results = known.results_by_position | results
+            known.notify_changed()
+        self._entries_by_id[job.job_id] = _Entry(job, results)
         self._evict_released()
 
     def apply_commit(
@@ -137,6 +142,12 @@
         )
         self.apply_commit(job, listed_results)
 
+    def has_all_listed(self, job: Job) -> bool:
+        """Returns whether all results that a head lists are known here."""
+        entry = self._entries_by_id.get(job.job_id)
+        known = len(entry.results_by_position) if entry is not None else 0
+        return known >= len(job.listed_ids)
+
     async def _read_results(self, call: Call, message: ReadResults) -> Message:
         deadline = clock.monotonic() + message.deadline - clock.wall()
         while True:
@@ -161,7 +172,12 @@
         """Returns whether the entry is certain to have all listed results."""
         if entry.is_final():
             return True
-        return entry.job.job_id in self._owned_by_id and self._is_current()
+        owned = self._owned_by_id.get(entry.job.job_id)
+        return (
+            owned is not None
+            and self.has_all_listed(owned.job)
+            and self._is_current()
+        )
 
     async def _read_body(self, call: Call, message: ReadBody) -> Message:
         owned = self._owned_by_id.get(message.job_id)
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -361,3 +361,5 @@
             )
             for owned in unsaved:
                 self._drop_if_lost(owned)
+            for owned in list(self._owned_by_id.values()):
+                await self._committer.read_missing_results(owned)
--- a/tests/test_job_reads.py
+++ b/tests/test_job_reads.py
@@ -309,6 +309,37 @@
     run_with_timeout(steps)
 
 
+# Guards against an owner that answers "no result" at a position that its own
+# unanswered write has listed and that callers may have read elsewhere.
+def test_owner_does_not_deny_a_result_of_its_unanswered_write() -> None:
+    async def steps() -> None:
+        store = CountingStore()
+        await accept_job(store)
+        worker = WorkerParts("w1", store)
+        owned = await worker.own("j")
+        owned.outcomes.append(ItemResult("i1", True, "text of i1"))
+        writer = OwnedJob(owned.copy_head(), owned.revision, list(ITEMS))
+        await WorkerParts("lost", store).list_item(writer, "i1")
+        # The watch of the heads reports the write before its outcome is known.
+        owned.apply_head(*await worker.jobs.head("j"))
+        reader = make_reader(store, worker)
+        known = await reader.results("j", 0, deadline_in())
+        assert known.results_by_position[0].text == "text of i1"
+        # A later commit does not hide the gap.
+        await worker.list_item(owned, "i2")
+        reader = make_reader(store, worker)
+        known = await reader.results("j", 0, deadline_in())
+        assert known.results_by_position[0].text == "text of i1"
+
+        # The worker reads the result and serves it again.
+        await worker.committer.read_missing_results(owned)
+        reply = await worker.answer(read_at(0))
+        assert isinstance(reply, JobResults)
+        assert [decode_result(r).item_id for r in reply.results] == ["i1", "i2"]
+
+    run_with_timeout(steps)
+
+
 def test_log_names_the_source_of_a_read_and_the_listed_result() -> None:
     async def steps() -> None:
         store = CountingStore()
