Serve only results that a commit or the store confirms

Cause: ResultCache.reconcile took the text of a listed item from the worker's own outcome whenever a commit had failed. The outcome proves only that this worker ran the item. After a freeze of 5.5 s another worker owned the job and had listed its own run of the same item; the former owner's commit was refused with 412, it read the head, found its item at position 1 and served its own text to gateways, which keep what they have read.

Change: an outcome leaves the worker only through an acknowledged commit. After a failed commit the worker adopts the head, and reads the results that it lacks from the store if it is still the owner. ResultCache.reconcile is gone.

The fix holds since no code path is left that stores a result in the cache without an acknowledged commit or a listing of the store.

--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -98,7 +98,7 @@
     JOB_READ = (5020, "Results of a batch job were returned to a caller.")
     RESULTS_RECONCILED = (
         5021,
-        "A batch job's listed results were compared after a failed commit.",
+        "A batch job's head was read after a failed commit.",
     )
     RETIRE_STARTED = (
         5017,
--- a/plumvane/worker/committer.py
+++ b/plumvane/worker/committer.py
@@ -149,13 +149,22 @@
 
     async def _reconcile(self, owned: OwnedJob) -> None:
         """Adopts the head in the store after a failed write."""
+        owner = owned.job.owner
         try:
             job, revision = await self._jobs.head(owned.job.job_id)
         except PlumvaneError as error:
             log_commit_delayed(owned, error)
             return
-        self._results.reconcile(owned, job)
+        events.log(
+            events.Event.RESULTS_RECONCILED,
+            job=job.job_id,
+            owner=job.owner,
+            listed=len(job.listed_ids),
+            revision=revision,
+        )
         owned.apply_head(job, revision)
+        if job.owner == owner:
+            await self.read_missing_results(owned)
 
 
 def _prepare(
--- a/plumvane/worker/results.py
+++ b/plumvane/worker/results.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from plumvane import clock, events
+from plumvane import clock
 from plumvane.peers.messages import Message
 from plumvane.peers.messages.reads import (
     ItemBody,
@@ -55,9 +55,11 @@
 class ResultCache:
     """Answers reads of jobs from memory where the answer cannot be stale.
 
-    A listed result never changes its position, so it may be served at any time.
-    That a position has no result may be served only while no other worker can
-    have listed one there.
+    Results come from acknowledged commits or from the store, never from an
+    outcome whose commit is unresolved: another worker may have listed another
+    run of the item. A listed result never changes its position, so it may be
+    served at any time. That a position has no result may be served only while
+    no other worker can have listed one there.
     """
 
     def __init__(
@@ -108,40 +110,6 @@
         entry.results_by_position.update(results_by_position)
         entry.notify_changed()
 
-    def reconcile(self, owned: OwnedJob, job: Job) -> None:
-        """Adopts a head that was read after a failed write.
-
-        The entry is dropped if the head lists a result that is not known here.
-
-        Args:
-            owned: The job, with the outcomes that the write may have listed.
-            job: The head that was read.
-        """
-        entry = self._entries_by_id.get(job.job_id)
-        if entry is None:
-            return
-        outcomes_by_id = {o.item_id: o for o in owned.outcomes}
-        listed_results: dict[int, ItemResult] = {}
-        for position, item_id in enumerate(job.listed_ids):
-            if position in entry.results_by_position:
-                continue
-            if item_id not in outcomes_by_id:
-                del self._entries_by_id[job.job_id]
-                entry.notify_changed()
-                return
-            listed_results[position] = outcomes_by_id[item_id]
-        events.log(
-            events.Event.RESULTS_RECONCILED,
-            job=job.job_id,
-            owner=job.owner,
-            listed=len(job.listed_ids),
-            digest_by_position={
-                str(position): result.digest()
-                for position, result in listed_results.items()
-            },
-        )
-        self.apply_commit(job, listed_results)
-
     def has_all_listed(self, job: Job) -> bool:
         """Returns whether all results that a head lists are known here."""
         entry = self._entries_by_id.get(job.job_id)
