Count suspensions of the machine in deadlines and ages

Callers may see: a result that had been read is denied (LOST). An owner whose machine was suspended wakes with a view of the job heads that seems as old as it was before, since CLOCK_MONOTONIC stops meanwhile, takes it for current and answers "none", although another worker has listed results since. The same clock decides on leases of partitions, admission and instances.

Change: plumvane.clock reads CLOCK_BOOTTIME, which advances while the machine is suspended. All deadlines and ages go by it, at gateways, workers, entries, sidecars and bulk instances.

--- a/plumvane/clock.py
+++ b/plumvane/clock.py
@@ -6,10 +6,14 @@
 
 __all__ = ["monotonic", "remaining", "wall"]
 
+# Unlike CLOCK_MONOTONIC it advances while the machine is suspended, during
+# which leases expire elsewhere. Only Linux has it.
+_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
 
 def monotonic() -> float:
-    """Returns the monotonic clock in seconds."""
-    return time.monotonic()
+    """Returns the monotonic clock in seconds, including suspensions."""
+    return time.clock_gettime(_CLOCK)
 
 
 def wall() -> float:
@@ -23,4 +27,4 @@
     Args:
         deadline: Monotonic time in seconds.
     """
-    return max(0.0, deadline - time.monotonic())
+    return max(0.0, deadline - monotonic())
