Keep a newer head when the answer of an older commit is late

Callers may see: items of a job that was ended go on, or a worker goes on with a job that another one owns, until its next commit is refused.

Cause: OwnedJob.apply_commit adopted the committed head even if the watch had reported a newer one in the meantime, and the watch does not report it twice.

Change: a head is adopted only if its revision is higher, as in apply_head.

Evidence: test_late_answer_of_a_commit_does_not_undo_a_newer_head failed before (AssertionError at owned.job.is_ended) and passes now; tests.test_worker and tests.test_job_reads: 29 passed, 0 failed.

--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -187,7 +187,7 @@
     def apply_commit(
         self, commit: Commit, revision: int, outcomes: Sequence[ItemResult]
     ) -> None:
-        """Adopts a head that was committed.
+        """Adopts a head that was committed, unless a newer one is known.
 
         Args:
             commit: The commit.
@@ -195,8 +195,9 @@
             outcomes: Outcomes included in the commit.
         """
         committed_ids = {result.item_id for result in outcomes}
-        self.job = commit.job
-        self.revision = revision
+        if revision > self.revision:
+            self.job = commit.job
+            self.revision = revision
         self.outcomes = [
             o for o in self.outcomes if o.item_id not in committed_ids
         ]
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -490,6 +490,31 @@
     run_with_timeout(steps)
 
 
+# Guards against items of an ended job that go on, since the late answer of an
+# older commit hides the end.
+def test_late_answer_of_a_commit_does_not_undo_a_newer_head() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
+        jobs = JobStore(store)
+        await jobs.accept("j", "h", items(3), JOB_ROUTE)
+        job, revision = await jobs.head("j")
+        owned = OwnedJob(job, revision, list(items(3)))
+        result = ItemResult("i0", True, "x")
+        owned.outcomes.append(result)
+        committed = owned.copy_head()
+        committed.append_result("i0")
+        commit = Commit(committed, revision, {0: result})
+        revision = await jobs.commit([commit])
+        await jobs.end("j")
+        # The watch reports the end before the commit's answer arrives.
+        owned.apply_head(*await jobs.head("j"))
+        owned.apply_commit(commit, revision, [result])
+        assert owned.job.is_ended
+        assert owned.outcomes == []
+
+    run_with_timeout(steps)
+
+
 def test_unreadable_head_does_not_stop_other_jobs() -> None:
     async def steps() -> None:
         store, engine = MemoryStore(), FakeEngine()
