Log the version of upstreams and the attempt that a stream resumes

The version of an upstream is read from its registration; 7004, 4101 and 5010 name it, and 4101 names the event and the attempt after which a stream goes on. Nothing is decided by them yet.

--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -142,6 +142,7 @@
                 service=listed.service,
                 address=f"{listed.host}:{listed.port}",
                 draining=listed.is_draining,
+                version=listed.version,
                 started_ms=listed.started_ms,
                 revision=record.revision,
             )
--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -322,6 +322,9 @@
             request=state.exchange.request.request_id,
             route=state.route.name,
             upstream=upstream.upstream_id,
+            version=upstream.listed.version,
+            last_event=state.last_event_id,
+            resumes=state.exchange.request.resumed_id,
             load=upstream.estimated_load(now),
             load_age_s=round(
                 min(upstream.load_age(now), MAX_LOGGED_LOAD_AGE_S), 2
--- a/plumvane/platform/listing.py
+++ b/plumvane/platform/listing.py
@@ -20,6 +20,7 @@
         service: Name of its service.
         address: IP address and port.
         zone: Its data centre.
+        version: Version of its software.
         slots: Number of requests that it runs concurrently.
         state: Whether it accepts new requests.
         sequence: Sequence number of the heartbeat.
@@ -32,6 +33,7 @@
     slots: int
     state: Literal["ready", "draining"]
     sequence: int
+    version: str = ""
     born: int = 0
 
 
@@ -74,6 +76,7 @@
             data_centre=registration.zone,
             slots=registration.slots,
             is_draining=registration.state == "draining",
+            version=registration.version,
             started_ms=registration.born,
             report_number=registration.sequence,
         )
--- a/plumvane/platform/names.py
+++ b/plumvane/platform/names.py
@@ -17,6 +17,7 @@
     "READY_PATH",
     "REPORT_PATH",
     "REQUEST_ID_HEADER",
+    "RESUMED_REQUEST_HEADER",
     "RETIRE_PREFIX",
     "RETIRE_STATUS_PREFIX",
     "SIGNATURE_HEADER",
@@ -31,6 +32,8 @@
 # Timeout of the sender in milliseconds, counted from when it sent the request.
 DEADLINE_HEADER = b"x-deadline-ms"
 LAST_EVENT_HEADER = b"last-event-id"
+# Identifier of the attempt that brought the first event of a resumed stream.
+RESUMED_REQUEST_HEADER = b"resumes"
 EXPECTED_UPSTREAM_HEADER = b"x-expect-instance"
 SIGNATURE_HEADER = b"x-response-signature"
 # Numbers of running requests, waiting requests and slots, separated by commas.
--- a/plumvane/platform/requests.py
+++ b/plumvane/platform/requests.py
@@ -57,6 +57,8 @@
         timeout_s: Timeout of the caller in seconds from the start of its
             request, or None if it sets none.
         last_event_id: Event after which a stream is resumed, or None.
+        resumed_id: Identifier of the caller's attempt that received the first
+            event of the resumed stream; empty if it names none.
     """
 
     request_id: str
@@ -67,6 +69,7 @@
     headers: HeaderList
     timeout_s: float | None
     last_event_id: int | None
+    resumed_id: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +116,9 @@
         headers=_end_to_end_headers(headers, _PER_ATTEMPT_HEADERS),
         timeout_s=milliseconds(found.get(names.DEADLINE_HEADER)),
         last_event_id=_parse_integer(found.get(names.LAST_EVENT_HEADER)),
+        resumed_id=found.get(names.RESUMED_REQUEST_HEADER, b"").decode(
+            "latin-1"
+        ),
     )
 
 
--- a/plumvane/serving/upstreams.py
+++ b/plumvane/serving/upstreams.py
@@ -33,6 +33,7 @@
         data_centre: Data centre in which it runs.
         slots: Number of requests that it runs concurrently.
         is_draining: Whether it has announced its shutdown.
+        version: Version of its software; versions have no order.
         started_ms: Unix time of its start in milliseconds; 0 if unknown.
         report_number: Sequence number of the heartbeat; restarts with the
             process.
@@ -45,6 +46,7 @@
     data_centre: str
     slots: int
     is_draining: bool
+    version: str
     started_ms: int
     report_number: int
 
--- a/plumvane/worker/items.py
+++ b/plumvane/worker/items.py
@@ -93,7 +93,12 @@
             is_idempotent=True,
             read_timeout_s=ITEM_IDLE_TIMEOUT_S,
         )
-        self._log(events.Event.ITEM_STARTED, owned, run)
+        self._log(
+            events.Event.ITEM_STARTED,
+            owned,
+            run,
+            version=upstream.listed.version,
+        )
         async with self._caller.send(upstream, attempt) as reply:
             record_success(upstream)
             if reply.status == 200:
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -43,6 +43,7 @@
         "data_centre": "a",
         "slots": 8,
         "is_draining": False,
+        "version": "1",
         "started_ms": 0,
         "report_number": 1,
     }
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -107,6 +107,7 @@
     found = decode_upstream("u1", value)
     assert (found.host, found.port) == ("10.128.0.9", 8080)
     assert (found.slots, found.is_draining) == (8, False)
+    assert found.version == "v1"
     assert found.started_ms == 1700000000000
 
 
