--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -5,7 +5,7 @@
 import contextlib
 import dataclasses
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Any
 
 import anyio
@@ -173,12 +173,23 @@
     forwarder: Forwarder
 
 
-def make_gateway(scripts: list[Script], upstreams: int = 3) -> Gateway:
-    """Returns a forwarder over idle upstreams `u0`, `u1`, ..."""
+def make_gateway(
+    scripts: list[Script],
+    upstreams: int = 3,
+    versions: Sequence[str] = ("1",),
+) -> Gateway:
+    """Returns a forwarder over idle upstreams `u0`, `u1`, ...
+
+    Args:
+        scripts: How the upstreams handle the requests, in order.
+        upstreams: Number of upstreams.
+        versions: Software versions that the upstreams have in turn.
+    """
     rng = random.Random(1)
     view = FleetView(MemoryStore(), "a", rng)
     for number in range(upstreams):
-        view.upstreams.put(make_listed_upstream(f"u{number}"))
+        version = versions[number % len(versions)]
+        view.upstreams.put(make_listed_upstream(f"u{number}", version=version))
     client = ScriptedClient(scripts)
     return Gateway(view, client, Forwarder(view, client, rng))
 
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -112,6 +112,42 @@
     assert gateway.client.sent[1][1].last_event_id == 2
 
 
+# Guards against streams whose parts come from two software versions.
+def test_stream_resumes_only_at_the_version_that_began_it() -> None:
+    stream = make_route(RouteKind.STREAM, is_resumable=True)
+    for upstreams, is_resumed in ((2, False), (4, True)):
+        for _ in range(10):
+            gateway = make_gateway(
+                [
+                    Script(parts=EVENTS[:2], body_error=LOST),
+                    Script(parts=EVENTS[2:]),
+                ],
+                upstreams,
+                versions=("1", "2"),
+            )
+            caller = FakeCaller()
+            error = forward(gateway, caller, stream)
+            versions = {
+                gateway.view.upstreams.upstreams_by_id[sent].listed.version
+                for sent, _ in gateway.client.sent
+            }
+            assert len(versions) == 1
+            assert caller.is_finished == is_resumed
+            assert (error is None) == is_resumed
+
+
+# Guards against a stream that a caller takes up again, and that goes on at any
+# version since the gateway does not know the one that began it.
+def test_stream_of_an_unknown_version_is_not_taken_up() -> None:
+    gateway = make_gateway([Script(parts=EVENTS[2:])], versions=("1", "2"))
+    caller = FakeCaller(last_event_id="2", resumes="first")
+    stream = make_route(RouteKind.STREAM, is_resumable=True)
+    error = forward(gateway, caller, stream)
+    assert isinstance(error, PlumvaneError)
+    assert error.not_run
+    assert gateway.client.sent == []
+
+
 def test_truncated_non_idempotent_stream_does_not_look_complete() -> None:
     gateway = make_gateway([Script(parts=EVENTS[:2], body_error=LOST)])
     caller = FakeCaller()
