Let a stream go on only at the software version that began it

A gateway that resumed a broken stream within one response chose among all ready upstreams of the service, and one to which a caller came with Last-Event-Id did the same, without knowing where the stream had begun.

Change: the first event ties a stream to its upstream's version, and only that version is chosen from then on. Gateways record where resumable streams began; while a service has, or just had, several versions, two peers chosen by the request id get a copy, so that the version is known when the gateway is lost. A caller that takes a stream up is served at that version, or refused at once as not run where it is not certain (stream_version_unknown).

The fix holds since no attempt after the first event is chosen without the version, and an unknown one never counts as any.

--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -14,7 +14,8 @@
 from plumvane.platform.configuration import decode_configuration
 from plumvane.platform.listing import decode_upstream
 from plumvane.serving.routes import RouteTable
-from plumvane.serving.upstreams import UpstreamTable
+from plumvane.serving.upstreams import ListedUpstream, UpstreamTable
+from plumvane.serving.versions import VersionHistory
 from plumvane.store.base import Record, Store
 
 __all__ = ["FleetView"]
@@ -45,6 +46,9 @@
         """
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamTable(data_centre, rng)
+        self.versions = VersionHistory()
+        # Called when the listed versions of a service change.
+        self.on_versions_change: Callable[[], None] = lambda: None
         # Called with each change of an operators' key other than the
         # configuration.
         self.on_operator_change: Callable[[Record], None] = _ignore
@@ -63,6 +67,10 @@
         """Returns whether the routes and the upstreams have been loaded."""
         return self.routes is not None and self._entries.loaded.is_set()
 
+    def follows_upstreams(self) -> bool:
+        """Returns whether the listing of upstreams is being followed."""
+        return not self._entries.is_failing
+
     async def run(self) -> None:
         """Follows the store until cancelled."""
         async with anyio.create_task_group() as group:
@@ -82,6 +90,7 @@
                     service=upstream.listed.service,
                     reason="not listed again",
                 )
+                self._update_versions(upstream.listed.service)
 
     def _apply_operator_key(self, record: Record) -> None:
         if record.key == names.CONFIGURATION_KEY:
@@ -135,17 +144,32 @@
             self._apply_removal(upstream_id)
             return
         self._unreadable_ids.discard(upstream_id)
+        self.add_upstream(listed, record.revision)
+
+    def add_upstream(self, listed: ListedUpstream, revision: int = 0) -> None:
+        """Adds or updates a listed upstream.
+
+        Args:
+            listed: The upstream.
+            revision: Revision of its entry.
+        """
         if self.upstreams.put(listed):
             events.log(
                 events.Event.UPSTREAM_LISTED,
-                upstream=upstream_id,
+                upstream=listed.upstream_id,
                 service=listed.service,
                 address=f"{listed.host}:{listed.port}",
                 draining=listed.is_draining,
                 version=listed.version,
                 started_ms=listed.started_ms,
-                revision=record.revision,
+                revision=revision,
             )
+        self._update_versions(listed.service)
+
+    def _update_versions(self, service: str) -> None:
+        versions = self.upstreams.versions(service)
+        if self.versions.update(service, versions, clock.monotonic()):
+            self.on_versions_change()
 
     def _apply_removal(self, upstream_id: str) -> None:
         now = clock.monotonic()
@@ -157,6 +181,7 @@
             return
         removed = self.upstreams.remove(upstream_id)
         if removed is not None:
+            self._update_versions(removed.listed.service)
             events.log(
                 events.Event.UPSTREAM_GONE,
                 upstream=upstream_id,
--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -29,6 +29,7 @@
     "RequestCancelledError",
     "SettingsError",
     "StoreUnavailableError",
+    "StreamVersionUnknownError",
     "UnauthorizedError",
     "UnknownModelError",
     "UpstreamFailedError",
@@ -207,6 +208,14 @@
     default_remedy = "Retry after the time in Retry-After."
 
 
+class StreamVersionUnknownError(PlumvaneError):
+    """No instance knows the software version that began the stream."""
+
+    code = "stream_version_unknown"
+    status = 503
+    default_remedy = "Retry at another instance, or start the stream again."
+
+
 class HistoryLostError(PlumvaneError):
     """The store no longer holds the changes that a watch asks for."""
 
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -114,6 +114,10 @@
         4106,
         "The caller disconnected before the response was complete.",
     )
+    STREAM_TAKEN_UP = (
+        4107,
+        "A caller takes up a stream; the version that began it is determined.",
+    )
     PEER_SILENT = (6001, "A connection timed out; a new one is opened.")
     PEER_REFUSED = (6002, "A peer speaks another protocol version.")
     PEER_UNREADABLE = (6004, "An instance's entry for peers cannot be decoded.")
@@ -122,6 +126,10 @@
         6005,
         "A worker's reports of upstream loads are no longer received.",
     )
+    STREAM_PEER_SILENT = (
+        6006,
+        "A peer did not answer a call about the versions of streams.",
+    )
     UPSTREAM_FAILED = (7001, "The upstream does not respond or failed.")
     BATCH_PREEMPTED = (7002, "Batch streams were preempted by online requests.")
     UPSTREAM_LISTED = (7004, "An upstream's entry was added or changed.")
--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -8,12 +8,14 @@
 import anyio
 
 from plumvane import clock, events
+from plumvane.discovery.origins import Origin, StreamOrigins
 from plumvane.discovery.view import FleetView
 from plumvane.errors import (
     DeadlineExceededError,
     OutcomeUnknownError,
     OverloadedError,
     PlumvaneError,
+    StreamVersionUnknownError,
     UpstreamLostError,
     UpstreamUnavailableError,
 )
@@ -64,6 +66,8 @@
             complete.
         last_event_id: Id of the last event that the caller has received, or
             None.
+        version: Software version that began the stream; None before its first
+            event.
         sent_ids: Upstreams that may have run the request.
         rejected_ids: Upstreams that have certainly not run the request.
         error: Failure of the last attempt.
@@ -75,6 +79,7 @@
     body: bytes
     deadline: float
     last_event_id: int | None
+    version: str | None = None
     sent_ids: set[str] = dataclasses.field(default_factory=set)
     rejected_ids: set[str] = dataclasses.field(default_factory=set)
     error: PlumvaneError | None = None
@@ -84,17 +89,23 @@
     """Forwards callers' requests to upstreams and relays the responses."""
 
     def __init__(
-        self, view: FleetView, client: UpstreamClient, rng: random.Random
+        self,
+        view: FleetView,
+        client: UpstreamClient,
+        origins: StreamOrigins,
+        rng: random.Random,
     ) -> None:
         """Creates the forwarder.
 
         Args:
             view: Current routes and upstreams.
             client: Sends requests to upstreams.
+            origins: Versions that began streams.
             rng: Draws services and the jitter of Retry-After.
         """
         self._view = view
         self._client = client
+        self._origins = origins
         self._rng = rng
 
     async def forward(
@@ -127,6 +138,8 @@
             last_event_id=request.last_event_id,
         )
         with anyio.move_on_after(clock.remaining(state.deadline)):
+            if route.is_resumable and state.last_event_id is not None:
+                await self._find_origin(state)
             await self._run_attempts(state)
             return
         if exchange.has_started:
@@ -139,6 +152,25 @@
             "The deadline passed before an upstream accepted the request."
         )
 
+    async def _find_origin(self, state: _RequestState) -> None:
+        """Determines where a stream began that the caller takes up.
+
+        Raises:
+            StreamVersionUnknownError: It is not known for certain, or the
+                route does not lead there any more.
+        """
+        request = state.exchange.request
+        origin = await self._origins.find(request.resumed_id, state.route)
+        services = {weighted.service for weighted in state.route.services}
+        if origin is None or origin.service not in services:
+            raise StreamVersionUnknownError(
+                "The software version that began the stream "
+                f"{request.resumed_id or 'without an id'} is not known.",
+                not_run=True,
+                retry_after_s=self._retry_after_s(),
+            )
+        state.service, state.version = origin.service, origin.version
+
     async def _run_attempts(self, state: _RequestState) -> None:
         while True:
             upstream = self._choose_upstream(state)
@@ -177,6 +209,7 @@
                 state.service,
                 clock.monotonic(),
                 state.sent_ids | state.rejected_ids,
+                state.version,
             )
         if upstream is not None:
             return upstream
@@ -231,12 +264,15 @@
         async with self._client.send(upstream, attempt) as response:
             record_success(upstream)
             if state.route.kind is RouteKind.STREAM and response.status == 200:
-                await self._relay_stream(state, response)
+                await self._relay_stream(state, upstream, response)
             else:
                 await self._relay_response(state.exchange, response)
 
     async def _relay_stream(
-        self, state: _RequestState, response: UpstreamResponse
+        self,
+        state: _RequestState,
+        upstream: Upstream,
+        response: UpstreamResponse,
     ) -> None:
         """Relays whole events only, so that the stream can be resumed."""
         exchange = state.exchange
@@ -244,6 +280,7 @@
         async for part in response.iter_body():
             for event in parser.feed(part):
                 if not exchange.has_started:
+                    self._record_origin(state, upstream)
                     await exchange.start(response.status, response.headers)
                 await exchange.send_part(event.raw)
                 state.last_event_id = parser.last_event_id
@@ -252,6 +289,19 @@
             await exchange.start(response.status, response.headers)
         await exchange.finish()
 
+    def _record_origin(self, state: _RequestState, upstream: Upstream) -> None:
+        """Ties the stream to the version that sends its first event."""
+        if not state.route.is_resumable:
+            return
+        state.version = upstream.listed.version
+        request = state.exchange.request
+        self._origins.record(
+            request.resumed_id or request.request_id,
+            Origin(state.service, state.version),
+            state.route,
+            state.deadline,
+        )
+
     async def _relay_response(
         self, exchange: Exchange, response: UpstreamResponse
     ) -> None:
@@ -310,11 +360,13 @@
         )
 
     def _rejection(self, detail: str) -> OverloadedError:
-        jitter_s = self._rng.random() * RETRY_AFTER_JITTER_S
         return OverloadedError(
-            detail, not_run=True, retry_after_s=RETRY_AFTER_S + jitter_s
+            detail, not_run=True, retry_after_s=self._retry_after_s()
         )
 
+    def _retry_after_s(self) -> float:
+        return RETRY_AFTER_S + self._rng.random() * RETRY_AFTER_JITTER_S
+
     def _log_routed(self, state: _RequestState, upstream: Upstream) -> None:
         now = clock.monotonic()
         events.log(
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -11,6 +11,7 @@
 from plumvane.batch.jobstore import JobStore
 from plumvane.discovery.connect import connect
 from plumvane.discovery.loads import LoadFollower
+from plumvane.discovery.origins import StreamOrigins
 from plumvane.gateway.app import GatewayApp, ReadinessApp
 from plumvane.gateway.forwarder import Forwarder
 from plumvane.gateway.jobs import BatchJobHandler
@@ -43,7 +44,9 @@
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     rng = random.Random()
     store, view = connect(settings, rng, "gateway")
-    forwarder = Forwarder(view, UpstreamClient(), rng)
+    origins = StreamOrigins(settings.process.name, store, view)
+    origins.serve(store.server)
+    forwarder = Forwarder(view, UpstreamClient(), origins, rng)
     jobs = JobStore(store)
     job_handler = BatchJobHandler(jobs, JobReader(jobs, store))
     app = GatewayApp(view, forwarder, job_handler)
@@ -59,6 +62,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(store.run)
         group.start_soon(loads.run)
+        group.start_soon(origins.run)
         group.start_soon(view.run)
         group.start_soon(server.run)
         group.start_soon(readiness_server.run)
--- a/plumvane/peers/messages/codec.py
+++ b/plumvane/peers/messages/codec.py
@@ -19,6 +19,7 @@
     requests,
     runs,
     stores,
+    streams,
 )
 from plumvane.peers.messages.base import Message
 
@@ -37,6 +38,7 @@
     requests,
     runs,
     stores,
+    streams,
 )
 
 _AnyMessage: Any = functools.reduce(operator.or_, Message.__subclasses__())
--- a/plumvane/serving/routes.py
+++ b/plumvane/serving/routes.py
@@ -68,6 +68,13 @@
     completion_target_s: float = 0.0
     retention_s: float = 0.0
 
+    def only_service(self) -> str | None:
+        """Returns its service, or None if it is split over several."""
+        services = [w.service for w in self.services if w.weight]
+        if len(self.services) == 1:
+            return self.services[0].service
+        return services[0] if len(services) == 1 else None
+
     def choose_service(self, rng: random.Random) -> str:
         """Picks a service at random by weight."""
         if len(self.services) == 1:
--- a/plumvane/serving/upstreams.py
+++ b/plumvane/serving/upstreams.py
@@ -254,8 +254,20 @@
             and not upstream.listed.is_draining
         ]
 
+    def versions(self, service: str) -> frozenset[str]:
+        """Returns the versions of a service's upstreams, draining ones too."""
+        return frozenset(
+            upstream.listed.version
+            for upstream in self.upstreams_by_id.values()
+            if upstream.listed.service == service
+        )
+
     def choose(
-        self, service: str, now: float, excluded_ids: Iterable[str] = ()
+        self,
+        service: str,
+        now: float,
+        excluded_ids: Iterable[str] = (),
+        version: str | None = None,
     ) -> Upstream | None:
         """Selects the upstream of a service for the next request.
 
@@ -269,6 +281,7 @@
             service: Name of the service.
             now: Monotonic time in seconds.
             excluded_ids: Identifiers of upstreams that must not be selected.
+            version: The only version that may be selected; None for any.
 
         Returns:
             The upstream, or None if there is none; an ejected one only if no
@@ -276,7 +289,10 @@
         """
         excluded = frozenset(excluded_ids)
         eligible = [
-            u for u in self.ready(service) if u.upstream_id not in excluded
+            u
+            for u in self.ready(service)
+            if u.upstream_id not in excluded
+            and version in (None, u.listed.version)
         ]
         healthy = [u for u in eligible if not u.is_ejected(now)]
         candidates = healthy or eligible
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -8,6 +8,7 @@
 
 from plumvane.discovery.connect import connect
 from plumvane.discovery.loads import WORKER_ROLE, LoadFollower
+from plumvane.discovery.origins import StreamOrigins
 from plumvane.process import run_program
 from plumvane.relay.client import UpstreamClient
 from plumvane.relay.reports import ReportReader
@@ -46,6 +47,8 @@
     )
     worker.results.serve(store.server)
     worker.feed.serve(store.server)
+    # Keeps copies of the gateways' records.
+    StreamOrigins(settings.process.name, store, view).serve(store.server)
     loads = LoadFollower(settings.process.name, store, view.upstreams)
     retirement = Retirement(settings.process.name, store, worker.drain)
     view.on_operator_change = retirement.handle_operator_change
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from plumvane.discovery.origins import StreamOrigins
 from plumvane.discovery.view import FleetView
 from plumvane.errors import PlumvaneError, UpstreamLostError
 from plumvane.gateway.exchange import Exchange
@@ -165,11 +166,13 @@
     Attributes:
         view: The forwarder's view of the fleet.
         client: The scripted upstreams.
+        origins: Versions that began streams.
         forwarder: The forwarder under test.
     """
 
     view: FleetView
     client: ScriptedClient
+    origins: StreamOrigins
     forwarder: Forwarder
 
 
@@ -189,9 +192,11 @@
     view = FleetView(MemoryStore(), "a", rng)
     for number in range(upstreams):
         version = versions[number % len(versions)]
-        view.upstreams.put(make_listed_upstream(f"u{number}", version=version))
+        view.add_upstream(make_listed_upstream(f"u{number}", version=version))
     client = ScriptedClient(scripts)
-    return Gateway(view, client, Forwarder(view, client, rng))
+    origins = StreamOrigins("gateway", None, view)
+    forwarder = Forwarder(view, client, origins, rng)
+    return Gateway(view, client, origins, forwarder)
 
 
 Check = Callable[[], Awaitable[None]]
--- a/tests/test_gateway_app.py
+++ b/tests/test_gateway_app.py
@@ -11,6 +11,7 @@
 import anyio
 
 from plumvane.batch.jobstore import Commit, JobStore
+from plumvane.discovery.origins import StreamOrigins
 from plumvane.discovery.view import FleetView
 from plumvane.errors import StoreUnavailableError
 from plumvane.gateway.app import GatewayApp, ReadinessApp
@@ -62,9 +63,10 @@
         self.view = FleetView(self.store, "a", rng)
         self.client = HangingClient()
         jobs = JobStore(self.store)
+        origins = StreamOrigins("gateway", None, self.view)
         self.app = GatewayApp(
             self.view,
-            Forwarder(self.view, self.client, rng),
+            Forwarder(self.view, self.client, origins, rng),
             BatchJobHandler(jobs, JobReader(jobs, None)),
         )
 
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -5,6 +5,7 @@
 import anyio
 
 from plumvane import clock
+from plumvane.discovery.origins import Origin
 from plumvane.errors import (
     DeadlineExceededError,
     OutcomeUnknownError,
@@ -15,7 +16,14 @@
 )
 from plumvane.gateway.forwarder import IncompleteResponseError
 from plumvane.serving.routes import Route, RouteKind
-from tests.gateways import FakeCaller, Gateway, Script, make_gateway, make_route
+from tests.gateways import (
+    SERVICE,
+    FakeCaller,
+    Gateway,
+    Script,
+    make_gateway,
+    make_route,
+)
 
 LOST = UpstreamLostError("lost")
 REJECTED = OverloadedError("full", not_run=True)
@@ -148,6 +156,29 @@
     assert gateway.client.sent == []
 
 
+def test_stream_is_taken_up_at_the_version_that_began_it() -> None:
+    stream = make_route(RouteKind.STREAM, is_resumable=True)
+    for _ in range(10):
+        gateway = make_gateway(
+            [
+                Script(parts=EVENTS[1:2], body_error=LOST),
+                Script(parts=EVENTS[2:]),
+            ],
+            4,
+            versions=("1", "2"),
+        )
+        gateway.origins.record(
+            "first", Origin(SERVICE, "2"), stream, clock.monotonic() + 5.0
+        )
+        caller = FakeCaller(last_event_id="1", resumes="first")
+        assert forward(gateway, caller, stream) is None
+        assert caller.body == b"".join(EVENTS[1:])
+        assert {
+            gateway.view.upstreams.upstreams_by_id[sent].listed.version
+            for sent, _ in gateway.client.sent
+        } == {"2"}
+
+
 def test_truncated_non_idempotent_stream_does_not_look_complete() -> None:
     gateway = make_gateway([Script(parts=EVENTS[:2], body_error=LOST)])
     caller = FakeCaller()
