Let an item of a batch job go on only at the version that began it

Callers may see: a text whose parts come from two software versions.

Change: an item's events are tied to the version that sent them, also in its checkpoint; the scheduler starts it only at that version, and from the beginning when no upstream of that version is ready (5022). With one version listed, items are planned as before.

--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -100,6 +100,10 @@
         5021,
         "A batch job's head was read after a failed commit.",
     )
+    ITEM_RESTARTED = (
+        5022,
+        "A batch item starts again; no upstream has the version that began it.",
+    )
     RETIRE_STARTED = (
         5017,
         "The operator requested that the instance hand over its work.",
--- a/plumvane/serving/jobs.py
+++ b/plumvane/serving/jobs.py
@@ -92,11 +92,13 @@
         item_id: Identifier of the item.
         last_event_id: Number of the last event received.
         texts: Data of the events received.
+        version: Software version of the upstreams that sent them.
     """
 
     item_id: str
     last_event_id: int
     texts: list[str]
+    version: str = ""
 
 
 class Job(msgspec.Struct):
--- a/plumvane/worker/items.py
+++ b/plumvane/worker/items.py
@@ -102,13 +102,16 @@
         async with self._caller.send(upstream, attempt) as reply:
             record_success(upstream)
             if reply.status == 200:
-                await self._read_events(run, reply)
+                await self._read_events(run, upstream, reply)
                 self._speed.observe_item(run.item.output_tokens, len(run.texts))
                 owned.complete(run)
             else:
                 self._handle_failure(owned, run, reply)
 
-    async def _read_events(self, run: ItemRun, reply: UpstreamResponse) -> None:
+    async def _read_events(
+        self, run: ItemRun, upstream: Upstream, reply: UpstreamResponse
+    ) -> None:
+        version = upstream.listed.version
         reader = EventStreamParser(run.last_event_id)
         events_before, started = len(run.texts), clock.monotonic()
         try:
@@ -116,8 +119,7 @@
                 for event in reader.feed(part):
                     if event.event_id is None:
                         continue
-                    run.texts.append(event.data)
-                    run.last_event_id = event.event_id
+                    run.add_event(event.event_id, event.data, version)
             reader.finish()
         finally:
             duration_s = clock.monotonic() - started
--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -21,6 +21,7 @@
         item: The item.
         texts: Data of the events received so far.
         last_event_id: Identifier of the last received event, or None.
+        version: Software version of the upstreams that sent the events.
         upstream_id: Upstream that runs the item, or empty.
         scope: Cancel scope of the current run, or None.
         is_stopping: Whether the current run was told to stop.
@@ -33,6 +34,7 @@
     item: Item
     texts: list[str] = dataclasses.field(default_factory=list)
     last_event_id: int | None = None
+    version: str = ""
     upstream_id: str = ""
     scope: anyio.CancelScope | None = None
     is_stopping: bool = False
@@ -41,6 +43,22 @@
     retry_at: float = 0.0
     saved_event_count: int = 0
 
+    def add_event(self, event_id: int, text: str, version: str) -> None:
+        """Adds an event that an upstream of a version has sent."""
+        self.texts.append(text)
+        self.last_event_id = event_id
+        self.version = version
+
+    def may_continue_at(self, version: str) -> bool:
+        """Returns whether upstreams of a version may send the next event."""
+        return self.last_event_id is None or self.version == version
+
+    def discard_events(self) -> None:
+        """Drops the received events, so that the item starts again."""
+        self.texts = []
+        self.last_event_id = None
+        self.saved_event_count = 0
+
     def stop(self) -> None:
         """Cancels the current run, if any; received events are kept."""
         self.is_stopping = True
@@ -83,6 +101,7 @@
             if run is not None:
                 run.texts = list(saved.texts)
                 run.last_event_id = saved.last_event_id
+                run.version = saved.version
                 run.saved_event_count = len(run.texts)
 
     def unsaved_event_count(self) -> int:
@@ -127,7 +146,12 @@
     def progress(self) -> list[ItemProgress]:
         """Returns checkpoints of the items that have events but no outcome."""
         return [
-            ItemProgress(run.item.item_id, run.last_event_id, list(run.texts))
+            ItemProgress(
+                run.item.item_id,
+                run.last_event_id,
+                list(run.texts),
+                run.version,
+            )
             for run in self.runs_by_id.values()
             if run.last_event_id is not None and not run.is_done
         ]
--- a/plumvane/worker/scheduler.py
+++ b/plumvane/worker/scheduler.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 
 import anyio
 import anyio.abc
 
-from plumvane import clock
+from plumvane import clock, events
 from plumvane.discovery.view import FleetView
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.assignment import chosen_worker
@@ -32,6 +33,8 @@
 # in seconds: three reading intervals.
 STALE_LOAD_AGE_S = 0.3
 
+WaitingItem = tuple[ItemPriority, OwnedJob, ItemRun]
+
 
 class ItemScheduler:
     """Starts and preempts the items of one worker's jobs."""
@@ -161,21 +164,59 @@
             )
             for upstream_id, upstream in upstreams_by_id.items()
         ]
-        waiting = self._waiting(jobs, now)
-        urgent = sum(priority.is_urgent for priority, _, _ in waiting)
-        decision = plan_batch_items(
-            states, urgent, len(waiting) - urgent, len(workers)
-        )
-        for upstream_id, count in decision.preemptions_by_id.items():
+        preemptions = plan_batch_items(states, 0, 0, len(workers))
+        for upstream_id, count in preemptions.preemptions_by_id.items():
             for run in preemptible_by_id[upstream_id][:count]:
                 run.stop()
-        for (_, owned, run), upstream_id in zip(
-            waiting, decision.starts, strict=False
+        waiting = self._waiting(jobs, now)
+        self._discard_events_of_gone_versions(service, waiting)
+        versions_by_id = {
+            upstream_id: upstream.listed.version
+            for upstream_id, upstream in upstreams_by_id.items()
+        }
+        for version, group_items in _group_by_version(
+            waiting, set(versions_by_id.values())
         ):
-            run.scope = anyio.CancelScope()
-            group.start_soon(
-                self._runner.run, owned, run, upstreams_by_id[upstream_id]
+            fitting = [
+                state
+                for state in states
+                if version in (None, versions_by_id[state.upstream_id])
+            ]
+            urgent = sum(priority.is_urgent for priority, _, _ in group_items)
+            plan = plan_batch_items(
+                fitting, urgent, len(group_items) - urgent, len(workers)
             )
+            for (_, owned, run), upstream_id in zip(
+                group_items, plan.starts, strict=False
+            ):
+                run.scope = anyio.CancelScope()
+                group.start_soon(
+                    self._runner.run, owned, run, upstreams_by_id[upstream_id]
+                )
+            states = _with_starts(states, plan.starts)
+
+    def _discard_events_of_gone_versions(
+        self, service: str, waiting: Sequence[WaitingItem]
+    ) -> None:
+        """Has items start again that no upstream of the service can continue.
+
+        While no upstream is listed at all, the events are kept: the listing may
+        be incomplete.
+        """
+        versions = {
+            upstream.listed.version
+            for upstream in self._view.upstreams.ready(service)
+        }
+        for _, owned, run in waiting:
+            if versions and not any(map(run.may_continue_at, versions)):
+                events.log(
+                    events.Event.ITEM_RESTARTED,
+                    job=owned.job.job_id,
+                    item=run.item.item_id,
+                    version=run.version,
+                    events=len(run.texts),
+                )
+                run.discard_events()
 
     def _expire_cooldowns(self, now: float) -> None:
         self._cooldown_until_by_id = {
@@ -208,7 +249,7 @@
 
     def _waiting(
         self, jobs: Iterable[OwnedJob], now: float
-    ) -> list[tuple[ItemPriority, OwnedJob, ItemRun]]:
+    ) -> list[WaitingItem]:
         """Returns the items that may start, by priority."""
         rows = [
             (self._priority(owned, run), owned, run)
@@ -230,3 +271,35 @@
                         item
                     )
         return items_by_upstream
+
+
+def _group_by_version(
+    waiting: Sequence[WaitingItem], versions: Collection[str]
+) -> list[tuple[str | None, list[WaitingItem]]]:
+    """Groups items by the only version that may run them; None for any.
+
+    Args:
+        waiting: The items.
+        versions: Versions of the service's upstreams.
+    """
+    items_by_version: dict[str, list[WaitingItem]] = {}
+    unbound: list[WaitingItem] = []
+    for row in waiting:
+        run = row[2]
+        if all(map(run.may_continue_at, versions)):
+            unbound.append(row)
+        else:
+            items_by_version.setdefault(run.version, []).append(row)
+    return [*items_by_version.items(), (None, unbound)]
+
+
+def _with_starts(
+    states: Sequence[UpstreamState], starts: Sequence[str]
+) -> list[UpstreamState]:
+    """Returns states whose loads include items that are about to start."""
+    return [
+        dataclasses.replace(
+            state, load=state.load + starts.count(state.upstream_id)
+        )
+        for state in states
+    ]
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -8,7 +8,7 @@
 import contextlib
 import dataclasses
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Any
 
 import anyio
@@ -58,6 +58,7 @@
         break_at_by_item: Event in place of which an item's next run fails.
         is_paused: Whether runs wait after their second event.
         running: Items that run now.
+        versions_by_item: Versions of the upstreams that ran an item, in order.
     """
 
     starts: list[tuple[str, int | None]] = dataclasses.field(
@@ -70,6 +71,9 @@
     break_at_by_item: dict[str, int] = dataclasses.field(default_factory=dict)
     is_paused: bool = False
     running: list[str] = dataclasses.field(default_factory=list)
+    versions_by_item: dict[str, list[str]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @contextlib.asynccontextmanager
     async def send(
@@ -78,6 +82,8 @@
         item_id = attempt.request_id
         self.starts.append((item_id, attempt.last_event_id))
         self.running.append(item_id)
+        versions = self.versions_by_item.setdefault(item_id, [])
+        versions.append(upstream.listed.version)
         try:
             yield self._reply(item_id, attempt.last_event_id or 0)
         finally:
@@ -120,15 +126,20 @@
         """Reads nothing."""
 
 
-def make_worker(name: str, store: MemoryStore, engine: FakeEngine) -> Worker:
+def make_worker(
+    name: str,
+    store: MemoryStore,
+    engine: FakeEngine,
+    versions: Sequence[str] = ("1", "1"),
+) -> Worker:
     rng = random.Random(1)
     view = FleetView(store, "a", rng)
     view.routes = RouteTable(
         1, [JOB_ROUTE], [Service(SERVICE, "/health", True)], 1, 1.0
     )
     view._entries.loaded.set()
-    for number in range(2):
-        view.upstreams.put(make_listed_upstream(f"u{number}"))
+    for number, version in enumerate(versions):
+        view.add_upstream(make_listed_upstream(f"u{number}", version=version))
     caller: Any = engine
     return Worker(name, store, view, caller, NoReports(), rng)
 
@@ -201,6 +212,49 @@
     run_with_timeout(steps)
 
 
+# Guards against texts whose parts come from two software versions.
+def test_interrupted_item_resumes_only_at_the_version_that_began_it() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
+        # The others have ended when it is resumed, so any upstream is free.
+        engine = FakeEngine(break_at_by_item={"i1": 3, "i3": 3})
+        await JobStore(store).accept("j", "h", items(4), JOB_ROUTE)
+        async with anyio.create_task_group() as group:
+            worker = make_worker("w1", store, engine, ("1", "2", "1", "2"))
+            group.start_soon(worker.run)
+            found = await wait_until_listed(store, "j", 4)
+            group.cancel_scope.cancel()
+        assert {r.text for r in found} == {FULL_TEXT}
+        assert len(engine.starts) == 6
+        for versions in engine.versions_by_item.values():
+            assert len(set(versions)) == 1
+
+    run_with_timeout(steps)
+
+
+def test_item_starts_again_if_its_version_is_gone() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
+        engine = FakeEngine(break_at_by_item={"i0": 3})
+        await JobStore(store).accept("j", "h", items(1), JOB_ROUTE)
+        worker = make_worker("w1", store, engine, ("1",))
+        async with anyio.create_task_group() as group:
+            group.start_soon(worker.run)
+            while not engine.starts or engine.running:
+                await anyio.sleep(POLL_S)
+            # A checkpoint is handed over, and only another version is left.
+            await worker.drain()
+            after = make_worker("w2", store, engine, ("2",))
+            group.start_soon(after.run)
+            found = await wait_until_listed(store, "j", 1)
+            group.cancel_scope.cancel()
+        assert [r.text for r in found] == [FULL_TEXT]
+        assert engine.starts == [("i0", None), ("i0", None)]
+        assert engine.versions_by_item == {"i0": ["1", "2"]}
+
+    run_with_timeout(steps)
+
+
 def test_items_fail_after_max_attempts_or_at_once_if_unprocessable() -> None:
     async def steps() -> None:
         store = MemoryStore()
