Have each run of the soak's servers make its own events

Change: the data of an event has the request, the event number, the tag of the run and the version of the server's software. Clients accept any run's text and keep what was first read at a position. Readers read jobs of all clients from any position at any gateway, also completed and cancelled ones, and at the end all of them at each gateway. A position that was read 1 s before and has nothing is reported, as are 404 and 410 for an accepted job.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import base64
 import dataclasses
 import json
+import math
 import random
-from typing import Any
+from collections.abc import Mapping
 
 import anyio
 
@@ -14,18 +14,51 @@
 from plumvane.httppool import KEEPALIVE_SOCKET_OPTIONS, NETWORK_ERRORS, HttpPool
 from plumvane.platform import names
 from soak.fleet import HOST, SoakFleet
-from standins.platform_server import event_data
-
-__all__ = ["Observations", "RequestClient", "JobClient"]
+from soak.jobs import SubmittedJob
+from soak.streams import StreamReading
+from standins.launcher import Process
+from standins.server_events import ServerEvent
+
+__all__ = [
+    "JobClient",
+    "JobReader",
+    "Observations",
+    "RequestClient",
+    "Schedule",
+]
 
 # Statuses that guarantee that the request was not executed.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+# Statuses that no request of a soak may get.
+DENIED_STATUSES = frozenset({400, 401, 403, 404})
 REQUEST_TIMEOUT_S = 5.0
-EVENTS_PER_STREAM = 12
-ITEMS_PER_JOB = 6
-EVENTS_PER_ITEM = 20
+# Numbers of events of a stream.
+STREAM_SIZES = (12, 12, 40, 80)
 # Pauses between two requests of one client, in seconds.
 PAUSES_S = (0.0, 0.02, 0.1, 0.3)
+# Pauses between two reads of one reader of jobs, in seconds.
+READ_PAUSES_S = (0.05, 0.2, 0.5)
+# Number of the jobs accepted last that readers prefer, and the probability with
+# which they read any job.
+RECENT_JOBS = 6
+OLD_JOB_PROBABILITY = 0.3
+# Probability with which a client goes to another gateway after a response.
+SWITCH_PROBABILITY = 0.1
+
+
+@dataclasses.dataclass
+class Schedule:
+    """When the clients stop, as monotonic times in seconds.
+
+    Attributes:
+        requests_until: No request is sent after it.
+        jobs_until: No job is submitted after it.
+        jobs_finished_by: All accepted jobs must have all their results.
+    """
+
+    requests_until: float = math.inf
+    jobs_until: float = math.inf
+    jobs_finished_by: float = math.inf
 
 
 @dataclasses.dataclass
@@ -39,6 +72,7 @@
         cancelled_at_by_job: Unix time in seconds of the acknowledged
             cancellation of each cancelled job.
         item_ids_by_job: Items of each accepted job.
+        accepted_jobs: Accepted jobs, the oldest first.
         outcomes: Unix time in seconds and whether the request was served, in
             order of completion.
         statuses: Number of responses by kind and status.
@@ -53,6 +87,7 @@
     item_ids_by_job: dict[str, list[str]] = dataclasses.field(
         default_factory=dict
     )
+    accepted_jobs: list[SubmittedJob] = dataclasses.field(default_factory=list)
     outcomes: list[tuple[float, bool]] = dataclasses.field(default_factory=list)
     statuses: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -63,7 +98,11 @@
 
 
 class _Client:
-    """Sends requests to random gateways over pooled connections."""
+    """Sends requests to gateways over pooled connections.
+
+    It stays at one gateway, and uses its open connections there also while
+    that gateway drains, until a request fails or it draws another one.
+    """
 
     def __init__(
         self, fleet: SoakFleet, observations: Observations, rng: random.Random
@@ -73,130 +112,214 @@
         self.observations = observations
         self.rng = rng
         self.pool = HttpPool(socket_options=KEEPALIVE_SOCKET_OPTIONS)
+        self.gateway = rng.choice(fleet.gateways)
 
     def new_id(self) -> str:
         return f"{self.rng.getrandbits(64):016x}"
 
+    def leave_gateway(self) -> None:
+        """Draws another gateway for the next request."""
+        others = [g for g in self.fleet.gateways if g is not self.gateway]
+        if others:
+            self.gateway = self.rng.choice(others)
+
     async def send(
         self,
         method: str,
         target: str,
         request_id: str,
         body: bytes = b"",
-        **extra_headers: str,
+        headers: Mapping[str, str] | None = None,
+        gateway: Process | None = None,
     ) -> tuple[int, bytes]:
-        """Sends a request to a random gateway; status 0 means no response."""
-        gateway = self.rng.choice(self.fleet.gateways)
-        headers = {
-            "host": HOST,
-            "x-request-id": request_id,
-            "content-length": str(len(body)),
-            **{
-                name.replace("_", "-"): value
-                for name, value in extra_headers.items()
-            },
-        }
+        """Sends a request; status 0 means no response."""
+        if gateway is None and self.rng.random() < SWITCH_PROBABILITY:
+            self.leave_gateway()
         try:
             with anyio.fail_after(REQUEST_TIMEOUT_S + 1.5):
                 response = await self.pool.request(
                     method,
-                    f"{gateway.url}{target}",
-                    headers=list(headers.items()),
+                    f"{(gateway or self.gateway).url}{target}",
+                    headers=self.all_headers(request_id, body, headers or {}),
                     content=body,
                 )
         except (TimeoutError, *NETWORK_ERRORS):
+            self.leave_gateway()
             return 0, b""
         return response.status, response.content
 
+    def all_headers(
+        self, request_id: str, body: bytes, headers: Mapping[str, str]
+    ) -> list[tuple[str, str]]:
+        """Returns the headers of a request."""
+        return [
+            ("host", HOST),
+            (names.REQUEST_ID_HEADER.decode(), request_id),
+            ("content-length", str(len(body))),
+            *headers.items(),
+        ]
+
 
 class RequestClient(_Client):
     """Sends requests of random kinds, one at a time."""
 
-    async def run(self, deadline: float) -> None:
-        """Sends requests until a monotonic deadline."""
-        while clock.remaining(deadline) > 0:
+    async def run(self, schedule: Schedule) -> None:
+        """Sends requests as long as the schedule says."""
+        while clock.remaining(schedule.requests_until) > 0:
             kind = self.rng.choice(("note", "quote", "slip", "pay"))
-            await self._send_one(kind)
+            if kind in ("note", "quote"):
+                is_served = await self._read_stream(kind)
+            else:
+                is_served = await self._call(kind)
+            self.observations.outcomes.append((clock.wall(), is_served))
             await anyio.sleep(self.rng.choice(PAUSES_S))
 
-    async def _send_one(self, kind: str) -> None:
+    def _new_request(self, kind: str) -> str:
         request_id = self.new_id()
         self.observations.kind_by_request[request_id] = kind
-        extra_headers = {"x_deadline_ms": str(int(REQUEST_TIMEOUT_S * 1000))}
-        if kind in ("note", "quote"):
-            extra_headers[names.TOKEN_USAGE_HEADER] = (
-                f"100,{EVENTS_PER_STREAM * 10}"
-            )
-        path = f"/{kind}/{request_id}"
-        status, body = await self.send(
-            "POST", path, request_id, b"x", **extra_headers
-        )
+        return request_id
+
+    def _record(self, kind: str, request_id: str, status: int) -> None:
         self.observations.count_response(kind, status)
-        self.observations.outcomes.append((clock.wall(), status == 200))
         if status in NOT_EXECUTED_STATUSES:
             self.observations.refused_ids.add(request_id)
-        elif status == 200 and body.decode() != _expected(kind, request_id):
-            self.observations.errors.append(
-                f"{kind} {request_id} got unexpected body {body[:200]!r}"
-            )
-        elif status in (400, 401, 403, 404):
-            self.observations.errors.append(
-                f"{kind} {request_id} got status {status}"
-            )
+        elif status in DENIED_STATUSES:
+            self._add_error(kind, request_id, f"got status {status}")
 
+    def _add_error(self, kind: str, request_id: str, error: str) -> None:
+        self.observations.errors.append(f"{kind} {request_id}: {error}")
 
-def _expected(kind: str, request_id: str) -> str:
-    if kind in ("slip", "pay"):
-        return event_data(request_id, 0)
-    return "".join(
-        f"id: {number}\ndata: {event_data(request_id, number)}\n\n"
-        for number in range(1, EVENTS_PER_STREAM + 1)
-    )
+    async def _call(self, kind: str) -> bool:
+        request_id = self._new_request(kind)
+        status, body = await self.send(
+            "POST", f"/{kind}/{request_id}", request_id, b"x", _deadline()
+        )
+        self._record(kind, request_id, status)
+        if status != 200:
+            return False
+        try:
+            event = ServerEvent.decode(body.decode())
+        except ValueError:
+            event = None
+        if event is None or (event.request_id, event.number) != (request_id, 0):
+            self._add_error(kind, request_id, f"MIXED: got body {body[:200]!r}")
+        return True
+
+    async def _read_stream(self, kind: str) -> bool:
+        stream = StreamReading(self.rng.choice(STREAM_SIZES))
+        request_id = self._new_request(kind)
+        path = f"/{kind}/{request_id}"
+        await self._read_attempt(stream, kind, path, request_id)
+        return stream.is_complete
+
+    async def _read_attempt(
+        self, stream: StreamReading, kind: str, path: str, request_id: str
+    ) -> None:
+        """Reads a stream until it is complete or broken."""
+        stream.start(request_id)
+        headers = {
+            **_deadline(),
+            names.TOKEN_USAGE_HEADER: f"100,{stream.total * 10}",
+        }
+        status = 0
+        try:
+            with anyio.fail_after(REQUEST_TIMEOUT_S + 1.5):
+                async with self.pool.stream(
+                    "POST",
+                    f"{self.gateway.url}{path}",
+                    headers=self.all_headers(request_id, b"x", headers),
+                    content=b"x",
+                ) as response:
+                    status = response.status
+                    async for part in response.aiter_stream():
+                        if status == 200:
+                            stream.feed(part)
+            if status == 200:
+                stream.finish()
+        except (TimeoutError, *NETWORK_ERRORS):
+            self.leave_gateway()
+        self._record(kind, request_id, status)
+        if stream.error:
+            self._add_error(kind, request_id, stream.error)
 
 
-class JobClient(_Client):
-    """Submits batch jobs, polls their results and cancels some of them."""
+def _deadline() -> dict[str, str]:
+    milliseconds = str(int(REQUEST_TIMEOUT_S * 1000))
+    return {names.DEADLINE_HEADER.decode(): milliseconds}
 
-    async def run(self, deadline: float, final_deadline: float) -> None:
-        """Submits jobs until a deadline and polls each until it finishes.
 
-        Args:
-            deadline: Monotonic time in seconds after which no job is submitted.
-            final_deadline: Monotonic time in seconds by which all accepted
-                jobs must have all their results.
-        """
-        while clock.remaining(deadline) > 0:
-            job = _SubmittedJob(self.new_id(), self.new_id)
-            if await self._submit(job, deadline):
-                await self._poll_until_done(job, final_deadline)
+class _JobCaller(_Client):
+    """Reads the results of jobs."""
+
+    async def read(
+        self,
+        job: SubmittedJob,
+        position: int,
+        wait_s: float = 0.0,
+        gateway: Process | None = None,
+    ) -> int:
+        """Reads a page of results; returns the status, 0 for no response."""
+        sent_at = clock.monotonic()
+        status, body = await self.send(
+            "GET",
+            f"{names.JOB_PATH_PREFIX}{job.job_id}"
+            f"?{names.POSITION_PARAMETER}={position}",
+            self.new_id(),
+            headers={names.WAIT_HEADER.decode(): str(int(wait_s * 1000))},
+            gateway=gateway,
+        )
+        self.observations.count_response("read", status)
+        error = job.check_status(status)
+        if status == 200:
+            error = job.add_page(position, json.loads(body), sent_at)
+        if error:
+            where = (gateway or self.gateway).name
+            self.observations.errors.append(
+                f"job {job.job_id}: {error} (read at {where} at "
+                f"{clock.wall():.3f})"
+            )
+        return status
+
+
+class JobClient(_JobCaller):
+    """Submits batch jobs, polls their results and cancels some of them."""
+
+    async def run(self, schedule: Schedule) -> None:
+        """Submits jobs and polls each until it finishes."""
+        while clock.remaining(schedule.jobs_until) > 0:
+            job = SubmittedJob(self.new_id(), self.new_id, self.rng)
+            if await self._submit(job, schedule):
+                await self._poll_until_done(job, schedule)
 
-    async def _submit(self, job: _SubmittedJob, deadline: float) -> bool:
+    async def _submit(self, job: SubmittedJob, schedule: Schedule) -> bool:
         for item_id in job.paths_by_item:
             self.observations.kind_by_request[item_id] = "plan"
         all_refused = True
         path = f"/plan/{job.job_id}"
-        while clock.remaining(deadline) > 0:
+        while clock.remaining(schedule.jobs_until) > 0:
             status, _ = await self.send("POST", path, job.job_id, job.body())
             self.observations.count_response("submit", status)
             if status == 202:
                 self.observations.item_ids_by_job[job.job_id] = list(
                     job.paths_by_item
                 )
+                self.observations.accepted_jobs.append(job)
                 return True
             all_refused = all_refused and status in NOT_EXECUTED_STATUSES
+            self.leave_gateway()
             await anyio.sleep(0.3)
         if all_refused:
             self.observations.refused_ids.update(job.paths_by_item)
         return False
 
     async def _poll_until_done(
-        self, job: _SubmittedJob, final_deadline: float
+        self, job: SubmittedJob, schedule: Schedule
     ) -> None:
         """Polls a job until it has all results or was cancelled."""
         accepted_at = clock.monotonic()
         cancel_after_s = self.rng.choice((0.0, 0.3, 2.0, None, None, None))
-        while len(job.results) < len(job.paths_by_item):
-            if clock.remaining(final_deadline) <= 0:
+        while not job.has_all_results():
+            if clock.remaining(schedule.jobs_finished_by) <= 0:
                 missing = len(job.paths_by_item) - len(job.results)
                 self.observations.errors.append(
                     f"job {job.job_id} is missing {missing} results"
@@ -204,110 +327,69 @@
                 return
             age_s = clock.monotonic() - accepted_at
             if cancel_after_s is not None and age_s >= cancel_after_s:
-                await self._cancel(job, final_deadline)
+                await self._cancel(job, schedule)
                 return
-            await self._read(job)
+            position = len(job.results)
+            if self.rng.random() < 0.2:
+                position = 0
+            await self.read(job, position, wait_s=0.5)
             await anyio.sleep(0.2)
-        for _ in range(2):
-            await self._read(job, from_start=True)
 
-    async def _cancel(self, job: _SubmittedJob, final_deadline: float) -> None:
-        path = f"/v1/lots/{job.job_id}"
-        while clock.remaining(final_deadline) > 0:
+    async def _cancel(self, job: SubmittedJob, schedule: Schedule) -> None:
+        path = f"{names.JOB_PATH_PREFIX}{job.job_id}"
+        job.may_have_ended = True
+        while clock.remaining(schedule.jobs_finished_by) > 0:
             status, _ = await self.send("DELETE", path, self.new_id())
             self.observations.count_response("end", status)
             if status == 200:
                 self.observations.cancelled_at_by_job[job.job_id] = clock.wall()
                 return
-            if status in (404, 410):
+            error = job.check_status(status)
+            if error:
                 self.observations.errors.append(
-                    f"cancellation of job {job.job_id} got status {status}"
+                    f"cancellation of job {job.job_id}: {error}"
                 )
                 return
             await anyio.sleep(0.3)
 
-    async def _read(
-        self, job: _SubmittedJob, *, from_start: bool = False
-    ) -> None:
-        position = len(job.results)
-        if from_start or self.rng.random() < 0.2:
-            position = 0
-        status, body = await self.send(
-            "GET",
-            f"/v1/lots/{job.job_id}?after={position}",
-            self.new_id(),
-            x_wait_ms="500",
-        )
-        self.observations.count_response("read", status)
-        if status == 200:
-            error = job.add_page(position, json.loads(body))
-            if error:
-                self.observations.errors.append(f"job {job.job_id}: {error}")
-        elif status in (404, 410):
-            self.observations.errors.append(
-                f"read of job {job.job_id} got status {status}"
-            )
 
+class JobReader(_JobCaller):
+    """Reads accepted jobs of all clients from any position at any gateway."""
 
-class _SubmittedJob:
-    """A job as submitted, and its results as read so far."""
+    async def run(self, schedule: Schedule) -> None:
+        """Reads jobs as long as the schedule says."""
+        while clock.remaining(schedule.requests_until) > 0:
+            jobs = self.observations.accepted_jobs
+            if jobs:
+                # Recent jobs are open, or have just changed their owner.
+                job = self.rng.choice(jobs[-RECENT_JOBS:])
+                if self.rng.random() < OLD_JOB_PROBABILITY:
+                    job = self.rng.choice(jobs)
+                position = self.rng.randint(0, len(job.results))
+                gateway = self.rng.choice(self.fleet.gateways)
+                wait_s = self.rng.choice((0.0, 0.5))
+                await self.read(job, position, wait_s, gateway)
+            await anyio.sleep(self.rng.choice(READ_PAUSES_S))
 
-    def __init__(self, job_id: str, new_id: Any) -> None:
-        self.job_id = job_id
-        item_kinds = ["ok"] * (ITEMS_PER_JOB - 2) + ["failing", "impossible"]
-        self.paths_by_item = {
-            new_id(): f"/plan/{item_kind}/{job_id}" for item_kind in item_kinds
-        }
-        self.results: list[dict[str, Any]] = []
-
-    def body(self) -> bytes:
-        """Returns the body of the submission."""
-        rows = [
-            {
-                "id": item_id,
-                "path": path,
-                "headers": {
-                    names.TOKEN_USAGE_HEADER: f"100,{EVENTS_PER_ITEM * 10}"
-                },
-                "body": base64.b64encode(item_id.encode()).decode(),
-                "tokens": 300,
-            }
-            for item_id, path in self.paths_by_item.items()
+    async def read_all_again(self, deadline: float) -> None:
+        """Reads all results of all jobs that were read, at every gateway.
+
+        Args:
+            deadline: Monotonic time in seconds by which each read must work.
+        """
+        reads = [
+            (job, gateway, position)
+            for job in self.observations.accepted_jobs
+            for gateway in self.fleet.gateways
+            # A page need not contain all results.
+            for position in sorted({0, max(0, len(job.results) - 1)})
         ]
-        return json.dumps({"items": rows}).encode()
-
-    def add_page(self, position: int, page: dict[str, Any]) -> str:
-        """Adds a page of results; returns its first error, or ""."""
-        if page["total"] != len(self.paths_by_item):
-            return f"unexpected total {page['total']}"
-        for page_index, result in enumerate(page["results"]):
-            index = position + page_index
-            if index < len(self.results):
-                if self.results[index] != result:
-                    return f"the result at position {index} has changed"
-                continue
-            if index > len(self.results):
-                return f"position {len(self.results)} is missing"
-            error = self._check_result(result)
-            if error:
-                return f"position {index}: {error}"
-            self.results.append(result)
-        return ""
-
-    def _check_result(self, result: dict[str, Any]) -> str:
-        item_id = result["id"]
-        if item_id not in self.paths_by_item:
-            return f"item {item_id} is not part of this job"
-        if any(earlier["id"] == item_id for earlier in self.results):
-            return f"item {item_id} is listed twice"
-        should_complete = "/ok/" in self.paths_by_item[item_id]
-        if (result["state"] == "completed") != should_complete:
-            return f"item {item_id} has unexpected state {result['state']}"
-        expected = "\n".join(
-            event_data(item_id, n) for n in range(1, EVENTS_PER_ITEM + 1)
-        )
-        if should_complete and result["text"] != expected:
-            return (
-                f"item {item_id} has unexpected text {result['text'][:100]!r}"
-            )
-        return ""
+        for job, gateway, position in reads:
+            while await self.read(job, position, gateway=gateway) != 200:
+                if clock.remaining(deadline) <= 0:
+                    self.observations.errors.append(
+                        f"job {job.job_id}: LOST: cannot be read at "
+                        f"{gateway.name} in the end"
+                    )
+                    return
+                await anyio.sleep(0.3)
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,7 +13,13 @@
 
 from plumvane import clock
 from soak.checks import find_violations
-from soak.clients import JobClient, Observations, RequestClient
+from soak.clients import (
+    JobClient,
+    JobReader,
+    Observations,
+    RequestClient,
+    Schedule,
+)
 from soak.faults import FaultLog, inject_faults
 from soak.fleet import SoakFleet
 
@@ -28,12 +34,15 @@
 
 REQUEST_CLIENTS = 12
 JOB_CLIENTS = 3
+JOB_READERS = 3
 # Seconds allowed for the start of all processes.
 STARTUP_S = 4.0
 # Seconds after the end of fault injection for which clients go on sending, and
 # within which all accepted jobs must have all their results.
 RECOVERY_TRAFFIC_S = 10.0
 COMPLETION_TIMEOUT_S = 25.0
+# Seconds allowed for reading all results again in the end.
+FINAL_READS_TIMEOUT_S = 15.0
 
 
 def main() -> None:
@@ -89,24 +98,26 @@
     observations, log = Observations(), FaultLog()
     await fleet.write_configuration()
     await anyio.sleep(STARTUP_S)
-    faults_end = clock.monotonic() + seconds
-    # Allows 5 s for faults that are still active at the end of injection.
-    clients_end = faults_end + RECOVERY_TRAFFIC_S + 5.0
-    final_deadline = faults_end + COMPLETION_TIMEOUT_S
-    faults_ended_at = clock.wall()
+    schedule = Schedule()
+    reader = JobReader(fleet, observations, random.Random(f"{seed} reader"))
     async with anyio.create_task_group() as group:
         for number in range(REQUEST_CLIENTS):
             rng = random.Random(f"{seed} request {number}")
             client = RequestClient(fleet, observations, rng)
-            group.start_soon(client.run, clients_end)
+            group.start_soon(client.run, schedule)
         for number in range(JOB_CLIENTS):
             rng = random.Random(f"{seed} job {number}")
-            jobs = JobClient(fleet, observations, rng)
-            group.start_soon(
-                jobs.run, faults_end + RECOVERY_TRAFFIC_S / 2, final_deadline
-            )
+            group.start_soon(JobClient(fleet, observations, rng).run, schedule)
+        for number in range(JOB_READERS):
+            rng = random.Random(f"{seed} reader {number}")
+            group.start_soon(JobReader(fleet, observations, rng).run, schedule)
         await inject_faults(fleet, random.Random(seed), log, seconds)
         faults_ended_at = clock.wall()
+        now = clock.monotonic()
+        schedule.jobs_until = now + RECOVERY_TRAFFIC_S / 2
+        schedule.requests_until = now + RECOVERY_TRAFFIC_S
+        schedule.jobs_finished_by = now + COMPLETION_TIMEOUT_S
+    await reader.read_all_again(clock.monotonic() + FINAL_READS_TIMEOUT_S)
     violations = find_violations(
         observations, log, fleet.executions(), faults_ended_at
     )
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -2,14 +2,16 @@
 
 It registers in the platform's store under a lease and executes requests in the
 order of arrival. It prints a JSON line before each execution, as a record of
-what was executed. On SIGTERM it announces that it is draining, and exits
-shortly after.
+what was executed. The events of each run have a tag of that run and the version
+of the server's software; a resumed run has its own tag. On SIGTERM it announces
+that it is draining, and exits shortly after.
 """
 
 from __future__ import annotations
 
 import json
 import os
+import secrets
 import signal
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
@@ -22,8 +24,9 @@
 from plumvane.errors import PlumvaneError
 from plumvane.platform.store import PlatformStore
 from standins.program import run_app
+from standins.server_events import ServerEvent
 
-__all__ = ["PlatformServerApp", "event_data", "main"]
+__all__ = ["PlatformServerApp", "main"]
 
 _NAME = flags.DEFINE_string("name", "", "Name of the server.")
 _SERVICE = flags.DEFINE_string("service", "", "Service that it belongs to.")
@@ -32,6 +35,9 @@
 _SLOTS = flags.DEFINE_integer(
     "slots", 4, "Maximum number of concurrent requests."
 )
+_VERSION = flags.DEFINE_string(
+    "software_version", "1", "Version of its software."
+)
 _STEP_S = flags.DEFINE_float("step_s", 0.02, "Seconds that each event takes.")
 
 Message = MutableMapping[str, Any]
@@ -47,11 +53,6 @@
 MAX_WAITING = 24
 
 
-def event_data(request_id: str, number: int) -> str:
-    """Returns the data of an event, which is the same on all servers."""
-    return f"{request_id}-{number}"
-
-
 class PlatformServerApp:
     """One incarnation of a server, from start to exit."""
 
@@ -96,7 +97,7 @@
             "service": _SERVICE.value,
             "address": _ADDRESS.value,
             "zone": "a",
-            "version": "1",
+            "version": _VERSION.value,
             "slots": _SLOTS.value,
             "state": "draining" if self._is_draining else "ready",
             "warmup-left-ms": 0,
@@ -171,8 +172,11 @@
         self, path: str, headers: dict[str, str], writer: _ResponseWriter
     ) -> None:
         last_event_id = int(headers.get("last-event-id", 0))
+        run = secrets.token_hex(4)
         record = {
             "run": writer.request_id,
+            "tag": run,
+            "version": _VERSION.value,
             "path": path,
             "after": last_event_id,
         }
@@ -189,15 +193,17 @@
             await writer.respond(422, "impossible", extra_headers)
         elif "x-token-usage" in headers:
             events = int(headers["x-token-usage"].partition(",")[2]) // 10
-            await self._stream(writer, last_event_id, events, extra_headers)
-        else:
-            await writer.respond(
-                200, event_data(writer.request_id, 0), extra_headers
+            await self._stream(
+                writer, run, last_event_id, events, extra_headers
             )
+        else:
+            event = ServerEvent(writer.request_id, 0, run, _VERSION.value)
+            await writer.respond(200, event.encode(), extra_headers)
 
     async def _stream(
         self,
         writer: _ResponseWriter,
+        run: str,
         last_event_id: int,
         events: int,
         extra_headers: dict[str, str],
@@ -206,8 +212,8 @@
             200, {**extra_headers, "content-type": "text/event-stream"}
         )
         for number in range(last_event_id + 1, events + 1):
-            data = event_data(writer.request_id, number)
-            await writer.send_body(f"id: {number}\ndata: {data}\n\n")
+            event = ServerEvent(writer.request_id, number, run, _VERSION.value)
+            await writer.send_body(f"id: {number}\ndata: {event.encode()}\n\n")
             await anyio.sleep(_STEP_S.value)
         await writer.send_body("", more=False)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import random
+from typing import Any
+
+from plumvane import clock
 from soak.checks import RECOVERY_S, find_violations
 from soak.clients import Observations
 from soak.faults import FAULTS_BY_NAME, FaultLog
+from soak.jobs import SETTLE_S, SubmittedJob
 from soak.run import soak
+from soak.streams import StreamReading
+from standins.server_events import ServerEvent
 
 # Seconds with faults; one seed takes about half a minute in all.
 SECONDS = 8.0
@@ -73,3 +80,119 @@
     )
     assert len(check(cancelled, ("i", FAULTS_ENDED_AT + 20.0))) == 1
     assert check(cancelled, ("i", FAULTS_ENDED_AT + 1.0)) == []
+
+
+def make_job() -> SubmittedJob:
+    rng = random.Random(1)
+    return SubmittedJob("j", lambda: f"{rng.getrandbits(64):016x}", rng)
+
+
+def texts_of_runs(
+    job: SubmittedJob, *runs: tuple[str, str, int]
+) -> dict[str, Any]:
+    """Returns a result of the first item, made by runs of some events each."""
+    item_id = next(iter(job.paths_by_item))
+    makers = [
+        (run, version) for run, version, count in runs for _ in range(count)
+    ]
+    lines = [
+        ServerEvent(item_id, number, run, version).encode()
+        for number, (run, version) in enumerate(makers, start=1)
+    ]
+    return {"id": item_id, "state": "completed", "text": "\n".join(lines)}
+
+
+def read_page(
+    job: SubmittedJob, *results: dict[str, Any], sent_after_s: float = 0.0
+) -> str:
+    page = {"total": len(job.paths_by_item), "results": list(results)}
+    return job.add_page(0, page, clock.monotonic() + sent_after_s)
+
+
+def test_any_run_of_an_item_is_accepted_but_stays() -> None:
+    job = make_job()
+    total = job.events_per_item
+    first = texts_of_runs(job, ("r1", "v1", 5), ("r2", "v1", total - 5))
+    assert read_page(job, first) == ""
+    assert read_page(job, first, sent_after_s=SETTLE_S + 1.0) == ""
+    other_run = texts_of_runs(job, ("r3", "v1", total))
+    assert read_page(job, other_run).startswith("TWICE: ")
+
+
+def test_text_of_an_item_is_whole_and_of_one_version() -> None:
+    total = make_job().events_per_item
+    short = texts_of_runs(make_job(), ("r1", "v1", total - 1))
+    assert read_page(make_job(), short).startswith("MIXED: ")
+    two_versions = texts_of_runs(
+        make_job(), ("r1", "v1", 5), ("r2", "v2", total - 5)
+    )
+    assert read_page(make_job(), two_versions).startswith("ORDER: ")
+    whole = texts_of_runs(make_job(), ("r1", "v1", total))
+    lines = whole["text"].split("\n")
+    lines[3] = lines[2]
+    repeated = {**whole, "text": "\n".join(lines)}
+    assert read_page(make_job(), repeated).startswith("ORDER: ")
+
+
+def test_result_that_was_read_must_come_again() -> None:
+    job = make_job()
+    total = job.events_per_item
+    assert read_page(job) == ""
+    assert read_page(job, texts_of_runs(job, ("r1", "v1", total))) == ""
+    assert read_page(job, sent_after_s=SETTLE_S / 2) == ""
+    assert read_page(job, sent_after_s=SETTLE_S + 0.5).startswith("LOST: ")
+
+
+def test_accepted_job_must_be_found() -> None:
+    assert make_job().check_status(503) == ""
+    assert make_job().check_status(404).startswith("LOST: ")
+    assert make_job().check_status(410).startswith("LOST: ")
+
+
+def test_dead_letter_of_a_sound_item_needs_an_ended_job() -> None:
+    job = make_job()
+    item_id = next(iter(job.paths_by_item))
+    given_up = {"id": item_id, "state": "dead_letter", "text": ""}
+    assert read_page(job, given_up).startswith("MIXED: ")
+    job.may_have_ended = True
+    assert read_page(job, given_up) == ""
+
+
+def encode_events(*events: ServerEvent) -> bytes:
+    parts = [f"id: {e.number}\ndata: {e.encode()}\n\n" for e in events]
+    return "".join(parts).encode()
+
+
+def read_stream(total: int, *events: ServerEvent) -> StreamReading:
+    stream = StreamReading(total)
+    stream.start("a")
+    stream.feed(encode_events(*events))
+    stream.finish()
+    return stream
+
+
+def test_stream_of_two_runs_is_accepted() -> None:
+    stream = read_stream(
+        2, ServerEvent("a", 1, "r1", "v1"), ServerEvent("a", 2, "r2", "v1")
+    )
+    assert stream.error == ""
+
+
+def test_stream_must_be_whole_and_in_order() -> None:
+    first, third = (
+        ServerEvent("a", 1, "r1", "v1"),
+        ServerEvent("a", 3, "r1", "v1"),
+    )
+    assert read_stream(2, first).error.startswith("ORDER: ")
+    assert read_stream(2, first, third).error.startswith("ORDER: ")
+    assert read_stream(2, first, first).error.startswith("ORDER: ")
+    foreign = ServerEvent("b", 1, "r1", "v1")
+    assert read_stream(1, foreign).error.startswith("MIXED: ")
+
+
+def test_stream_within_one_response_is_of_one_version() -> None:
+    first, second = (
+        ServerEvent("a", 1, "r1", "v1"),
+        ServerEvent("a", 2, "r2", "v2"),
+    )
+    assert read_stream(2, first, second).error.startswith("ORDER: ")
