Run several versions of the servers' software in the soak

Cause: all servers of the soak had version 1, so it could not see a stream or a text whose events are of two versions.

Change: each service starts with two versions side by side; the fault release restarts a service's servers one after the other with another version. Clients take a broken stream of a resumable route up once or twice at another gateway, with Last-Event-Id and the header Resumes, and break some streams themselves.

--- a/plumvane/platform/names.py
+++ b/plumvane/platform/names.py
@@ -17,6 +17,7 @@
     "READY_PATH",
     "REPORT_PATH",
     "REQUEST_ID_HEADER",
+    "RESUMES_HEADER",
     "RETIRE_PREFIX",
     "RETIRE_STATUS_PREFIX",
     "SIGNATURE_HEADER",
@@ -31,6 +32,9 @@
 # Timeout of the sender in milliseconds, counted from when it sent the request.
 DEADLINE_HEADER = b"x-deadline-ms"
 LAST_EVENT_HEADER = b"last-event-id"
+# Request id of the caller's attempt that brought the first event of the stream
+# that it resumes.
+RESUMES_HEADER = b"resumes"
 EXPECTED_UPSTREAM_HEADER = b"x-expect-instance"
 SIGNATURE_HEADER = b"x-response-signature"
 # Numbers of running requests, waiting requests and slots, separated by commas.
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -34,6 +34,10 @@
 REQUEST_TIMEOUT_S = 5.0
 # Numbers of events of a stream.
 STREAM_SIZES = (12, 12, 40, 80)
+# Probability with which a client's connection breaks during a stream, and most
+# attempts that then take it up.
+BREAK_PROBABILITY = 0.2
+MAX_RESUMPTIONS = 2
 # Pauses between two requests of one client, in seconds.
 PAUSES_S = (0.0, 0.02, 0.1, 0.3)
 # Pauses between two reads of one reader of jobs, in seconds.
@@ -206,21 +210,56 @@
         return True
 
     async def _read_stream(self, kind: str) -> bool:
+        """Reads a stream; returns whether it was complete in the end.
+
+        A resumable stream that breaks is taken up once or twice at another
+        gateway.
+        """
         stream = StreamReading(self.rng.choice(STREAM_SIZES))
         request_id = self._new_request(kind)
         path = f"/{kind}/{request_id}"
-        await self._read_attempt(stream, kind, path, request_id)
+        if kind == "quote":
+            await self._read_attempt(stream, kind, path, request_id)
+            return stream.is_complete
+        is_broken_off = self.rng.random() < BREAK_PROBABILITY
+        break_at = self.rng.randrange(stream.total) if is_broken_off else None
+        await self._read_attempt(stream, kind, path, request_id, break_at)
+        for _ in range(self.rng.randint(1, MAX_RESUMPTIONS)):
+            if not stream.events or stream.is_complete:
+                break
+            self.leave_gateway()
+            await self._read_attempt(
+                stream, kind, path, self._new_request(kind)
+            )
         return stream.is_complete
 
     async def _read_attempt(
-        self, stream: StreamReading, kind: str, path: str, request_id: str
+        self,
+        stream: StreamReading,
+        kind: str,
+        path: str,
+        request_id: str,
+        break_at: int | None = None,
     ) -> None:
-        """Reads a stream until it is complete or broken."""
-        stream.start(request_id)
+        """Reads a stream until it is complete or broken.
+
+        Args:
+            stream: The stream, with the events that earlier attempts read.
+            kind: Kind of the request.
+            path: Path of the request.
+            request_id: Identifier of this attempt.
+            break_at: Number of events after which the client's connection
+                breaks, or None.
+        """
         headers = {
             **_deadline(),
             names.TOKEN_USAGE_HEADER: f"100,{stream.total * 10}",
         }
+        if stream.events:
+            last_event_id = str(len(stream.events))
+            headers[names.LAST_EVENT_HEADER.decode()] = last_event_id
+            headers[names.RESUMES_HEADER.decode()] = stream.first_request_id
+        stream.start(request_id)
         status = 0
         try:
             with anyio.fail_after(REQUEST_TIMEOUT_S + 1.5):
@@ -231,10 +270,15 @@
                     content=b"x",
                 ) as response:
                     status = response.status
+                    is_broken = False
                     async for part in response.aiter_stream():
                         if status == 200:
                             stream.feed(part)
-            if status == 200:
+                        if break_at is not None:
+                            is_broken = len(stream.events) > break_at
+                        if is_broken:
+                            break
+            if status == 200 and not is_broken:
                 stream.finish()
         except (TimeoutError, *NETWORK_ERRORS):
             self.leave_gateway()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,8 @@
 MAX_DURATION_S = 4.0
 # Intervals in seconds between the starts of two faults; faults overlap.
 START_INTERVALS_S = (0.0, 0.2, 0.5, 1.0, 2.0)
+# Intervals in seconds between the restarts of the processes of one service.
+RESTART_INTERVALS_S = (0.2, 0.6, 1.5)
 # Seconds within which a process must exit after SIGTERM.
 TERMINATION_TIMEOUT_S = 8.0
 
@@ -48,12 +50,15 @@
         fleet: The processes.
         rng: Draws targets and durations.
         log: Record of the faults.
+        deadline: Monotonic time in seconds after which no step of a fault
+            starts.
         unavailable: Names of processes that are killed or stopped by a fault.
     """
 
     fleet: SoakFleet
     rng: random.Random
     log: FaultLog
+    deadline: float
     unavailable: set[str] = dataclasses.field(default_factory=set)
 
     def draw_duration_s(self) -> float:
@@ -84,8 +89,8 @@
     fleet: SoakFleet, rng: random.Random, log: FaultLog, seconds: float
 ) -> None:
     """Injects overlapping faults for some seconds, then reverts all of them."""
-    context = FaultContext(fleet, rng, log)
     deadline = clock.monotonic() + seconds
+    context = FaultContext(fleet, rng, log, deadline)
     async with anyio.create_task_group() as group:
         while clock.remaining(deadline) > 0:
             name = rng.choice(sorted(FAULTS_BY_NAME))
@@ -136,27 +141,56 @@
     return "programs"
 
 
+async def _wait_terminated(context: FaultContext, process: Process) -> None:
+    """Waits for the exit of a process that got SIGTERM, and restarts it."""
+    with anyio.move_on_after(TERMINATION_TIMEOUT_S):
+        while not process.has_exited():
+            await anyio.sleep(0.05)
+    if not process.has_exited():
+        context.log.errors.append(
+            f"{process.name} did not exit in time after SIGTERM"
+        )
+        process.kill()
+    await _restart(context, process)
+
+
 @fault
 async def terminate(context: FaultContext) -> str:
     """Stops a process with SIGTERM and restarts it."""
     fleet = context.fleet
     process = context.pick_process([*fleet.programs, *fleet.servers])
-    if process is None or process.popen is None:
+    if process is None:
         return ""
     context.unavailable.add(process.name)
     process.signal(signal.SIGTERM)
-    with anyio.move_on_after(TERMINATION_TIMEOUT_S):
-        while process.popen.poll() is None:
-            await anyio.sleep(0.05)
-    if process.popen.poll() is None:
-        context.log.errors.append(
-            f"{process.name} did not exit in time after SIGTERM"
-        )
-        process.kill()
-    await _restart(context, process)
+    await _wait_terminated(context, process)
     return process.name
 
 
+@fault
+async def release(context: FaultContext) -> str:
+    """Restarts a service's servers one after the other with another version.
+
+    The end of injection stops it halfway; another release may overlap it.
+    """
+    service = context.rng.choice(("lm", "app"))
+    version = f"v{context.rng.getrandbits(32):x}"
+    is_crash = context.rng.random() < 0.3
+    interval_s = context.rng.choice(RESTART_INTERVALS_S)
+    servers = [s for s in context.fleet.servers if s.serves == service]
+    async with anyio.create_task_group() as group:
+        for server in servers:
+            if clock.remaining(context.deadline) <= 0:
+                break
+            context.fleet.set_version(server, version)
+            if server.name not in context.unavailable:
+                context.unavailable.add(server.name)
+                server.signal(signal.SIGKILL if is_crash else signal.SIGTERM)
+                group.start_soon(_wait_terminated, context, server)
+            await anyio.sleep(interval_s)
+    return f"{service} {version}"
+
+
 @fault
 async def pause(context: FaultContext) -> str:
     """Suspends a process with SIGSTOP and resumes it with SIGCONT."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,6 +18,9 @@
 HOST = "soak.example"
 DATA_CENTRES = ("a", "b")
 ENGINES, SERVICES, GATEWAYS, WORKERS = 4, 2, 3, 2
+# Versions of the servers' software at the start, side by side in each service.
+FIRST_VERSIONS = ("v1", "v2")
+VERSION_FLAG = "--software_version="
 # Delay in seconds before a refused write to the store is retried.
 WRITE_RETRY_DELAY_S = 0.2
 # Fixed routes, with the settings in which they differ. The fault
@@ -58,8 +61,8 @@
         self.fleet.start_proxy()
         self.store = PlatformStore(self.fleet["store"].url)
         self.servers = [
-            *(self._start_server(f"engine-{n}", "lm") for n in range(ENGINES)),
-            *(self._start_server(f"app-{n}", "app") for n in range(SERVICES)),
+            *(self._start_server("engine", n, "lm") for n in range(ENGINES)),
+            *(self._start_server("app", n, "app") for n in range(SERVICES)),
         ]
         self.gateways = [
             self._start_program(f"gateway-{n}", n) for n in range(GATEWAYS)
@@ -114,6 +117,14 @@
         """Sets the faults of a proxy route."""
         self.fleet.set_peer_faults(route, **faults)
 
+    @staticmethod
+    def set_version(server: Process, version: str) -> None:
+        """Sets the software version that a server has after its next start."""
+        server.command = [
+            *(a for a in server.command if not a.startswith(VERSION_FLAG)),
+            f"{VERSION_FLAG}{version}",
+        ]
+
     def set_store_faults(self, **faults: Any) -> None:
         """Sets the faults of the platform store stand-in."""
         self.fleet.call("POST", f"{self.fleet['store'].url}/faults", faults)
@@ -126,7 +137,8 @@
         self.fleet.call("PUT", f"{proxy}/routes/{name}", body)
         return f"{self.fleet.host}:{port}"
 
-    def _start_server(self, name: str, service: str) -> Process:
+    def _start_server(self, kind: str, number: int, service: str) -> Process:
+        name = f"{kind}-{number}"
         store = self._route(f"{name}-store", self._address("store"))
         port = free_port(self.fleet.host)
         address = self._route(name, f"{self.fleet.host}:{port}")
@@ -138,7 +150,9 @@
             f"--service={service}",
             f"--address={address}",
             f"--store=http://{store}",
+            f"{VERSION_FLAG}{FIRST_VERSIONS[number % len(FIRST_VERSIONS)]}",
         )
+        process.serves = service
         process.http_port = port
         self.routes_by_process[name] = [name, f"{name}-store"]
         return process
--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -95,6 +95,8 @@
     ) -> str:
         """Adds a page of results; returns its first error, or "".
 
+        Results with errors are added too, so that each is reported once.
+
         Args:
             position: First position that was read.
             page: The response.
@@ -109,22 +111,26 @@
                     f"LOST: nothing is at position {position}, which was read "
                     f"{age_s:.1f} s before"
                 )
-        for index, result in enumerate(page["results"], start=position):
-            if index < len(self.results):
-                if self.results[index].result != result:
-                    return (
-                        f"TWICE: the result at position {index} has changed "
-                        f"from {_summary(self.results[index].result)} to "
-                        f"{_summary(result)}"
-                    )
-                continue
-            if index > len(self.results):
-                return f"LOST: position {len(self.results)} is missing"
-            error = self._check_result(result)
-            if error:
-                return f"{error} at position {index}"
-            self.results.append(_ReadResult(result, clock.monotonic()))
-        return ""
+        errors = [
+            self._add_result(index, result)
+            for index, result in enumerate(page["results"], start=position)
+        ]
+        return next((error for error in errors if error), "")
+
+    def _add_result(self, position: int, result: dict[str, Any]) -> str:
+        if position > len(self.results):
+            return f"LOST: position {len(self.results)} is missing"
+        if position < len(self.results):
+            known = self.results[position].result
+            if known == result:
+                return ""
+            return (
+                f"TWICE: the result at position {position} has changed from "
+                f"{_summary(known)} to {_summary(result)}"
+            )
+        error = self._check_result(result)
+        self.results.append(_ReadResult(result, clock.monotonic()))
+        return f"{error} at position {position}" if error else ""
 
     def _check_result(self, result: dict[str, Any]) -> str:
         item_id = result["id"]
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -109,6 +109,10 @@
             raise RuntimeError(f"{self.name} was not started.")
         return self.popen.pid
 
+    def has_exited(self) -> bool:
+        """Returns whether the process is not running."""
+        return self.popen is None or self.popen.poll() is not None
+
     def start(self) -> None:
         """Starts the process; its output is appended to the log."""
         with open(self.log, "ab") as log:
