Send signals, restarts and changes of the soak in series

Cause: a fault of the soak was one signal at one process, and a pause was at most 4 s: few runs had a worker that came back after another had claimed its jobs.

Change: programs get several signals in a row, also while they drain or are paused; all gateways or all workers are restarted one after the other; workers are paused for 3 to 6 s, longer than their lease; some programs are cut from the store while others reach it; several configurations are written in a row. There are three workers.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,21 @@
 
 __all__ = ["FAULTS_BY_NAME", "FaultLog", "inject_faults"]
 
+# Range of the pauses of owners of jobs, in seconds: longer than the lease of a
+# worker, so that another one takes over while the owner still holds results.
+OWNER_PAUSES_S = (3.0, 6.0)
+# Delays in seconds between the signals of one series.
+SIGNAL_INTERVALS_S = (0.0, 0.1, 0.5, 1.5, 3.0)
+# Series of signals that a program gets one after the other.
+SIGNAL_SERIES: tuple[tuple[signal.Signals, ...], ...] = (
+    (signal.SIGHUP, signal.SIGTERM, signal.SIGKILL),
+    (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGKILL),
+    (signal.SIGTERM, signal.SIGSTOP, signal.SIGCONT),
+    (signal.SIGSTOP, signal.SIGTERM, signal.SIGCONT, signal.SIGTERM),
+    (signal.SIGHUP, signal.SIGSTOP, signal.SIGKILL),
+)
 # Delay in seconds before a stopped process is restarted.
 RESTART_DELAY_S = 0.3
 # Maximum duration of one fault in seconds.
@@ -23,6 +38,8 @@
 START_INTERVALS_S = (0.0, 0.2, 0.5, 1.0, 2.0)
 # Intervals in seconds between the restarts of the processes of one service.
 RESTART_INTERVALS_S = (0.2, 0.6, 1.5)
+# Most configurations that are written in a row.
+MAX_CONFIGURATIONS = 4
 # Seconds within which a process must exit after SIGTERM.
 TERMINATION_TIMEOUT_S = 8.0
 
@@ -167,6 +184,60 @@
     return process.name
 
 
+@fault
+async def signal_in_series(context: FaultContext) -> str:
+    """Sends a program several signals in a row, also while it drains."""
+    process = context.pick_process(context.fleet.programs)
+    if process is None:
+        return ""
+    context.unavailable.add(process.name)
+    series = context.rng.choice(SIGNAL_SERIES)
+    for number in series:
+        process.signal(number)
+        await anyio.sleep(context.rng.choice(SIGNAL_INTERVALS_S))
+    await _wait_terminated(context, process)
+    return f"{process.name} {' '.join(number.name for number in series)}"
+
+
+@fault
+async def restart_in_turn(context: FaultContext) -> str:
+    """Restarts all gateways or all workers one after the other.
+
+    The restarts overlap if the interval is shorter than a drain.
+    """
+    fleet = context.fleet
+    processes = context.rng.choice((fleet.gateways, fleet.workers))
+    interval_s = context.rng.choice(RESTART_INTERVALS_S)
+    async with anyio.create_task_group() as group:
+        for process in processes:
+            if clock.remaining(context.deadline) <= 0:
+                break
+            process.signal(signal.SIGHUP)
+            if process.name not in context.unavailable:
+                context.unavailable.add(process.name)
+                process.signal(signal.SIGTERM)
+                group.start_soon(_wait_terminated, context, process)
+            await anyio.sleep(interval_s)
+    return processes[0].role
+
+
+@fault
+async def pause_owners(context: FaultContext) -> str:
+    """Suspends some workers for longer than their lease, but not all."""
+    workers = context.fleet.workers
+    targets = [w for w in workers if w.name not in context.unavailable]
+    count = context.rng.randint(1, max(1, len(workers) - 1))
+    targets = context.rng.sample(targets, min(count, len(targets)))
+    context.unavailable.update(w.name for w in targets)
+    for worker in targets:
+        worker.signal(signal.SIGSTOP)
+    await anyio.sleep(context.rng.uniform(*OWNER_PAUSES_S))
+    for worker in targets:
+        worker.signal(signal.SIGCONT)
+        context.unavailable.discard(worker.name)
+    return " ".join(w.name for w in targets)
+
+
 @fault
 async def release(context: FaultContext) -> str:
     """Restarts a service's servers one after the other with another version.
@@ -208,10 +279,11 @@
 
 @fault
 async def reload(context: FaultContext) -> str:
-    """Has a gateway or worker reload its settings with SIGHUP."""
-    process = context.pick_process(context.fleet.programs)
-    if process is None:
-        return ""
+    """Has a gateway or worker reload its settings with SIGHUP.
+
+    It may be draining, or paused, by another fault.
+    """
+    process = context.rng.choice(context.fleet.programs)
     process.signal(signal.SIGHUP)
     return process.name
 
@@ -234,6 +306,23 @@
     return await _apply_route_faults(context, "cut")
 
 
+@fault
+async def cut_from_store(context: FaultContext) -> str:
+    """Cuts some programs from the store while the others reach it."""
+    programs = context.fleet.programs
+    targets = context.rng.sample(
+        programs, context.rng.randint(1, len(programs) // 2)
+    )
+    mode = context.rng.choice(("cut", "freeze", "freeze_in", "freeze_out"))
+    routes = [f"{program.name}-store" for program in targets]
+    for route in routes:
+        context.fleet.set_faults(route, mode=mode)
+    await anyio.sleep(context.rng.uniform(1.0, OWNER_PAUSES_S[1]))
+    for route in routes:
+        context.fleet.set_faults(route)
+    return f"{mode} {' '.join(program.name for program in targets)}"
+
+
 @fault
 async def silence(context: FaultContext) -> str:
     """Holds back all bytes on a route while its connections stay open."""
@@ -280,11 +369,12 @@
 
 @fault
 async def change_configuration(context: FaultContext) -> str:
-    """Adds or removes a route of the configuration."""
+    """Adds or removes routes of the configuration, one or more in a row."""
     route_names = context.fleet.extra_routes
-    if route_names and context.rng.random() < 0.5:
-        route_names.pop()
-    else:
-        route_names.append(f"extra-{context.fleet.version}")
-    await context.fleet.write_configuration()
+    for _ in range(context.rng.randint(1, MAX_CONFIGURATIONS)):
+        if route_names and context.rng.random() < 0.5:
+            route_names.pop()
+        else:
+            route_names.append(f"extra-{context.fleet.version}")
+        await context.fleet.write_configuration()
     return f"version {context.fleet.version}"
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,7 +17,7 @@
 
 HOST = "soak.example"
 DATA_CENTRES = ("a", "b")
-ENGINES, SERVICES, GATEWAYS, WORKERS = 4, 2, 3, 2
+ENGINES, SERVICES, GATEWAYS, WORKERS = 4, 2, 3, 3
 # Versions of the servers' software at the start, side by side in each service.
 FIRST_VERSIONS = ("v1", "v2")
 VERSION_FLAG = "--software_version="
