--- a/plumvane/platform/requests.py
+++ b/plumvane/platform/requests.py
@@ -116,7 +116,7 @@
         headers=_end_to_end_headers(headers, _PER_ATTEMPT_HEADERS),
         timeout_s=milliseconds(found.get(names.DEADLINE_HEADER)),
         last_event_id=_parse_integer(found.get(names.LAST_EVENT_HEADER)),
-        resumed_id=found.get(names.RESUMED_REQUEST_HEADER, b"").decode(
+        resumed_id=found.get(names.RESUMES_HEADER, b"").decode(
             "latin-1"
         ),
     )
