Send nothing new to an upstream whose answer announces its shutdown

Callers may see: requests are refused or cut at an upstream that is about to exit, although its answers have said so for seconds. Until now only the listing's state counted, which is out of date while the store is away or the registration still says ready.

Cause: the header Server-Leaving was not read. A removed upstream also lost its state, so that one that is listed again would count as new.

Change: any answer that belongs to a request or a load report, of any status, marks the incarnation as leaving. UpstreamTable.ready excludes it from then on, so neither choose() nor retries, resumed streams and batch items use it, and loads that workers share carry the mark. No listing and no later answer undoes it; a restart under the same id starts anew. An upstream that is removed and listed again keeps its state, ejection and requests in flight included, since these belong to the incarnation too; an answer that arrives in between counts. A 421 and an answer that names another upstream at the address do not count. Requests in flight and streams go on, and the header is passed on to callers. The belief is logged once (7010), with the request that it came from.

The stand-in of a server sends the header while it drains.

--- a/plumvane/discovery/loads.py
+++ b/plumvane/discovery/loads.py
@@ -6,6 +6,7 @@
 import anyio.abc
 
 from plumvane import clock, events
+from plumvane.discovery.leaving import record_leaving
 from plumvane.discovery.relayed import RelayedStore
 from plumvane.errors import PlumvaneError
 from plumvane.peers.messages import Message
@@ -79,6 +80,9 @@
         for row in part.loads:
             upstream = self._upstreams.upstreams_by_id.get(row.upstream_id)
             if upstream is not None:
+                is_same = row.started_ms == upstream.listed.started_ms
+                if row.is_leaving and is_same:
+                    record_leaving(upstream, "peer")
                 load = Load(row.running, row.waiting)
                 apply_load(upstream, load, now - row.age_s)
 
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -130,6 +130,10 @@
     UPSTREAM_EJECTED = (7007, "An upstream temporarily receives no new work.")
     UPSTREAM_BACK = (7008, "An upstream responds again.")
     UPSTREAM_SILENT = (7009, "An upstream's load reports are overdue.")
+    UPSTREAM_LEAVING = (
+        7010,
+        "An upstream announced its shutdown; it receives no new requests.",
+    )
     ORDER_DELAYED = (7020, "An order to the engine is delayed.")
     ORDER_REFUSED = (7003, "The engine rejected an order.")
     CONFIGURATION_IN_FORCE = (8001, "This instance applies a revision.")
--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -187,7 +187,7 @@
         if not state.sent_ids:
             raise self._rejection(
                 f"No upstream of {state.service} accepts the request: "
-                f"{state.error or 'none is listed'}"
+                f"{state.error or 'none is ready'}"
             )
         raise UpstreamLostError(
             f"An upstream may have run the request, but its response was lost "
--- a/plumvane/peers/messages/loads.py
+++ b/plumvane/peers/messages/loads.py
@@ -26,12 +26,16 @@
         age_s: Seconds between the reading and the sending of this message. An
             age is sent instead of a time because the clocks of instances
             may differ by more than the age of a load.
+        is_leaving: Whether the upstream has announced its shutdown.
+        started_ms: Unix time of its start in milliseconds; 0 if unknown.
     """
 
     upstream_id: str
     running: int
     waiting: int
     age_s: float
+    is_leaving: bool = False
+    started_ms: int = 0
 
 
 class UpstreamLoads(Message, frozen=True, tag="loads"):
--- a/plumvane/platform/names.py
+++ b/plumvane/platform/names.py
@@ -10,6 +10,7 @@
     "ITEM_PATH_PREFIX",
     "JOB_PATH_PREFIX",
     "LAST_EVENT_HEADER",
+    "LEAVING_HEADER",
     "LOAD_HEADER",
     "NOT_RUN_HEADER",
     "OPERATOR_PREFIX",
@@ -31,6 +32,8 @@
 # Timeout of the sender in milliseconds, counted from when it sent the request.
 DEADLINE_HEADER = b"x-deadline-ms"
 LAST_EVENT_HEADER = b"last-event-id"
+# Present in all responses of an upstream that is leaving.
+LEAVING_HEADER = b"server-leaving"
 EXPECTED_UPSTREAM_HEADER = b"x-expect-instance"
 SIGNATURE_HEADER = b"x-response-signature"
 # Numbers of running requests, waiting requests and slots, separated by commas.
--- a/plumvane/platform/requests.py
+++ b/plumvane/platform/requests.py
@@ -82,6 +82,7 @@
             requested.
         upstream_id: Upstream that sent the response; empty if not given.
         load: Load of the upstream, if given.
+        is_leaving: Whether the upstream announces its shutdown.
     """
 
     request_id: str
@@ -90,6 +91,7 @@
     is_encoded: bool
     upstream_id: str
     load: Load | None
+    is_leaving: bool = False
 
 
 def decode_request(
@@ -186,6 +188,7 @@
         is_encoded=b"content-encoding" in found,
         upstream_id=found.get(names.UPSTREAM_ID_HEADER, b"").decode("latin-1"),
         load=decode_load(load) if load is not None else None,
+        is_leaving=names.LEAVING_HEADER in found,
     )
 
 
--- a/plumvane/relay/client.py
+++ b/plumvane/relay/client.py
@@ -9,6 +9,7 @@
 import httpcore
 
 from plumvane import clock
+from plumvane.discovery.leaving import record_leaving
 from plumvane.errors import (
     OverloadedError,
     UpstreamLostError,
@@ -215,6 +216,8 @@
             f"{head.upstream_id or 'another upstream'} responded.",
             not_run=True,
         )
+    if head.is_leaving and head.upstream_id in ("", upstream.upstream_id):
+        record_leaving(upstream, "response", request=attempt.request_id)
     if head.load is not None:
         upstream.update_load(head.load, clock.monotonic())
     if head.is_not_run:
--- a/plumvane/relay/reports.py
+++ b/plumvane/relay/reports.py
@@ -8,6 +8,7 @@
 import httpcore
 
 from plumvane import clock, events
+from plumvane.discovery.leaving import record_leaving
 from plumvane.discovery.loads import apply_load
 from plumvane.errors import ProtocolError
 from plumvane.httppool import (
@@ -17,6 +18,7 @@
 )
 from plumvane.platform import names
 from plumvane.platform.listing import decode_report
+from plumvane.platform.requests import decode_response
 from plumvane.serving.upstreams import Load, Upstream
 
 __all__ = ["ReportReader"]
@@ -53,10 +55,12 @@
         host = f"{upstream.listed.host}:{upstream.listed.port}"
         with anyio.move_on_after(REPORT_TIMEOUT_S):
             try:
-                response = await self._pool.request(
+                async with self._pool.stream(
                     "GET", url, headers=[("host", host)]
-                )
-                load: Load | None = decode_report(response.content)
+                ) as response:
+                    _record_announcement(upstream, response)
+                    body = await response.aread()
+                load: Load | None = decode_report(body)
             except (ProtocolError, *NETWORK_ERRORS):
                 # Counted as a missed report below.
                 load = None
@@ -69,3 +73,16 @@
                 upstream=upstream.upstream_id,
                 load_age_s=round(upstream.load_age(clock.monotonic()), 2),
             )
+
+
+def _record_announcement(
+    upstream: Upstream, response: httpcore.Response
+) -> None:
+    """Records that an upstream announces its shutdown beside its load.
+
+    Requests for loads do not name the upstream that they expect; another one
+    may have taken over its address.
+    """
+    head = decode_response(response.headers)
+    if head.is_leaving and head.upstream_id in ("", upstream.upstream_id):
+        record_leaving(upstream, "report")
--- a/plumvane/serving/upstreams.py
+++ b/plumvane/serving/upstreams.py
@@ -19,6 +19,8 @@
 # Age in seconds from which a reported load is ignored; requests last about a
 # second.
 MAX_LOAD_AGE_S = 1.0
+# Number of removed upstreams whose state is kept in case they are listed again.
+MAX_REMOVED = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +80,9 @@
         self.in_flight = 0
         self.batch_in_flight = 0
         self.missing_deadline: float | None = None
+        # Whether it has announced its shutdown in an answer. Unlike the listed
+        # state, this is never revoked.
+        self.is_leaving = False
         self._load: Load | None = None
         # Slots that it last reported; 0 before the first report.
         self._slots = 0
@@ -118,6 +123,16 @@
         if load.slots:
             self._slots = load.slots
 
+    def record_leaving(self) -> bool:
+        """Records that it has announced its shutdown in an answer.
+
+        Returns:
+            Whether it had not done so before.
+        """
+        is_new = not self.is_leaving
+        self.is_leaving = True
+        return is_new
+
     def record_missed_report(self) -> bool:
         """Records that it did not answer a request for its load.
 
@@ -193,19 +208,28 @@
         self.upstreams_by_id: dict[str, Upstream] = {}
         self._data_centre = data_centre
         self._rng = rng
+        # Removed upstreams in the order of their removal.
+        self._removed_by_id: dict[str, Upstream] = {}
 
     def put(self, listed: ListedUpstream) -> bool:
         """Adds or updates an upstream from the platform's listing.
 
+        An upstream that is listed again after its removal keeps its state,
+        unless it was restarted.
+
         Returns:
             Whether anything but the heartbeat number changed.
         """
-        known = self.upstreams_by_id.get(listed.upstream_id)
+        upstream_id = listed.upstream_id
+        removed = self._removed_by_id.pop(upstream_id, None)
+        known = self.upstreams_by_id.get(upstream_id, removed)
         if known is None or self._is_restart(known.listed, listed):
-            self.upstreams_by_id[listed.upstream_id] = Upstream(listed)
+            self.upstreams_by_id[upstream_id] = Upstream(listed)
             return True
+        self.upstreams_by_id[upstream_id] = known
         before = dataclasses.replace(known.listed, report_number=0)
         changed = before != dataclasses.replace(listed, report_number=0)
+        changed = changed or removed is not None
         changed = changed or known.missing_deadline is not None
         known.listed = listed
         known.missing_deadline = None
@@ -217,7 +241,12 @@
         Returns:
             The upstream, or None if it was not in the table.
         """
-        return self.upstreams_by_id.pop(upstream_id, None)
+        removed = self.upstreams_by_id.pop(upstream_id, None)
+        if removed is not None:
+            self._removed_by_id[upstream_id] = removed
+            while len(self._removed_by_id) > MAX_REMOVED:
+                del self._removed_by_id[next(iter(self._removed_by_id))]
+        return removed
 
     def keep_until(self, upstream_id: str, deadline: float) -> None:
         """Keeps an upstream that is missing from the listing for some time.
@@ -240,16 +269,20 @@
             and upstream.missing_deadline <= now
         ]
         for upstream in expired:
-            del self.upstreams_by_id[upstream.upstream_id]
+            self.remove(upstream.upstream_id)
         return expired
 
     def ready(self, service: str) -> list[Upstream]:
-        """Returns the upstreams of a service that are not draining."""
+        """Returns the upstreams of a service that accept new requests.
+
+        Neither their listed state nor an answer has announced a shutdown.
+        """
         return [
             upstream
             for upstream in self.upstreams_by_id.values()
             if upstream.listed.service == service
             and not upstream.listed.is_draining
+            and not upstream.is_leaving
         ]
 
     def choose(
--- a/plumvane/worker/feed.py
+++ b/plumvane/worker/feed.py
@@ -45,7 +45,12 @@
             if load is not None and age_s < now - since:
                 new_loads.append(
                     UpstreamLoad(
-                        upstream.upstream_id, load.running, load.waiting, age_s
+                        upstream.upstream_id,
+                        load.running,
+                        load.waiting,
+                        age_s,
+                        upstream.is_leaving,
+                        upstream.listed.started_ms,
                     )
                 )
         if new_loads:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -124,7 +124,9 @@
         if scope["type"] != "http":
             return
         headers = {n.decode(): v.decode() for n, v in scope["headers"]}
-        writer = _ResponseWriter(headers.get("x-request-id", ""), send)
+        writer = _ResponseWriter(
+            headers.get("x-request-id", ""), self._is_draining, send
+        )
         if scope["path"] == "/v1/report":
             report = {
                 "queue-depth": self._waiting,
@@ -215,8 +217,9 @@
 class _ResponseWriter:
     """Sends the response to one request."""
 
-    def __init__(self, request_id: str, send: Send) -> None:
+    def __init__(self, request_id: str, is_draining: bool, send: Send) -> None:
         self.request_id = request_id
+        self._is_draining = is_draining
         self._send = send
 
     async def start_response(
@@ -224,6 +227,8 @@
     ) -> None:
         """Sends status and headers, with the request's identifier added."""
         all_headers = {"x-request-id": self.request_id, **headers}
+        if self._is_draining:
+            all_headers["server-leaving"] = "1"
         rows = [(n.encode(), v.encode()) for n, v in all_headers.items()]
         await self._send(
             {"type": "http.response.start", "status": status, "headers": rows}
