--- a/plumvane/platform/names.py
+++ b/plumvane/platform/names.py
@@ -10,6 +10,7 @@
     "ITEM_PATH_PREFIX",
     "JOB_PATH_PREFIX",
     "LAST_EVENT_HEADER",
+    "LEAVING_HEADER",
     "LOAD_HEADER",
     "NOT_RUN_HEADER",
     "OPERATOR_PREFIX",
@@ -35,6 +36,8 @@
 # Request id of the caller's attempt that brought the first event of the stream
 # that it resumes.
 RESUMES_HEADER = b"resumes"
+# Present in all responses of an upstream that is leaving.
+LEAVING_HEADER = b"server-leaving"
 EXPECTED_UPSTREAM_HEADER = b"x-expect-instance"
 SIGNATURE_HEADER = b"x-response-signature"
 # Numbers of running requests, waiting requests and slots, separated by commas.
--- a/plumvane/platform/requests.py
+++ b/plumvane/platform/requests.py
@@ -85,6 +85,7 @@
             requested.
         upstream_id: Upstream that sent the response; empty if not given.
         load: Load of the upstream, if given.
+        is_leaving: Whether the upstream announces its shutdown.
     """
 
     request_id: str
@@ -93,6 +94,7 @@
     is_encoded: bool
     upstream_id: str
     load: Load | None
+    is_leaving: bool = False
 
 
 def decode_request(
@@ -116,9 +118,7 @@
         headers=_end_to_end_headers(headers, _PER_ATTEMPT_HEADERS),
         timeout_s=milliseconds(found.get(names.DEADLINE_HEADER)),
         last_event_id=_parse_integer(found.get(names.LAST_EVENT_HEADER)),
-        resumed_id=found.get(names.RESUMES_HEADER, b"").decode(
-            "latin-1"
-        ),
+        resumed_id=found.get(names.RESUMES_HEADER, b"").decode("latin-1"),
     )
 
 
@@ -192,6 +192,7 @@
         is_encoded=b"content-encoding" in found,
         upstream_id=found.get(names.UPSTREAM_ID_HEADER, b"").decode("latin-1"),
         load=decode_load(load) if load is not None else None,
+        is_leaving=names.LEAVING_HEADER in found,
     )
 
 
