Give each start of the soak's servers its own identifier

The stand-in registered a restarted server under its old identifier, also with another software version, so that a gateway whose listing was some tenths of a second old sent the rest of a stream there and X-Expect-Instance held. On the platform each start is a new incarnation with a new id.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -58,6 +58,8 @@
 
     def __init__(self) -> None:
         """Creates the server from the command-line flags."""
+        # Each start is a new incarnation with a new identifier.
+        self._server_id = f"{_NAME.value}-{secrets.token_hex(4)}"
         self._store = PlatformStore(_STORE.value)
         self._started_ms = int(clock.wall() * 1000)
         self._sequence = 0
@@ -105,7 +107,7 @@
             "born": self._started_ms,
         }
         await self._store.put(
-            f"servers/{_NAME.value}",
+            f"servers/{self._server_id}",
             msgspec.json.encode(registration),
             expected_revision=None,
             lease_id=lease_id,
@@ -134,7 +136,7 @@
                 "active-requests": self._running,
             }
             await writer.respond(200, json.dumps(report))
-        elif headers.get("x-expect-instance") != _NAME.value:
+        elif headers.get("x-expect-instance") != self._server_id:
             await writer.respond(421, "", {"x-not-executed": "1"})
         elif self._waiting >= MAX_WAITING:
             await writer.respond(503, "", {"x-not-executed": "1"})
