Send records of streams to peers that answer

Callers may see: a stream that is taken up after the loss of its gateway is refused, since the two peers ranked for its record were lost as well; their registrations last up to 10 s after them. Each batch of records also logged a line for such a peer.

Change: a peer that does not answer is called last for 2 s, and records that it did not take go to the next peers; the silence is logged once.

--- a/plumvane/discovery/origins.py
+++ b/plumvane/discovery/origins.py
@@ -39,6 +39,8 @@
 PEERS_ASKED = 3
 # Time limit for the peers' answers, in seconds.
 PEER_TIMEOUT_S = 0.25
+# Time for which a peer that did not answer is called last, in seconds.
+SILENCE_S = 2.0
 # Delay in which records for the same peer are collected, in seconds.
 SHARE_DELAY_S = 0.02
 # Largest number of records in memory, the newest.
@@ -101,6 +103,7 @@
         self._unshared_by_id: dict[str, StreamRecord] = {}
         self._split_ids: set[str] = set()
         self._share_requested = anyio.Event()
+        self._silent_until_by_name: dict[str, float] = {}
         view.on_versions_change = self._request_share
 
     def serve(self, server: PeerServer) -> None:
@@ -179,10 +182,20 @@
         self._share_requested.set()
 
     def _ranked_peers(self, request_id: str, count: int) -> list[str]:
+        """Returns the peers for a stream's record, silent ones last."""
         if self._peers is None:
             return []
         names = [n for n in self._peers.peers_by_name if n != self._name]
-        return hashing.top_ranked(request_id, names, count)
+        responsive = [n for n in names if not self._is_silent(n)]
+        ranked = hashing.top_ranked(request_id, responsive, count)
+        if len(ranked) < count:
+            silent = [n for n in names if self._is_silent(n)]
+            missing = count - len(ranked)
+            ranked += hashing.top_ranked(request_id, silent, missing)
+        return ranked
+
+    def _is_silent(self, name: str) -> bool:
+        return self._silent_until_by_name.get(name, 0.0) > clock.monotonic()
 
     def _take_shareable(self) -> dict[str, list[StreamRecord]]:
         """Returns the records to send, by the name of their peer."""
@@ -199,7 +212,15 @@
     async def _send_records(
         self, name: str, records: list[StreamRecord]
     ) -> None:
-        await self._call(name, RecordStreams(tuple(records)))
+        """Sends records to a peer, or to others if it does not answer."""
+        if await self._call(name, RecordStreams(tuple(records))) is not None:
+            return
+        now = clock.wall()
+        for record in records:
+            peers = self._ranked_peers(record.request_id, COPIES)
+            if record.expires_at > now and not all(map(self._is_silent, peers)):
+                self._unshared_by_id[record.request_id] = record
+        self._request_share()
 
     async def _call(self, name: str, message: Message) -> Message | None:
         """Calls a peer; returns None if it does not answer."""
@@ -212,9 +233,13 @@
                 address, message, deadline=deadline
             )
         except PlumvaneError as error:
-            events.log(
-                events.Event.STREAM_PEER_SILENT, peer=name, error=error.detail
-            )
+            if not self._is_silent(name):
+                events.log(
+                    events.Event.STREAM_PEER_SILENT,
+                    peer=name,
+                    error=error.detail,
+                )
+            self._silent_until_by_name[name] = clock.monotonic() + SILENCE_S
             return None
 
     async def _handle_records(
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -123,6 +123,25 @@
     run_fleet(steps)
 
 
+def test_records_go_to_other_peers_if_some_are_lost() -> None:
+    async def steps(fleet: Fleet) -> None:
+        fleet.list_versions("1", "2")
+        fleet.lost_names.update({"g2", "g3"})
+        origin, deadline = Origin(SERVICE, "2"), clock.monotonic() + 5.0
+        ids = [f"s{number}" for number in range(20)]
+        for request_id in ids:
+            fleet.origins_by_name["g1"].record(
+                request_id, origin, ROUTE, deadline
+            )
+        left = fleet.origins_by_name["g4"]
+        while not left._records_by_id.keys() >= set(ids):
+            await anyio.sleep(POLL_S)
+        fleet.lost_names.add("g1")
+        assert [await left.find(i, ROUTE) for i in ids] == [origin] * 20
+
+    run_fleet(steps)
+
+
 def test_stream_that_began_before_a_release_is_known_during_it() -> None:
     async def steps(fleet: Fleet) -> None:
         fleet.list_versions("1", age_s=2 * STREAM_LIFETIME_S)
