Name the request in every refusal of an entry

Fault: a refusal before a run named no request.

Cause: the id was made when the runner started the request. Refusals before that (no document yet, token, body, deadline, draining) had none, nor had stored errors in their problem document.

Change: each call gets its id on arrival; its first run takes this id, so the promise can be compared with the executions of the upstreams. Stored errors name their run. Ids no longer contain the partition, which is not known on arrival.

tests.test_requests_not_run told refusals before a run from those of runs by the missing id. It now wants an id in every refusal and tells them by code and detail; the permitted refusals before a run stay the same two.

--- a/plumvane/entry/api.py
+++ b/plumvane/entry/api.py
@@ -155,7 +155,7 @@
             prefix=prompt[:PREFIX_CHARACTERS],
             new_key="idempotency-key" not in http.headers,
         )
-        running = self._runner.start(request)
+        running = self._runner.start(request, http.state.request_id)
         if stream:
             # An error before the first text gets its own status and headers;
             # afterwards it can only be sent as an event.
@@ -185,7 +185,8 @@
             deadline=request_deadline(http, DEFAULT_TIMEOUT_S),
             new_key="idempotency-key" not in http.headers,
         )
-        return _answer_response(await self._runner.start(request).answer())
+        running = self._runner.start(request, http.state.request_id)
+        return _answer_response(await running.answer())
 
     async def show_request(self, http: HttpRequest) -> Response:
         """Serves GET /v1/requests/{key}."""
@@ -323,7 +324,7 @@
         "plumvane-durable": "true" if answer.durable else "false",
     }
     if outcome.error is not None:
-        response = problem_response(outcome_error(outcome))
+        response = problem_response(outcome_error(outcome, answer.request_id))
         response.headers.update(headers)
         return response
     return Response(
--- a/plumvane/entry/event_stream.py
+++ b/plumvane/entry/event_stream.py
@@ -85,7 +85,9 @@
         except PlumvaneError as error:
             return _error_event(error)
         if answer.outcome.error is not None:
-            return _error_event(outcome_error(answer.outcome))
+            return _error_event(
+                outcome_error(answer.outcome, answer.request_id)
+            )
         return self._last_text_event(answer) + _DONE
 
     def _last_text_event(self, answer: Answer) -> bytes:
--- a/plumvane/entry/problems.py
+++ b/plumvane/entry/problems.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import secrets
 from collections.abc import Awaitable, Callable
 
 from starlette.exceptions import HTTPException
@@ -22,6 +23,7 @@
 __all__ = [
     "Handler",
     "http_problem",
+    "new_request_id",
     "outcome_error",
     "problem_body",
     "problem_response",
@@ -31,6 +33,11 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+def new_request_id() -> str:
+    """Returns a new request id."""
+    return f"r-{secrets.token_hex(12)}"
+
+
 def problem_body(error: PlumvaneError) -> dict[str, object]:
     """Builds the problem document of an error."""
     body: dict[str, object] = {
@@ -67,51 +74,62 @@
     )
 
 
-def outcome_error(outcome: Outcome) -> PlumvaneError:
-    """Rebuilds the error of an outcome."""
+def outcome_error(outcome: Outcome, request_id: str) -> PlumvaneError:
+    """Rebuilds the error of a run's outcome."""
     failure = outcome.error
     if failure is None:
-        return PlumvaneError("The outcome has no error.")
-    return error_from_code(
-        failure.code,
-        failure.detail,
-        remedy=failure.remedy,
-        not_run=failure.not_run,
-        retry_after_s=failure.retry_after_s,
-    )
+        error = PlumvaneError("The outcome has no error.")
+    else:
+        error = error_from_code(
+            failure.code,
+            failure.detail,
+            remedy=failure.remedy,
+            not_run=failure.not_run,
+            retry_after_s=failure.retry_after_s,
+        )
+    error.request_id = request_id
+    return error
 
 
 def with_problems(handler: Handler) -> Handler:
-    """Wraps a handler so that its errors become problem documents."""
+    """Wraps a handler so that its errors become problem documents.
+
+    Each call gets a request id, in `state.request_id`, which its problem
+    document contains unless the error has the id of a run.
+    """
 
     async def serve(http: Request) -> Response:
+        request_id = http.state.request_id = new_request_id()
         try:
             return await handler(http)
         except PlumvaneError as error:
-            return problem_response(error)
+            problem = error
         except ClientDisconnect:
             raise
         except Exception as error:
             events.log(
                 events.Event.CALL_FAILED,
                 path=http.url.path,
+                request_id=request_id,
                 error=repr(error),
             )
-            return problem_response(
-                PlumvaneError("Internal error of the entry.")
-            )
+            problem = PlumvaneError("Internal error of the entry.")
+        problem.request_id = problem.request_id or request_id
+        return problem_response(problem)
 
     return serve
 
 
 async def http_problem(http: Request, error: Exception) -> Response:
     """Responds to an unknown path or a method that the path lacks."""
+    problem: PlumvaneError
     if isinstance(error, HTTPException) and error.status_code == 405:
-        return problem_response(
-            MethodNotAllowedError(
-                f"Method {http.method} is not allowed for this path."
-            )
+        problem = MethodNotAllowedError(
+            f"Method {http.method} is not allowed for this path."
         )
-    return problem_response(
-        NotFoundError(f"Path {http.url.path} does not exist.", not_run=True)
-    )
+    else:
+        problem = NotFoundError(
+            f"Path {http.url.path} does not exist.", not_run=True
+        )
+    problem.request_id = new_request_id()
+    return problem_response(problem)
--- a/plumvane/entry/runner.py
+++ b/plumvane/entry/runner.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
-
 import anyio
 import anyio.abc
 
@@ -11,6 +9,7 @@
 from plumvane.entry.acknowledgements import AcknowledgementBatcher
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.pending_results import PendingResults
+from plumvane.entry.problems import new_request_id
 from plumvane.entry.running import Answer, Request, RunningRequest
 from plumvane.entry.sidecars import SidecarClient
 from plumvane.errors import (
@@ -103,9 +102,14 @@
         """Registers the message handlers."""
         server.handle(StopRun, self._handle_stop)
 
-    def start(self, request: Request) -> RunningRequest:
-        """Starts a request and returns its handle."""
-        running = RunningRequest(request, _new_id(request))
+    def start(self, request: Request, request_id: str) -> RunningRequest:
+        """Starts a request and returns its handle.
+
+        Args:
+            request: The request.
+            request_id: Identifier of its first run.
+        """
+        running = RunningRequest(request, request_id)
         self._running_by_id[running.request_id] = running
         self._group.start_soon(self._run, running)
         return running
@@ -175,7 +179,9 @@
             events.log(
                 events.Event.TASK_FAILED, task="request", error=repr(error)
             )
-            running.fail(PlumvaneError("Internal error of the entry."))
+            failure = PlumvaneError("Internal error of the entry.")
+            failure.request_id = running.request_id
+            running.fail(failure)
         finally:
             del self._running_by_id[running.request_id]
 
@@ -221,7 +227,7 @@
         """Assigns a new run identifier to a request that was not run."""
         del self._running_by_id[running.request_id]
         running.claimed = False
-        running.request_id = _new_id(running.request)
+        running.request_id = new_request_id()
         self._running_by_id[running.request_id] = running
 
     def _candidates(self, request: Request) -> list[Instance]:
@@ -394,7 +400,3 @@
             )
             sidecars = [s for s in sidecars if s is not running.sidecar]
         await self._sidecars.discard(running.request_id, sidecars)
-
-
-def _new_id(request: Request) -> str:
-    return f"r{request.partition:04}-{secrets.token_hex(12)}"
--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -51,7 +51,8 @@
         not_run: Whether it is certain that the request was not sent to an
             upstream.
         retry_after_s: Seconds to wait before a retry, or None.
-        request_id: Request id of the run that failed with the error, or None.
+        request_id: Request id of the run or call that failed with the error;
+            None until it is known.
     """
 
     code: ClassVar[str] = "internal"
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import pathlib
+import tempfile
 import time
 from typing import Any
 
@@ -79,6 +81,7 @@
             )
             assert problem["not_run"] is True, case
             assert problem["remedy"], case
+            assert problem["request_id"], case
         unknown_service = fleet.call_raw(
             "POST", f"{entry.url}/v1/services/none", b"{}", TEAM
         )
@@ -109,6 +112,27 @@
     assert service_executions == 1
 
 
+def test_refusal_before_the_first_document_names_the_request() -> None:
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Fleet(pathlib.Path(folder)) as fleet,
+    ):
+        fleet.start_platform()
+        fleet.set_store_faults(down=True)
+        entry = fleet.start_entry("entry-0")
+        fleet.wait_started()
+        caller = Caller(fleet)
+        refusals = [
+            caller.complete(entry, "note"),
+            caller.quote(entry, {"load": 1}, key="q"),
+        ]
+    for status, problem in refusals:
+        assert (status, problem["code"]) == (503, "store_unavailable"), problem
+        assert problem["not_run"] is True
+    request_ids = {problem["request_id"] for _, problem in refusals}
+    assert len(request_ids) == len(refusals)
+
+
 def test_bad_jobs_have_their_own_errors_and_none_is_accepted() -> None:
     valid_lines = job_lines()
     invalid_line = job_lines(invalid_line=INVALID_LINE)
--- a/tests/test_requests_not_run.py
+++ b/tests/test_requests_not_run.py
@@ -41,6 +41,31 @@
 JUST_STARTED_DETAIL = (
     "This entry has just started and knows no fleet document yet."
 )
+# Refusals of runs; the others precede the run, like these details and team
+# limits.
+CODES_OF_RUNS = frozenset(
+    {
+        "cancelled",
+        "deadline_exceeded",
+        "internal",
+        "key_reused",
+        "leaving",
+        "link_lost",
+        "overloaded",
+        "store_unavailable",
+        "upstream_failed",
+        "upstream_unavailable",
+        "wrong_upstream",
+    }
+)
+DETAILS_BEFORE_RUNS = frozenset(
+    {
+        DEADLINE_PASSED_DETAIL,
+        JUST_STARTED_DETAIL,
+        "The entry is shutting down.",
+    }
+)
+TEAM_LIMIT_PREFIX = "Team "
 
 # Name of a workload of non-idempotent completions.
 ONCE = "once"
@@ -123,21 +148,32 @@
 ) -> None:
     for kind, refusals in callers.refusals_by_kind.items():
         not_run = [r for r in refusals if r.get("not_run")]
-        runs = [r["request_id"] for r in not_run if "request_id" in r]
-        assert runs, f"no run of a {kind} was refused as not run"
-        wrong = [r for r in not_run if r.get("request_id") in executed]
+        assert any(map(_is_of_run, not_run)), (
+            f"no run of a {kind} was refused as not run"
+        )
+        wrong = [r for r in not_run if r["request_id"] in executed]
         assert not wrong, (kind, wrong)
-        # A refusal names no run if the request arrived after its deadline or at
-        # an entry that was killed and has just restarted.
+        # A request is refused before its run only if it arrived after its
+        # deadline or at an entry that was killed and has just restarted.
         for refusal in not_run:
-            if "request_id" not in refusal:
-                kill_prefix = f"killed {refusal['refused_by']},"
-                was_killed = any(s.startswith(kill_prefix) for s in injected)
-                just_started = (
-                    was_killed and refusal["detail"] == JUST_STARTED_DETAIL
-                )
-                deadline_passed = refusal["detail"] == DEADLINE_PASSED_DETAIL
-                assert deadline_passed or just_started, refusal
+            kill_prefix = f"killed {refusal['refused_by']},"
+            was_killed = any(s.startswith(kill_prefix) for s in injected)
+            just_started = (
+                was_killed and refusal["detail"] == JUST_STARTED_DETAIL
+            )
+            deadline_passed = refusal["detail"] == DEADLINE_PASSED_DETAIL
+            assert deadline_passed or just_started or _is_of_run(refusal), (
+                refusal
+            )
+
+
+def _is_of_run(refusal: Any) -> bool:
+    """Returns whether a refusal comes from a run rather than precedes it."""
+    return (
+        refusal["code"] in CODES_OF_RUNS
+        and refusal["detail"] not in DETAILS_BEFORE_RUNS
+        and not refusal["detail"].startswith(TEAM_LIMIT_PREFIX)
+    )
 
 
 def _check_quotes(fleet: Fleet, callers: _Callers, injected: list[str]) -> None:
