Dispatch again when a quote's connection was lost unsent

Fault: callers of a non-idempotent service got link_lost with not_run true at once, although the deadline was far and the sidecar reachable a moment later.

Cause: an entry opens a connection to a sidecar for the dispatch. If it is lost before the sidecar has answered its first frame, the dispatch was never sent, so that not_run was true. The runner repeated a run that was refused as not run only for leaving and upstream_unavailable, not for link_lost. The lost connection was the dispatch's and not the claim's: a claim whose connection is lost is repeated, and ends as not_owner.

Change: the runner repeats such a run like the others, at most twice, within the deadline and under a new id. It is safe because the call was never handed to the connection: not_run is set only while the call has not been sent, and it is cleared as soon as one attempt was.

--- a/plumvane/entry/runner.py
+++ b/plumvane/entry/runner.py
@@ -52,7 +52,8 @@
 RETRY_AFTER_S = 1.0
 # A request fails once this number of upstreams has refused it as overloaded.
 MAX_OVERLOAD_REFUSALS = 2
-# Retries of a non-idempotent request that was refused as not run.
+# Retries of a non-idempotent request that was refused as not run, or whose
+# dispatch was not sent.
 MAX_NOT_RUN_RETRIES = 2
 
 
@@ -192,7 +193,11 @@
         for _ in range(MAX_NOT_RUN_RETRIES):
             try:
                 return await self._run_attempt(running)
-            except (LeavingError, UpstreamUnavailableError) as error:
+            except (
+                LeavingError,
+                LinkLostError,
+                UpstreamUnavailableError,
+            ) as error:
                 if not error.not_run or not running.tried_sidecars:
                     raise
                 await self._release(running.request, running.request_id)
