--- a/plumvane/entry/runner.py
+++ b/plumvane/entry/runner.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
-
 import anyio
 import anyio.abc
 
@@ -11,6 +9,7 @@
 from plumvane.entry.acknowledgements import AcknowledgementBatcher
 from plumvane.entry.owners import OwnerClient
 from plumvane.entry.pending_results import PendingResults
+from plumvane.entry.problems import new_request_id
 from plumvane.entry.running import Answer, Request, RunningRequest
 from plumvane.entry.sidecars import SidecarClient
 from plumvane.errors import (
@@ -53,7 +52,8 @@
 RETRY_AFTER_S = 1.0
 # A request fails once this number of upstreams has refused it as overloaded.
 MAX_OVERLOAD_REFUSALS = 2
-# Retries of a non-idempotent request that was refused as not run.
+# Retries of a non-idempotent request that was refused as not run, or whose
+# dispatch was not sent.
 MAX_NOT_RUN_RETRIES = 2
 
 
@@ -103,9 +103,14 @@
         """Registers the message handlers."""
         server.handle(StopRun, self._handle_stop)
 
-    def start(self, request: Request) -> RunningRequest:
-        """Starts a request and returns its handle."""
-        running = RunningRequest(request, _new_id(request))
+    def start(self, request: Request, request_id: str) -> RunningRequest:
+        """Starts a request and returns its handle.
+
+        Args:
+            request: The request.
+            request_id: Identifier of its first run.
+        """
+        running = RunningRequest(request, request_id)
         self._running_by_id[running.request_id] = running
         self._group.start_soon(self._run, running)
         return running
@@ -175,7 +180,9 @@
             events.log(
                 events.Event.TASK_FAILED, task="request", error=repr(error)
             )
-            running.fail(PlumvaneError("Internal error of the entry."))
+            failure = PlumvaneError("Internal error of the entry.")
+            failure.request_id = running.request_id
+            running.fail(failure)
         finally:
             del self._running_by_id[running.request_id]
 
@@ -186,7 +193,11 @@
         for _ in range(MAX_NOT_RUN_RETRIES):
             try:
                 return await self._run_attempt(running)
-            except (LeavingError, UpstreamUnavailableError) as error:
+            except (
+                LeavingError,
+                LinkLostError,
+                UpstreamUnavailableError,
+            ) as error:
                 if not error.not_run or not running.tried_sidecars:
                     raise
                 await self._release(running.request, running.request_id)
@@ -221,7 +232,7 @@
         """Assigns a new run identifier to a request that was not run."""
         del self._running_by_id[running.request_id]
         running.claimed = False
-        running.request_id = _new_id(running.request)
+        running.request_id = new_request_id()
         self._running_by_id[running.request_id] = running
 
     def _candidates(self, request: Request) -> list[Instance]:
@@ -394,7 +405,3 @@
             )
             sidecars = [s for s in sidecars if s is not running.sidecar]
         await self._sidecars.discard(running.request_id, sidecars)
-
-
-def _new_id(request: Request) -> str:
-    return f"r{request.partition:04}-{secrets.token_hex(12)}"
