Set the number of processes and clients of a soak by flags

Change: the flags gateways, workers, servers and clients size a soak, up to 150 processes. Items of a job have different lengths, so that an owner lists them one by one. Pauses of owners are drawn four times as often as other faults, and the store may answer them slowly when they resume.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,10 @@
 # Range of the pauses of owners of jobs, in seconds: longer than the lease of a
 # worker, so that another one takes over while the owner still holds results.
 OWNER_PAUSES_S = (3.0, 6.0)
+# Delays of the blocks of bytes of a slow store, in seconds, and the time for
+# which it is slow after such a pause.
+STORE_DELAYS_S = (0.2, 0.4)
+SLOW_STORE_S = 2.0
 # Delays in seconds between the signals of one series.
 SIGNAL_INTERVALS_S = (0.0, 0.1, 0.5, 1.5, 3.0)
 # Series of signals that a program gets one after the other.
@@ -90,6 +94,8 @@
 
 Fault = Callable[[FaultContext], Awaitable[str]]
 FAULTS_BY_NAME: dict[str, Fault] = {}
+# Relative frequencies of the faults that are not drawn as often as the others.
+WEIGHTS_BY_NAME = {"pause_owners": 4}
 
 
 def fault(function: Fault) -> Fault:
@@ -102,6 +108,12 @@
     return function
 
 
+def _draw_name(rng: random.Random) -> str:
+    names = sorted(FAULTS_BY_NAME)
+    weights = [WEIGHTS_BY_NAME.get(name, 1) for name in names]
+    return rng.choices(names, weights)[0]
+
+
 async def inject_faults(
     fleet: SoakFleet, rng: random.Random, log: FaultLog, seconds: float
 ) -> None:
@@ -110,7 +122,7 @@
     context = FaultContext(fleet, rng, log, deadline)
     async with anyio.create_task_group() as group:
         while clock.remaining(deadline) > 0:
-            name = rng.choice(sorted(FAULTS_BY_NAME))
+            name = _draw_name(rng)
             group.start_soon(_run, name, context)
             await anyio.sleep(rng.choice(START_INTERVALS_S))
     for routes in fleet.routes_by_process.values():
@@ -223,7 +235,11 @@
 
 @fault
 async def pause_owners(context: FaultContext) -> str:
-    """Suspends some workers for longer than their lease, but not all."""
+    """Suspends some workers for longer than their lease, but not all.
+
+    Their connections to the store may be slow when they resume, so that they
+    go on before they learn of their successors.
+    """
     workers = context.fleet.workers
     targets = [w for w in workers if w.name not in context.unavailable]
     count = context.rng.randint(1, max(1, len(workers) - 1))
@@ -232,9 +248,14 @@
     for worker in targets:
         worker.signal(signal.SIGSTOP)
     await anyio.sleep(context.rng.uniform(*OWNER_PAUSES_S))
+    delay_s = context.rng.choice((0.0, *STORE_DELAYS_S))
     for worker in targets:
+        context.fleet.set_faults(f"{worker.name}-store", delay_s=delay_s)
         worker.signal(signal.SIGCONT)
         context.unavailable.discard(worker.name)
+    await anyio.sleep(SLOW_STORE_S)
+    for worker in targets:
+        context.fleet.set_faults(f"{worker.name}-store")
     return " ".join(w.name for w in targets)
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import pathlib
 from typing import Any
@@ -13,11 +14,12 @@
 from plumvane.platform.store import PlatformStore
 from standins.launcher import Fleet, Process, free_port
 
-__all__ = ["HOST", "SoakFleet"]
+__all__ = ["HOST", "MAX_PROCESSES", "FleetSize", "SoakFleet"]
 
 HOST = "soak.example"
 DATA_CENTRES = ("a", "b")
-ENGINES, SERVICES, GATEWAYS, WORKERS = 4, 2, 3, 3
+# Most processes of one soak; each takes 40 to 60 MB.
+MAX_PROCESSES = 150
 # Versions of the servers' software at the start, side by side in each service.
 FIRST_VERSIONS = ("v1", "v2")
 VERSION_FLAG = "--software_version="
@@ -40,6 +42,23 @@
 ENGINE_ROUTES = frozenset({"note", "quote", "plan"})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetSize:
+    """Numbers of the processes of a soak.
+
+    Attributes:
+        gateways: Number of gateways.
+        workers: Number of workers.
+        engines: Number of model engines.
+        services: Number of plain services.
+    """
+
+    gateways: int = 3
+    workers: int = 3
+    engines: int = 4
+    services: int = 2
+
+
 class SoakFleet:
     """Starts the processes, with the fault proxy between them.
 
@@ -47,11 +66,12 @@
     each server.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, size: FleetSize) -> None:
         """Starts all processes.
 
         Args:
             folder: Folder for settings and logs.
+            size: Numbers of processes.
         """
         self.fleet = Fleet(folder)
         self.version = 0
@@ -61,14 +81,20 @@
         self.fleet.start_proxy()
         self.store = PlatformStore(self.fleet["store"].url)
         self.servers = [
-            *(self._start_server("engine", n, "lm") for n in range(ENGINES)),
-            *(self._start_server("app", n, "app") for n in range(SERVICES)),
+            *(
+                self._start_server("engine", n, "lm")
+                for n in range(size.engines)
+            ),
+            *(
+                self._start_server("app", n, "app")
+                for n in range(size.services)
+            ),
         ]
         self.gateways = [
-            self._start_program(f"gateway-{n}", n) for n in range(GATEWAYS)
+            self._start_program(f"gateway-{n}", n) for n in range(size.gateways)
         ]
         self.workers = [
-            self._start_program(f"worker-{n}", n) for n in range(WORKERS)
+            self._start_program(f"worker-{n}", n) for n in range(size.workers)
         ]
 
     @property
@@ -76,6 +102,10 @@
         """The processes under test: gateways and workers."""
         return [*self.gateways, *self.workers]
 
+    def wait_started(self) -> None:
+        """Waits until servers and gateways accept connections."""
+        self.fleet.wait_started()
+
     def close(self) -> None:
         """Kills all processes of the soak."""
         self.fleet.kill_all()
@@ -161,7 +191,7 @@
         role = name.partition("-")[0]
         store = self._route(f"{name}-store", self._address("store"))
         self.routes_by_process[name] = [f"{name}-store"]
-        http_port = free_port(self.fleet.host)
+        http_port = 0
         sections: dict[str, dict[str, Any]] = {
             "process": {
                 "name": name,
@@ -171,6 +201,7 @@
             "peers": {"address": self._free_address()},
         }
         if role == "gateway":
+            http_port = free_port(self.fleet.host)
             callers = f"{self.fleet.host}:{http_port}"
             sections["callers"] = {"address": callers}
             sections["balancer"] = {"address": self._free_address()}
--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -15,9 +15,10 @@
 
 __all__ = ["SETTLE_S", "SubmittedJob"]
 
-# Numbers of items of a job, and of events of an item.
-JOB_SIZES = (6, 6, 12)
-ITEM_SIZES = (20, 20, 60)
+# Numbers of items of a job, and of events of an item. Items that end at
+# different times are listed one by one, also by a new owner.
+JOB_SIZES = (4, 6, 12)
+ITEM_SIZES = (10, 20, 60, 120)
 # Seconds after which a result that one read returned must be found by all.
 SETTLE_S = 1.0
 
@@ -41,7 +42,7 @@
     Attributes:
         job_id: Identifier of the job.
         paths_by_item: Path of each item.
-        events_per_item: Number of events of each item's text.
+        events_by_item: Number of events of the text of each item.
         may_have_ended: Whether a client has asked to end the job.
         results: Results by position.
     """
@@ -62,7 +63,9 @@
         self.paths_by_item = {
             new_id(): f"/plan/{item_kind}/{job_id}" for item_kind in item_kinds
         }
-        self.events_per_item = rng.choice(ITEM_SIZES)
+        self.events_by_item = {
+            item_id: rng.choice(ITEM_SIZES) for item_id in self.paths_by_item
+        }
         self.may_have_ended = False
         self.results: list[_ReadResult] = []
 
@@ -73,7 +76,8 @@
                 "id": item_id,
                 "path": path,
                 "headers": {
-                    names.TOKEN_USAGE_HEADER: f"100,{self.events_per_item * 10}"
+                    names.TOKEN_USAGE_HEADER: "100,"
+                    f"{self.events_by_item[item_id] * 10}"
                 },
                 "body": base64.b64encode(item_id.encode()).decode(),
                 "tokens": 300,
@@ -149,10 +153,11 @@
             events = decode_text(result["text"])
         except ValueError:
             return f"MIXED: item {item_id} has text {result['text'][:100]!r}"
-        if len(events) != self.events_per_item:
+        total = self.events_by_item[item_id]
+        if len(events) != total:
             return (
                 f"MIXED: the text of item {item_id} has {len(events)} of "
-                f"{self.events_per_item} events"
+                f"{total} events"
             )
         error = find_error(events, (item_id,))
         return f"{error} in the text of item {item_id}" if error else ""
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import pathlib
 import random
 import shutil
@@ -21,7 +22,7 @@
     Schedule,
 )
 from soak.faults import FaultLog, inject_faults
-from soak.fleet import SoakFleet
+from soak.fleet import MAX_PROCESSES, FleetSize, SoakFleet
 
 __all__ = ["main", "soak"]
 
@@ -32,11 +33,27 @@
     "keep", None, "Folder for the logs of failed seeds."
 )
 
-REQUEST_CLIENTS = 12
-JOB_CLIENTS = 3
-JOB_READERS = 3
-# Seconds allowed for the start of all processes.
-STARTUP_S = 4.0
+_GATEWAYS = flags.DEFINE_integer("gateways", 3, "Gateways.", lower_bound=1)
+_WORKERS = flags.DEFINE_integer("workers", 3, "Workers.", lower_bound=1)
+_SERVERS = flags.DEFINE_integer(
+    "servers",
+    4,
+    "Model engines; there are half as many plain services.",
+    lower_bound=4,
+)
+_CLIENTS = flags.DEFINE_integer(
+    "clients",
+    12,
+    "Clients that send requests; for every four of them, one submits jobs and "
+    "one reads jobs.",
+    lower_bound=4,
+)
+
+DEFAULT_SIZE = FleetSize()
+# Request clients for each client that submits jobs, and for each reader.
+CLIENTS_PER_JOB_CLIENT = 4
+# Seconds allowed for the start of gateways and workers after they listen.
+STARTUP_S = 3.0
 # Seconds after the end of fault injection for which clients go on sending, and
 # within which all accepted jobs must have all their results.
 RECOVERY_TRAFFIC_S = 10.0
@@ -52,9 +69,23 @@
 
 def _run_all(argv: list[str]) -> None:
     del argv
+    size = FleetSize(
+        gateways=_GATEWAYS.value,
+        workers=_WORKERS.value,
+        engines=_SERVERS.value,
+        services=_SERVERS.value // 2,
+    )
+    if sum(dataclasses.astuple(size)) > MAX_PROCESSES:
+        raise app.UsageError(f"Over {MAX_PROCESSES} processes.")
     failed_seeds = 0
     for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
-        violations, summary = soak(seed, _SECONDS.value, keep=_KEEP.value)
+        violations, summary = soak(
+            seed,
+            _SECONDS.value,
+            size=size,
+            clients=_CLIENTS.value,
+            keep=_KEEP.value,
+        )
         failed_seeds += bool(violations)
         print(
             f"seed {seed}: {len(violations)} violations; {summary}", flush=True
@@ -66,13 +97,20 @@
 
 
 def soak(
-    seed: int, seconds: float, *, keep: str | None = None
+    seed: int,
+    seconds: float,
+    *,
+    size: FleetSize = DEFAULT_SIZE,
+    clients: int = 12,
+    keep: str | None = None,
 ) -> tuple[list[str], str]:
     """Runs the soak with one seed.
 
     Args:
         seed: Seeds the random choice of faults, targets and requests.
         seconds: Seconds for which faults are injected.
+        size: Numbers of processes.
+        clients: Number of clients that send requests.
         keep: Folder to which the logs are copied if a guarantee was violated.
 
     Returns:
@@ -80,9 +118,12 @@
     """
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        fleet = SoakFleet(folder)
+        fleet = SoakFleet(folder, size)
         try:
-            violations, summary = anyio.run(_run_seed, fleet, seed, seconds)
+            fleet.wait_started()
+            violations, summary = anyio.run(
+                _run_seed, fleet, seed, seconds, clients
+            )
         finally:
             fleet.close()
         if violations and keep is not None:
@@ -93,7 +134,7 @@
 
 
 async def _run_seed(
-    fleet: SoakFleet, seed: int, seconds: float
+    fleet: SoakFleet, seed: int, seconds: float, clients: int
 ) -> tuple[list[str], str]:
     observations, log = Observations(), FaultLog()
     await fleet.write_configuration()
@@ -101,14 +142,14 @@
     schedule = Schedule()
     reader = JobReader(fleet, observations, random.Random(f"{seed} reader"))
     async with anyio.create_task_group() as group:
-        for number in range(REQUEST_CLIENTS):
+        for number in range(clients):
             rng = random.Random(f"{seed} request {number}")
             client = RequestClient(fleet, observations, rng)
             group.start_soon(client.run, schedule)
-        for number in range(JOB_CLIENTS):
+        for number in range(clients // CLIENTS_PER_JOB_CLIENT):
             rng = random.Random(f"{seed} job {number}")
             group.start_soon(JobClient(fleet, observations, rng).run, schedule)
-        for number in range(JOB_READERS):
+        for number in range(clients // CLIENTS_PER_JOB_CLIENT):
             rng = random.Random(f"{seed} reader {number}")
             group.start_soon(JobReader(fleet, observations, rng).run, schedule)
         await inject_faults(fleet, random.Random(seed), log, seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -92,6 +92,10 @@
     return SubmittedJob("j", lambda: f"{rng.getrandbits(64):016x}", rng)
 
 
+def first_item_events(job: SubmittedJob) -> int:
+    return next(iter(job.events_by_item.values()))
+
+
 def texts_of_runs(
     job: SubmittedJob, *runs: tuple[str, str, int]
 ) -> dict[str, Any]:
@@ -116,7 +120,7 @@
 
 def test_any_run_of_an_item_is_accepted_but_stays() -> None:
     job = make_job()
-    total = job.events_per_item
+    total = first_item_events(job)
     first = texts_of_runs(job, ("r1", "v1", 5), ("r2", "v1", total - 5))
     assert read_page(job, first) == ""
     assert read_page(job, first, sent_after_s=SETTLE_S + 1.0) == ""
@@ -125,7 +129,7 @@
 
 
 def test_text_of_an_item_is_whole_and_of_one_version() -> None:
-    total = make_job().events_per_item
+    total = first_item_events(make_job())
     short = texts_of_runs(make_job(), ("r1", "v1", total - 1))
     assert read_page(make_job(), short).startswith("MIXED: ")
     two_versions = texts_of_runs(
@@ -141,7 +145,7 @@
 
 def test_result_that_was_read_must_come_again() -> None:
     job = make_job()
-    total = job.events_per_item
+    total = first_item_events(job)
     assert read_page(job) == ""
     assert read_page(job, texts_of_runs(job, ("r1", "v1", total))) == ""
     assert read_page(job, sent_after_s=SETTLE_S / 2) == ""
