Let gateways and workers listen for peers at another address

Cause: the soak could not cut the ways between gateways and workers, since they listened at the address that peers are told; a proxy had no place. Entries have listen_address in [process] for the same purpose.

Change: [peers] takes listen_address; the address that is published stays.

--- a/plumvane/discovery/connect.py
+++ b/plumvane/discovery/connect.py
@@ -31,5 +31,6 @@
         str(settings.peers.address),
         rng,
         role,
+        listen_address=str(settings.peers.bind_address),
     )
     return store, FleetView(store, process.data_centre, rng)
--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -110,18 +110,21 @@
         address: str,
         rng: random.Random,
         role: str = "",
+        *,
+        listen_address: str = "",
     ) -> None:
         """Creates the store.
 
         Args:
             store: The platform's store.
             name: Name of this instance.
-            address: Address at which this instance serves peers.
+            address: Address at which peers reach this instance.
             rng: Random source for the choice of peers.
             role: Role of this instance, published to its peers.
+            listen_address: Address to listen on for peers, if it differs.
         """
         self.links = LinkPool(name)
-        self.server = PeerServer(address)
+        self.server = PeerServer(listen_address or address)
         self._store = store
         self._own_name = name
         self._rng = rng
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -350,16 +350,31 @@
     address: Address
 
 
+class PeersSection(AddressSection, frozen=True, kw_only=True):
+    """Section [peers]: how peers reach the process.
+
+    Attributes:
+        listen_address: Address to listen on for peers, if it differs.
+    """
+
+    listen_address: Address | None = None
+
+    @property
+    def bind_address(self) -> Address:
+        """The address on which the process listens for peers."""
+        return self.listen_address or self.address
+
+
 class WorkerSettings(ProgramSettings, frozen=True, kw_only=True):
     """Settings of plumvane-worker.
 
     Attributes:
         store: Section [store].
-        peers: Section [peers]: address for peers.
+        peers: Section [peers].
     """
 
     store: StoreSection
-    peers: AddressSection
+    peers: PeersSection
 
 
 class GatewaySettings(WorkerSettings, frozen=True, kw_only=True):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -65,6 +65,23 @@
         assert "Traceback" not in err
 
 
+def test_listen_address_of_peers_may_differ_from_their_address() -> None:
+    host = loopback_host()
+    with socket.socket() as occupied, tempfile.TemporaryDirectory() as folder:
+        occupied.bind((host, 0))
+        occupied.listen()
+        listen = f"{host}:{occupied.getsockname()[1]}"
+        text = (SAMPLES / "worker.ini").read_text(encoding="utf-8")
+        text = text.replace(
+            "[peers]\n", f"[peers]\nlisten_address = {listen}\n"
+        )
+        path = pathlib.Path(folder) / "worker.ini"
+        path.write_text(text, encoding="utf-8")
+        code, _, err = start("worker", path)
+    assert code == EXIT_SETTINGS, err[-500:]
+    assert f"Cannot listen on {listen}" in err
+
+
 def test_address_in_use_fails_the_start_with_a_remedy() -> None:
     host = loopback_host()
     with socket.socket() as occupied:
