Cut programs of the soak from the store and from their peers

Cause: a worker that is cut from the store goes on through its peers, so its jobs stayed with it and no other worker took over while it ran items.

Change: the proxy carries the connections of peers; cut_from_store may cut the programs from all peers that reach the store. Cuts last up to 8 s and are drawn as often as pauses of owners. Two clients submit jobs for every three that send requests, so that each worker owns open jobs most of the time.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,8 @@
 # Range of the pauses of owners of jobs, in seconds: longer than the lease of a
 # worker, so that another one takes over while the owner still holds results.
 OWNER_PAUSES_S = (3.0, 6.0)
+# Range of the times for which programs are cut from the store, in seconds.
+CUT_S = (1.0, 8.0)
 # Delays of the blocks of bytes of a slow store, in seconds, and the time for
 # which it is slow after such a pause.
 STORE_DELAYS_S = (0.2, 0.4)
@@ -95,7 +97,7 @@
 Fault = Callable[[FaultContext], Awaitable[str]]
 FAULTS_BY_NAME: dict[str, Fault] = {}
 # Relative frequencies of the faults that are not drawn as often as the others.
-WEIGHTS_BY_NAME = {"pause_owners": 4}
+WEIGHTS_BY_NAME = {"cut_from_store": 4, "pause_owners": 4}
 
 
 def fault(function: Fault) -> Fault:
@@ -329,19 +331,29 @@
 
 @fault
 async def cut_from_store(context: FaultContext) -> str:
-    """Cuts some programs from the store while the others reach it."""
-    programs = context.fleet.programs
+    """Cuts some programs from the store while the others reach it.
+
+    Those that are cut may be unable to reach any peers either; the peers that
+    reach the store then take over.
+    """
+    fleet = context.fleet
     targets = context.rng.sample(
-        programs, context.rng.randint(1, len(programs) // 2)
+        fleet.programs, context.rng.randint(1, len(fleet.programs) // 2)
     )
     mode = context.rng.choice(("cut", "freeze", "freeze_in", "freeze_out"))
     routes = [f"{program.name}-store" for program in targets]
+    has_peers = context.rng.random() < 0.5
+    if not has_peers:
+        routes += [
+            f"{p.name}-peers" for p in fleet.programs if p not in targets
+        ]
     for route in routes:
-        context.fleet.set_faults(route, mode=mode)
-    await anyio.sleep(context.rng.uniform(1.0, OWNER_PAUSES_S[1]))
+        fleet.set_faults(route, mode=mode)
+    await anyio.sleep(context.rng.uniform(*CUT_S))
     for route in routes:
-        context.fleet.set_faults(route)
-    return f"{mode} {' '.join(program.name for program in targets)}"
+        fleet.set_faults(route)
+    reach = "with peers" if has_peers else "without peers"
+    return f"{mode} {reach} {' '.join(program.name for program in targets)}"
 
 
 @fault
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -62,8 +62,8 @@
 class SoakFleet:
     """Starts the processes, with the fault proxy between them.
 
-    The proxy carries the connections of each process to the store, and those to
-    each server.
+    The proxy carries the connections of each process to the store, those to
+    each server, and those of peers to each gateway and worker.
     """
 
     def __init__(self, folder: pathlib.Path, size: FleetSize) -> None:
@@ -190,7 +190,9 @@
     def _start_program(self, name: str, number: int) -> Process:
         role = name.partition("-")[0]
         store = self._route(f"{name}-store", self._address("store"))
-        self.routes_by_process[name] = [f"{name}-store"]
+        listen = self._free_address()
+        peers = self._route(f"{name}-peers", listen)
+        self.routes_by_process[name] = [f"{name}-store", f"{name}-peers"]
         http_port = 0
         sections: dict[str, dict[str, Any]] = {
             "process": {
@@ -198,7 +200,7 @@
                 "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
             },
             "store": {"url": f"http://{store}"},
-            "peers": {"address": self._free_address()},
+            "peers": {"address": peers, "listen_address": listen},
         }
         if role == "gateway":
             http_port = free_port(self.fleet.host)
--- a/soak/run.py
+++ b/soak/run.py
@@ -44,14 +44,15 @@
 _CLIENTS = flags.DEFINE_integer(
     "clients",
     12,
-    "Clients that send requests; for every four of them, one submits jobs and "
-    "one reads jobs.",
+    "Clients that send requests; for every three of them, two submit jobs.",
     lower_bound=4,
 )
 
 DEFAULT_SIZE = FleetSize()
-# Request clients for each client that submits jobs, and for each reader.
-CLIENTS_PER_JOB_CLIENT = 4
+# Request clients for each client that submits jobs, and for each reader. Each
+# worker should own open jobs most of the time.
+CLIENTS_PER_JOB_CLIENT = 1.5
+CLIENTS_PER_READER = 4
 # Seconds allowed for the start of gateways and workers after they listen.
 STARTUP_S = 3.0
 # Seconds after the end of fault injection for which clients go on sending, and
@@ -146,10 +147,10 @@
             rng = random.Random(f"{seed} request {number}")
             client = RequestClient(fleet, observations, rng)
             group.start_soon(client.run, schedule)
-        for number in range(clients // CLIENTS_PER_JOB_CLIENT):
+        for number in range(int(clients / CLIENTS_PER_JOB_CLIENT)):
             rng = random.Random(f"{seed} job {number}")
             group.start_soon(JobClient(fleet, observations, rng).run, schedule)
-        for number in range(clients // CLIENTS_PER_JOB_CLIENT):
+        for number in range(clients // CLIENTS_PER_READER):
             rng = random.Random(f"{seed} reader {number}")
             group.start_soon(JobReader(fleet, observations, rng).run, schedule)
         await inject_faults(fleet, random.Random(seed), log, seconds)
