Report processes of a soak that end by themselves

Change: a positive exit status is reported at any time, and the process restarted.

Result: test_process_that_ends_by_itself_is_reported passes.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 from soak.fleet import SoakFleet
 from standins.launcher import Process
 
-__all__ = ["FAULTS_BY_NAME", "FaultLog", "inject_faults"]
+__all__ = ["FAULTS_BY_NAME", "FaultLog", "inject_faults", "report_exit"]
 
 # Range of the pauses of owners of jobs, in seconds: longer than the lease of a
 # worker, so that another one takes over while the owner still holds results.
@@ -44,6 +44,8 @@
 START_INTERVALS_S = (0.0, 0.2, 0.5, 1.0, 2.0)
 # Intervals in seconds between the restarts of the processes of one service.
 RESTART_INTERVALS_S = (0.2, 0.6, 1.5)
+# Interval of checks for processes that have exited, in seconds.
+EXIT_POLL_S = 0.05
 # Most configurations that are written in a row.
 MAX_CONFIGURATIONS = 4
 # Seconds within which a process must exit after SIGTERM.
@@ -122,17 +124,39 @@
     """Injects overlapping faults for some seconds, then reverts all of them."""
     deadline = clock.monotonic() + seconds
     context = FaultContext(fleet, rng, log, deadline)
-    async with anyio.create_task_group() as group:
-        while clock.remaining(deadline) > 0:
-            name = _draw_name(rng)
-            group.start_soon(_run, name, context)
-            await anyio.sleep(rng.choice(START_INTERVALS_S))
+    async with anyio.create_task_group() as watchers:
+        watchers.start_soon(_restart_ended, context)
+        async with anyio.create_task_group() as group:
+            while clock.remaining(deadline) > 0:
+                name = _draw_name(rng)
+                group.start_soon(_run, name, context)
+                await anyio.sleep(rng.choice(START_INTERVALS_S))
+        watchers.cancel_scope.cancel()
     for routes in fleet.routes_by_process.values():
         for route in routes:
             fleet.set_faults(route)
     fleet.set_store_faults()
 
 
+def report_exit(process: Process, log: FaultLog) -> None:
+    """Reports a process that has exited other than by a signal or a drain."""
+    status = process.popen.poll() if process.popen is not None else None
+    if status is not None and status > 0:
+        log.errors.append(f"FAULT: {process.name} ended with status {status}")
+
+
+async def _restart_ended(context: FaultContext) -> None:
+    """Reports and restarts processes that end by themselves."""
+    fleet = context.fleet
+    while True:
+        for process in (*fleet.programs, *fleet.servers):
+            if process.name in context.unavailable or not process.has_exited():
+                continue
+            report_exit(process, context.log)
+            process.start()
+        await anyio.sleep(EXIT_POLL_S)
+
+
 async def _run(name: str, context: FaultContext) -> None:
     started = clock.wall()
     target = await FAULTS_BY_NAME[name](context)
@@ -176,12 +200,13 @@
     """Waits for the exit of a process that got SIGTERM, and restarts it."""
     with anyio.move_on_after(TERMINATION_TIMEOUT_S):
         while not process.has_exited():
-            await anyio.sleep(0.05)
+            await anyio.sleep(EXIT_POLL_S)
     if not process.has_exited():
         context.log.errors.append(
             f"{process.name} did not exit in time after SIGTERM"
         )
         process.kill()
+    report_exit(process, context.log)
     await _restart(context, process)
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,7 +23,7 @@
     RequestClient,
     Schedule,
 )
-from soak.faults import FaultLog, inject_faults
+from soak.faults import FaultLog, inject_faults, report_exit
 from soak.fleet import MAX_PROCESSES, FleetSize, SoakFleet
 
 __all__ = ["main", "soak"]
@@ -172,6 +172,8 @@
         schedule.jobs_until = now + RECOVERY_TRAFFIC_S / 2
         schedule.requests_until = now + RECOVERY_TRAFFIC_S
         schedule.jobs_finished_by = now + COMPLETION_TIMEOUT_S
+    for process in (*fleet.programs, *fleet.servers):
+        report_exit(process, log)
     await reader.read_all_again(clock.monotonic() + FINAL_READS_TIMEOUT_S)
     violations = find_violations(
         observations, log, fleet.executions(), faults_ended_at
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,9 @@
 
 import pathlib
 import random
+import signal
+import sys
+import tempfile
 import types
 from typing import Any
 
@@ -12,7 +15,7 @@
 from plumvane import clock
 from soak.checks import RECOVERY_S, find_violations
 from soak.clients import JobReader, Observations
-from soak.faults import FAULTS_BY_NAME, FaultLog
+from soak.faults import FAULTS_BY_NAME, FaultLog, report_exit
 from soak.jobs import SETTLE_S, SubmittedJob
 from soak.run import soak
 from soak.streams import StreamReading
@@ -252,3 +255,31 @@
     assert read_at_the_end(200) == []
     (error,) = read_at_the_end(503)
     assert "LOST: cannot be read at gateway-0 in the end" in error
+
+
+def report_exit_of(code: str, *, kills: bool = False) -> list[str]:
+    """Returns what is reported about a process that runs some Python code."""
+    log = FaultLog()
+    with tempfile.TemporaryDirectory() as folder:
+        process = Process(
+            "worker-0",
+            "worker",
+            [sys.executable, "-c", code],
+            pathlib.Path(folder) / "log",
+            "127.0.0.1",
+        )
+        process.start()
+        report_exit(process, log)
+        if kills:
+            process.signal(signal.SIGKILL)
+        assert process.popen is not None
+        process.popen.wait()
+        report_exit(process, log)
+    return log.errors
+
+
+def test_process_that_ends_by_itself_is_reported() -> None:
+    assert report_exit_of("import time; time.sleep(60)", kills=True) == []
+    assert report_exit_of("import time; time.sleep(0.2)") == []
+    failing = "import sys, time; time.sleep(0.2); sys.exit(1)"
+    assert report_exit_of(failing) == ["FAULT: worker-0 ended with status 1"]
