Treat a connection that is reset while it is opened as a failed one

Cause: httpcore sets the socket options after the connection is established. If it was reset by then, the event loop has dropped the socket and httpcore raises AttributeError ('NoneType' object has no attribute 'setsockopt'), which is no network error: it passed the store client, the probe of the store and the task groups up to the process.

Change: the pool's backend raises ConnectError instead.

The fix holds since all connections of gateways, workers and their store clients are opened by this backend. tests.test_httppool and test_relay_client: 0 failed.

--- a/plumvane/httppool.py
+++ b/plumvane/httppool.py
@@ -53,6 +53,30 @@
 )
 
 
+class _Backend(httpcore.AnyIOBackend):
+    """Opens connections; a reset in the meantime is a network error."""
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """See base class."""
+        try:
+            return await super().connect_tcp(
+                host, port, timeout, local_address, socket_options
+            )
+        except AttributeError as error:
+            # httpcore sets the options on the socket, which the event loop has
+            # removed from a connection that was reset.
+            raise httpcore.ConnectError(
+                f"The connection to {host}:{port} was reset."
+            ) from error
+
+
 class HttpPool:
     """Sends HTTP/1.1 requests over pooled keep-alive connections."""
 
@@ -174,6 +198,7 @@
             ssl_context=self._ssl_context,
             keepalive_expiry=KEEPALIVE_EXPIRY_S,
             socket_options=self._socket_options,
+            network_backend=_Backend(),
         )
 
     async def _release(
--- a/tests/test_httppool.py
+++ b/tests/test_httppool.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import ssl
+import unittest.mock
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -12,7 +13,11 @@
 import trustme
 from anyio.streams.tls import TLSListener, TLSStream
 
-from plumvane.httppool import HttpPool
+from plumvane.httppool import (
+    KEEPALIVE_SOCKET_OPTIONS,
+    NETWORK_ERRORS,
+    HttpPool,
+)
 from standins.launcher import free_port
 
 OUTER_DEADLINE_S = 30.0
@@ -184,3 +189,28 @@
         await listener.aclose()
 
     anyio.run(check)
+
+
+class _ResetStream:
+    """A stream whose connection was reset right after it was opened."""
+
+    _raw_socket = None
+
+    async def aclose(self) -> None:
+        """Closes the stream."""
+
+
+def test_connection_that_is_reset_while_opened_is_a_network_error() -> None:
+    async def connect(**kwargs: object) -> _ResetStream:
+        return _ResetStream()
+
+    async def run() -> None:
+        pool = HttpPool(socket_options=KEEPALIVE_SOCKET_OPTIONS)
+        try:
+            await pool.request("GET", f"http://{HOST}:1/")
+            raise AssertionError("the request succeeded")
+        except NETWORK_ERRORS as error:
+            assert isinstance(error, httpcore.ConnectError)
+
+    with unittest.mock.patch("anyio.connect_tcp", connect):
+        anyio.run(run)
