End the registration of an instance also if the store is silent

The same call drains a worker on an operator's request to retire, where the exception ends a process that was not asked to stop.

Cause: Registration.end raised StoreUnavailableError of the call that revokes the lease, and Worker.drain has no handler for it.

Change: end logs registration_delayed (2009) and returns; the key is deleted when the lease expires, since it is not renewed any more.

--- a/plumvane/discovery/registration.py
+++ b/plumvane/discovery/registration.py
@@ -71,13 +71,20 @@
     async def end(self) -> None:
         """Revokes the lease, which deletes the key.
 
-        Raises:
-            StoreUnavailableError: No response; the key is deleted when its
-                lease expires.
+        If the store does not respond, the key is deleted when its lease
+        expires.
         """
         self._has_ended = True
-        if self._lease_id is not None:
+        if self._lease_id is None:
+            return
+        try:
             await self._store.revoke_lease(self._lease_id)
+        except PlumvaneError as error:
+            events.log(
+                events.Event.REGISTRATION_DELAYED,
+                key=self._key,
+                error=error.detail,
+            )
 
     async def _write_or_renew(self) -> None:
         if self._lease_id is not None and self._is_present():
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -48,7 +48,7 @@
     STORE_REACHED = (2008, "Requests to the store are sent directly again.")
     REGISTRATION_DELAYED = (
         2009,
-        "The instance's registration cannot be written.",
+        "The instance's registration cannot be written or deleted.",
     )
     LEASE_LOST = (2003, "The instance's lease expired or was rejected.")
     PARTITION_TAKEN = (3001, "The instance became the owner of the partition.")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,6 +11,7 @@
 
 from plumvane import clock
 from plumvane.discovery import mirror, view
+from plumvane.discovery.registration import Registration
 from plumvane.discovery.view import FleetView
 from plumvane.errors import StoreUnavailableError
 from plumvane.store.base import Record, WatchResult
@@ -57,6 +58,37 @@
             raise StoreUnavailableError("The store is down.", not_run=True)
 
 
+class SilentStore(MemoryStore):
+    """In-memory store that does not respond to the end of a lease."""
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        raise StoreUnavailableError("The store did not respond.")
+
+
+def test_registration_ends_although_the_store_does_not_respond() -> None:
+    async def run() -> None:
+        store = SilentStore()
+        registration = Registration(
+            store,
+            "k",
+            b"v",
+            ttl_s=0.2,
+            renew_s=0.05,
+            is_present=lambda: True,
+        )
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(registration.run)
+                while await store.get("k") is None:
+                    await anyio.sleep(POLL_S)
+                await registration.end()
+            # The lease expires, since it is not renewed any more.
+            while await store.get("k") is not None:
+                await anyio.sleep(POLL_S)
+
+    anyio.run(run)
+
+
 def entry(**fields: Any) -> bytes:
     values = {
         "service": "engines",
