Wait in the metrics test until the document is in force

Cause: tests.test_metrics reads plumvane_document_revision of a sidecar and of a bulk instance right after the job. The fleet is ready once the entries have the document and see all instances; sidecars and bulk instances read the document after their next report, and one whose first poll of the instance list missed the entry polls again after 3 s. Nothing in the test waited for that, so that its check was wrong, not the product: a process that has no document yet shows 0, as it should.

Change: the test waits until both show the revision, and then reads all metrics; every assertion stays, that the revision is 1 included.

--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -44,6 +44,16 @@
         wait_for(
             lambda: caller.job(entry, job)["state"] == "completed", "the job"
         )
+        # The fleet is ready before sidecars and bulk instances, which read the
+        # document after their first report, have it.
+        for name in ("engine-0-sidecar", "bulk-0"):
+            wait_for(
+                lambda name=name: (
+                    scrape(fleet, fleet[name])["plumvane_document_revision"]
+                    == 1
+                ),
+                f"the document at {name}",
+            )
         entry_values = scrape(fleet, entry)
         sidecar_values = scrape(fleet, fleet["engine-0-sidecar"])
         bulk_values = scrape(fleet, fleet["bulk-0"])
