Limit responses without end in bytes and time

Callers may see: a request waits for its whole deadline at an upstream that sends bytes without end, although another upstream is free; other requests of the process are slow or lost meanwhile, since it parses and keeps what arrives. A call of the store may take the next response from surplus bytes.

Cause: h11 limits a single head to 100 KB, but neither the number of informational responses nor the time in which a head or an event must be complete, as timeouts counted from the last byte. Bodies that are read as a whole had no limit. Items have no deadline, and events without ids or without end kept them running. The buffer of the event parser was copied and searched with each part. Bytes after a response that arrived together with it stayed in httpcore's parser, and later ones on an idle connection until its next use, if any.

Change: - HttpPool limits what arrives up to a response's head to 256 KB, with an error of its own (OversizedResponseError); calls of the store read bodies up to 32 MiB, load reports up to 64 KB. Their connection is closed. - A connection with surplus bytes is closed at once. Idle ones that receive bytes, expire or were closed by the server are closed within a second by the pool's next request, to whichever server. - The read timeout of an attempt also limits the time until the head, and in streams the time without a complete event. Items need numbered events. - A text that is longer than a result may be, or has more events than its output tokens allow, is discarded as a failed attempt: TextTooLongError (text_too_long). Its upstream is ejected, as for lost responses. - The parser works in linear time; one event may have 64 KB instead of 256 KB. - Bodies that are buffered for retries are kept in one buffer, not in parts of single bytes. Long bodies with an end pass as before; calls with a body that goes on are cut at their deadline, as before.

--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -29,6 +29,7 @@
     "RequestCancelledError",
     "SettingsError",
     "StoreUnavailableError",
+    "TextTooLongError",
     "UnauthorizedError",
     "UnknownModelError",
     "UpstreamFailedError",
@@ -273,6 +274,16 @@
     default_remedy = "Retry after a while; the upstream may be restarting."
 
 
+class TextTooLongError(UpstreamLostError):
+    """A stream went on beyond the limit on an item's text."""
+
+    code = "text_too_long"
+    default_remedy = (
+        "Check the upstream that the log names, or lower the item's output "
+        "tokens."
+    )
+
+
 class WrongUpstreamError(UpstreamUnavailableError):
     """Another upstream answers at the address; the request has not run."""
 
--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -19,7 +19,7 @@
 )
 from plumvane.gateway.exchange import Exchange
 from plumvane.relay.client import Attempt, UpstreamClient, UpstreamResponse
-from plumvane.relay.events import EventStreamParser
+from plumvane.relay.events import EventStreamParser, read_events
 from plumvane.relay.health import record_failure, record_success
 from plumvane.serving.routes import Route, RouteKind
 from plumvane.serving.upstreams import Upstream
@@ -231,23 +231,28 @@
         async with self._client.send(upstream, attempt) as response:
             record_success(upstream)
             if state.route.kind is RouteKind.STREAM and response.status == 200:
-                await self._relay_stream(state, response)
+                await self._relay_stream(
+                    state, response, attempt.read_timeout_s
+                )
             else:
                 await self._relay_response(state.exchange, response)
 
     async def _relay_stream(
-        self, state: _RequestState, response: UpstreamResponse
+        self,
+        state: _RequestState,
+        response: UpstreamResponse,
+        idle_timeout_s: float | None,
     ) -> None:
         """Relays whole events only, so that the stream can be resumed."""
         exchange = state.exchange
         parser = EventStreamParser(state.last_event_id)
-        async for part in response.iter_body():
-            for event in parser.feed(part):
-                if not exchange.has_started:
-                    await exchange.start(response.status, response.headers)
-                await exchange.send_part(event.raw)
-                state.last_event_id = parser.last_event_id
-        parser.finish()
+        async for event in read_events(
+            response.iter_body(), parser, idle_timeout_s
+        ):
+            if not exchange.has_started:
+                await exchange.start(response.status, response.headers)
+            await exchange.send_part(event.raw)
+            state.last_event_id = parser.last_event_id
         if not exchange.has_started:
             await exchange.start(response.status, response.headers)
         await exchange.finish()
@@ -261,22 +266,21 @@
                 f"an upstream responded to the resumed request with status "
                 f"{response.status}"
             )
-        parts: list[bytes] = []
-        size = 0
+        buffer = bytearray()
         async for part in response.iter_body():
             if exchange.has_started:
                 await exchange.send_part(part)
                 continue
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BUFFERED_BYTES:
+            buffer += part
+            if len(buffer) > MAX_BUFFERED_BYTES:
                 await exchange.start(response.status, response.headers)
-                await exchange.send_part(b"".join(parts))
+                await exchange.send_part(bytes(buffer))
+                buffer.clear()
         if exchange.has_started:
             await exchange.finish()
         else:
             await exchange.respond(
-                response.status, b"".join(parts), response.headers
+                response.status, bytes(buffer), response.headers
             )
 
     def _handle_failure(
--- a/plumvane/httppool.py
+++ b/plumvane/httppool.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import socket
 import ssl
 from collections.abc import AsyncIterator, Iterable, Sequence
@@ -16,13 +17,29 @@
 import anyio
 import httpcore
 
-__all__ = ["NETWORK_ERRORS", "KEEPALIVE_SOCKET_OPTIONS", "HttpPool"]
+from plumvane import clock
+
+__all__ = [
+    "KEEPALIVE_SOCKET_OPTIONS",
+    "NETWORK_ERRORS",
+    "HttpPool",
+    "OversizedResponseError",
+    "read_body",
+]
 
 Headers = Sequence[tuple[str, str]] | Sequence[tuple[bytes, bytes]]
 
 # Idle time after which a connection is not reused, in seconds. Shorter than the
 # usual idle timeout of servers.
 KEEPALIVE_EXPIRY_S = 4.0
+# Interval of the check for idle connections that the server has closed or that
+# have expired, in seconds.
+PRUNE_INTERVAL_S = 1.0
+
+# Maximum number of bytes that a server may send until the head of its response
+# is complete; informational responses count, and so does what arrives together
+# with the head. httpcore limits a single head to 100 KB.
+MAX_HEAD_BYTES = 262_144
 
 # TCP_USER_TIMEOUT: time with unacknowledged bytes after which the kernel closes
 # a connection, in milliseconds. The longest round trips within one region take
@@ -53,6 +70,115 @@
 )
 
 
+class OversizedResponseError(httpcore.RemoteProtocolError):
+    """A response exceeds a limit on its size."""
+
+
+@dataclasses.dataclass(slots=True)
+class _ReadLimit:
+    """Number of bytes that may be read from a server; None for no limit."""
+
+    readable_bytes: int | None = None
+
+
+class _LimitedStream(httpcore.AsyncNetworkStream):
+    """Byte stream from a server that can be limited."""
+
+    def __init__(
+        self, stream: httpcore.AsyncNetworkStream, limit: _ReadLimit
+    ) -> None:
+        self._stream = stream
+        self._limit = limit
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        data = await self._stream.read(max_bytes, timeout)
+        if self._limit.readable_bytes is not None:
+            self._limit.readable_bytes -= len(data)
+            if self._limit.readable_bytes < 0:
+                raise OversizedResponseError(
+                    f"The head of the response is over {MAX_HEAD_BYTES} bytes."
+                )
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        stream = await self._stream.start_tls(
+            ssl_context, server_hostname, timeout
+        )
+        return _LimitedStream(stream, self._limit)
+
+    def get_extra_info(self, info: str) -> Any:
+        return self._stream.get_extra_info(info)
+
+
+class _LimitingBackend(httpcore.AnyIOBackend):
+    """Opens connections whose streams can be limited."""
+
+    def __init__(self, limit: _ReadLimit) -> None:
+        self._limit = limit
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        stream = await super().connect_tcp(
+            host, port, timeout, local_address, socket_options
+        )
+        return _LimitedStream(stream, self._limit)
+
+
+class _Connection(httpcore.AsyncHTTPConnection):
+    """Connection that limits response heads and detects surplus bytes."""
+
+    def __init__(
+        self,
+        origin: httpcore.Origin,
+        ssl_context: ssl.SSLContext | None,
+        socket_options: Iterable[httpcore.SOCKET_OPTION],
+    ) -> None:
+        self.read_limit = _ReadLimit()
+        super().__init__(
+            origin=origin,
+            ssl_context=ssl_context,
+            keepalive_expiry=KEEPALIVE_EXPIRY_S,
+            network_backend=_LimitingBackend(self.read_limit),
+            socket_options=socket_options,
+        )
+
+    def is_reusable(self) -> bool:
+        """Returns whether the connection is open and awaits a request."""
+        return (
+            self.is_idle()
+            and not self.is_closed()
+            and not self.has_expired()
+            and not self._has_surplus_bytes()
+        )
+
+    def _has_surplus_bytes(self) -> bool:
+        """Returns whether bytes follow the response in the parser's buffer.
+
+        httpcore would take them for the next response. It has no public
+        attribute for them.
+        """
+        http11: Any = self._connection
+        surplus, _ = http11._h11_state.trailing_data
+        return bool(surplus)
+
+
 class HttpPool:
     """Sends HTTP/1.1 requests over pooled keep-alive connections."""
 
@@ -70,7 +196,8 @@
         """
         self._ssl_context = ssl_context
         self._socket_options = tuple(socket_options)
-        self._idle_by_origin: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+        self._idle_by_origin: dict[str, list[_Connection]] = {}
+        self._next_prune_at = 0.0
 
     async def aclose(self) -> None:
         """Closes the idle connections."""
@@ -86,6 +213,7 @@
         headers: Headers | None = None,
         content: bytes = b"",
         extensions: dict[str, Any] | None = None,
+        max_body_bytes: int | None = None,
     ) -> httpcore.Response:
         """Sends a request and reads the complete response.
 
@@ -95,8 +223,11 @@
             headers: Request headers besides those that HTTP requires.
             content: Request body.
             extensions: httpcore's extensions, such as `timeout`.
+            max_body_bytes: Maximum size of the response's body; None for no
+                limit.
 
         Raises:
+            OversizedResponseError: The head or the body is over its limit.
             httpcore.NetworkError: The connection failed.
             httpcore.ProtocolError: The response is malformed or incomplete.
             httpcore.TimeoutException: A timeout in `extensions` expired.
@@ -104,8 +235,13 @@
         async with self.stream(
             method, url, headers=headers, content=content, extensions=extensions
         ) as response:
-            await response.aread()
-            return response
+            complete = httpcore.Response(
+                response.status,
+                headers=response.headers,
+                content=await read_body(response, max_body_bytes),
+            )
+            complete.read()
+            return complete
 
     @contextlib.asynccontextmanager
     async def stream(
@@ -136,7 +272,8 @@
             connection = self._new_connection(target.origin)
         else:
             connection = await self._acquire(target.origin)
-        is_reusable = False
+        connection.read_limit.readable_bytes = MAX_HEAD_BYTES
+        is_complete = False
         try:
             async with connection.stream(
                 method,
@@ -145,46 +282,73 @@
                 content=content,
                 extensions=extensions or {},
             ) as response:
+                connection.read_limit.readable_bytes = None
                 yield response
-            is_reusable = True
+            is_complete = True
         finally:
             # After an error the server may still send data of this response,
             # which the next request would read.
-            if is_reusable:
-                await self._release(target.origin, connection)
+            if is_complete and connection.is_reusable():
+                self._idle_by_origin.setdefault(str(target.origin), []).append(
+                    connection
+                )
             else:
                 await _close(connection)
 
-    async def _acquire(
-        self, origin: httpcore.Origin
-    ) -> httpcore.AsyncHTTPConnection:
+    async def _acquire(self, origin: httpcore.Origin) -> _Connection:
+        await self._prune()
         idle = self._idle_by_origin.get(str(origin), [])
         while idle:
             connection = idle.pop()
-            if connection.is_available() and not connection.has_expired():
+            if connection.is_reusable():
                 return connection
             await connection.aclose()
         return self._new_connection(origin)
 
-    def _new_connection(
-        self, origin: httpcore.Origin
-    ) -> httpcore.AsyncHTTPConnection:
-        return httpcore.AsyncHTTPConnection(
-            origin=origin,
-            ssl_context=self._ssl_context,
-            keepalive_expiry=KEEPALIVE_EXPIRY_S,
-            socket_options=self._socket_options,
-        )
-
-    async def _release(
-        self, origin: httpcore.Origin, connection: httpcore.AsyncHTTPConnection
-    ) -> None:
-        if connection.is_idle() and not connection.is_closed():
-            self._idle_by_origin.setdefault(str(origin), []).append(connection)
+    async def _prune(self) -> None:
+        """Closes the idle connections that can no longer be used."""
+        now = clock.monotonic()
+        if now < self._next_prune_at:
             return
-        await _close(connection)
+        self._next_prune_at = now + PRUNE_INTERVAL_S
+        unusable: list[_Connection] = []
+        for origin, idle in list(self._idle_by_origin.items()):
+            usable: list[_Connection] = []
+            for connection in idle:
+                kept = usable if connection.is_reusable() else unusable
+                kept.append(connection)
+            idle[:] = usable
+            if not idle:
+                del self._idle_by_origin[origin]
+        for connection in unusable:
+            await _close(connection)
+
+    def _new_connection(self, origin: httpcore.Origin) -> _Connection:
+        return _Connection(origin, self._ssl_context, self._socket_options)
+
+
+async def read_body(
+    response: httpcore.Response, max_bytes: int | None
+) -> bytes:
+    """Reads the body of a response.
+
+    Args:
+        response: The response, whose body has not been read.
+        max_bytes: Maximum size of the body; None for no limit.
+
+    Raises:
+        OversizedResponseError: The body is larger.
+    """
+    body = bytearray()
+    async for part in response.aiter_stream():
+        body += part
+        if max_bytes is not None and len(body) > max_bytes:
+            raise OversizedResponseError(
+                f"The body of the response is over {max_bytes} bytes."
+            )
+    return bytes(body)
 
 
-async def _close(connection: httpcore.AsyncHTTPConnection) -> None:
+async def _close(connection: _Connection) -> None:
     with anyio.CancelScope(shield=True):
         await connection.aclose()
--- a/plumvane/relay/client.py
+++ b/plumvane/relay/client.py
@@ -6,6 +6,7 @@
 import dataclasses
 from collections.abc import AsyncIterator
 
+import anyio
 import httpcore
 
 from plumvane import clock
@@ -58,8 +59,9 @@
             on the request; None for no limit.
         last_event_id: Event after which a stream resumes, or None.
         is_idempotent: Whether the request may run more than once.
-        read_timeout_s: Longest time without data from the upstream, in
-            seconds; None for no limit.
+        read_timeout_s: Longest time without data from the upstream, and
+            without the complete head of its response, in seconds; None for no
+            limit.
     """
 
     request_id: str
@@ -138,19 +140,8 @@
         """
         upstream.in_flight += 1
         try:
-            async with self._pool.stream(
-                attempt.method,
-                _url(upstream, attempt.target),
-                headers=_request_headers(upstream, attempt),
-                content=attempt.body,
-                extensions={
-                    "timeout": {
-                        "connect": CONNECT_TIMEOUT_S,
-                        "read": attempt.read_timeout_s,
-                    }
-                },
-                use_new_connection=not attempt.is_idempotent,
-            ) as response:
+            async with contextlib.AsyncExitStack() as stack:
+                response = await self._start(stack, upstream, attempt)
                 yield _validate_response(upstream, attempt, response)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise UpstreamUnavailableError(
@@ -166,6 +157,44 @@
         finally:
             upstream.in_flight -= 1
 
+    async def _start(
+        self,
+        stack: contextlib.AsyncExitStack,
+        upstream: Upstream,
+        attempt: Attempt,
+    ) -> httpcore.Response:
+        """Sends a request and reads the head of its response.
+
+        Args:
+            stack: Closes the response.
+            upstream: The upstream that the request is sent to.
+            attempt: The request.
+        """
+        timeout_s = None
+        if attempt.read_timeout_s is not None:
+            timeout_s = CONNECT_TIMEOUT_S + attempt.read_timeout_s
+        exchange = self._pool.stream(
+            attempt.method,
+            _url(upstream, attempt.target),
+            headers=_request_headers(upstream, attempt),
+            content=attempt.body,
+            extensions={
+                "timeout": {
+                    "connect": CONNECT_TIMEOUT_S,
+                    "read": attempt.read_timeout_s,
+                }
+            },
+            use_new_connection=not attempt.is_idempotent,
+        )
+        try:
+            with anyio.fail_after(timeout_s):
+                return await stack.enter_async_context(exchange)
+        except TimeoutError:
+            raise UpstreamLostError(
+                f"Upstream {upstream.upstream_id} sent no complete head of a "
+                f"response within {timeout_s} s."
+            ) from None
+
 
 def _request_headers(upstream: Upstream, attempt: Attempt) -> HeaderList:
     remaining_s = None
--- a/plumvane/relay/events.py
+++ b/plumvane/relay/events.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import AsyncIterator
+
+import anyio
 
 from plumvane.errors import UpstreamLostError
 
-__all__ = ["EventStreamParser", "StreamEvent"]
+__all__ = ["EventStreamParser", "StreamEvent", "read_events"]
 
 # Limit on the size of one event; a larger one counts as a malformed stream.
 # Events of the platform are below 1 KB.
-MAX_EVENT_BYTES = 262_144
+MAX_EVENT_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,7 +42,7 @@
                 None for a stream from its start.
         """
         self.last_event_id = last_event_id
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds data and returns the events that it completes.
@@ -47,12 +50,22 @@
         Raises:
             UpstreamLostError: The stream is malformed, or an event is missing.
         """
-        *blocks, self._buffer = (self._buffer + data).split(b"\n\n")
+        # The end of an event may be split between two parts of the data.
+        search_from = max(0, len(self._buffer) - 1)
+        self._buffer += data
+        events: list[StreamEvent] = []
+        event_start = 0
+        while (end := self._buffer.find(b"\n\n", search_from)) >= 0:
+            search_from = end + 2
+            raw = bytes(self._buffer[event_start:search_from])
+            events.append(self._parse_event(raw))
+            event_start = search_from
+        del self._buffer[:event_start]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise UpstreamLostError(
                 f"An event of the stream is over {MAX_EVENT_BYTES} bytes."
             )
-        return [self._parse_event(block + b"\n\n") for block in blocks]
+        return events
 
     def finish(self) -> None:
         """Checks that the stream does not end inside an event.
@@ -82,6 +95,40 @@
         return StreamEvent(raw, event_id, "\n".join(data))
 
 
+async def read_events(
+    parts: AsyncIterator[bytes],
+    parser: EventStreamParser,
+    idle_timeout_s: float | None,
+) -> AsyncIterator[StreamEvent]:
+    """Yields the events of a stream as they arrive.
+
+    Args:
+        parts: The body of the response.
+        parser: Parser of the stream.
+        idle_timeout_s: Longest time without a complete event, in seconds,
+            however many bytes arrive; None for no limit.
+
+    Raises:
+        UpstreamLostError: The stream is malformed or breaks off, or no event
+            was completed in time.
+    """
+    while True:
+        events: list[StreamEvent] = []
+        try:
+            with anyio.fail_after(idle_timeout_s):
+                while not events:
+                    events = parser.feed(await anext(parts))
+        except StopAsyncIteration:
+            break
+        except TimeoutError:
+            raise UpstreamLostError(
+                f"The stream had no complete event for {idle_timeout_s} s."
+            ) from None
+        for event in events:
+            yield event
+    parser.finish()
+
+
 def _parse_event_id(text: str) -> int:
     try:
         return int(text)
--- a/plumvane/relay/reports.py
+++ b/plumvane/relay/reports.py
@@ -15,6 +15,7 @@
     KEEPALIVE_SOCKET_OPTIONS,
     NETWORK_ERRORS,
     HttpPool,
+    read_body,
 )
 from plumvane.platform import names
 from plumvane.platform.listing import decode_report
@@ -26,6 +27,8 @@
 # Time limit of one load report, in seconds; a slower one is skipped. A report
 # takes no slot of the engine.
 REPORT_TIMEOUT_S = 0.15
+# Maximum size of a load report, in bytes; a larger one is malformed.
+MAX_REPORT_BYTES = 65_536
 
 
 class ReportReader:
@@ -59,7 +62,7 @@
                     "GET", url, headers=[("host", host)]
                 ) as response:
                     _record_announcement(upstream, response)
-                    body = await response.aread()
+                    body = await read_body(response, MAX_REPORT_BYTES)
                 load: Load | None = decode_report(body)
             except (ProtocolError, *NETWORK_ERRORS):
                 # Counted as a missed report below.
--- a/plumvane/serving/jobs.py
+++ b/plumvane/serving/jobs.py
@@ -10,6 +10,7 @@
 from plumvane.errors import ProtocolError
 
 __all__ = [
+    "PAGE_BYTES",
     "Item",
     "ItemProgress",
     "ItemResult",
--- a/plumvane/store/calls.py
+++ b/plumvane/store/calls.py
@@ -13,6 +13,10 @@
 
 __all__ = ["StoreHttpClient"]
 
+# Maximum size of a response's body, in bytes. Stores send pages of about 1 MB
+# and values of up to 1 MB.
+MAX_RESPONSE_BYTES = 33_554_432
+
 
 class StoreHttpClient:
     """Sends HTTP calls to a store and tracks its availability."""
@@ -96,7 +100,11 @@
         try:
             with anyio.fail_after(timeout_s):
                 response = await self._pool.request(
-                    method, self._url + path, headers=headers, content=content
+                    method,
+                    self._url + path,
+                    headers=headers,
+                    content=content,
+                    max_body_bytes=MAX_RESPONSE_BYTES,
                 )
         except (TimeoutError, *NETWORK_ERRORS) as error:
             raise StoreUnavailableError(
--- a/plumvane/worker/items.py
+++ b/plumvane/worker/items.py
@@ -6,25 +6,40 @@
 
 from plumvane import clock, events
 from plumvane.discovery.view import FleetView
-from plumvane.errors import PlumvaneError, UpstreamFailedError
+from plumvane.errors import (
+    PlumvaneError,
+    TextTooLongError,
+    UpstreamFailedError,
+    UpstreamLostError,
+)
 from plumvane.platform.requests import item_headers
 from plumvane.relay.client import Attempt, UpstreamClient, UpstreamResponse
-from plumvane.relay.events import EventStreamParser
+from plumvane.relay.events import EventStreamParser, read_events
 from plumvane.relay.health import record_failure, record_success
+from plumvane.serving.jobs import PAGE_BYTES, Item
 from plumvane.serving.pacing import ItemDurationEstimator
 from plumvane.serving.upstreams import Upstream
 from plumvane.worker.owned import ItemRun, OwnedJob
 
 __all__ = ["ItemRunner"]
 
-# Longest time without data from a running item before it is resumed elsewhere,
-# in seconds. Time in the upstream's queue counts too.
+# Longest time without a numbered event from a running item before it is resumed
+# elsewhere, in seconds. Time in the upstream's queue counts too.
 ITEM_IDLE_TIMEOUT_S = 2.0
 # Delay before an item whose run was interrupted or refused is retried, in
 # seconds.
 RETRY_S = 0.2
 # Status of an item that no upstream can complete; it is not retried.
 PERMANENT_FAILURE_STATUS = 422
+# Maximum size of an item's text, in characters: a longer one fits neither one
+# value of the store nor one response. Each event adds an overhead, so that
+# events without data are limited too.
+MAX_TEXT_SIZE = PAGE_BYTES
+EVENT_OVERHEAD = 16
+# Maximum number of events of an item: a multiple of its output tokens, of which
+# an event has at least one, with room for closing events.
+MAX_EVENTS_PER_TOKEN = 2
+MAX_CLOSING_EVENTS = 16
 
 
 class ItemRunner:
@@ -97,26 +112,67 @@
         async with self._caller.send(upstream, attempt) as reply:
             record_success(upstream)
             if reply.status == 200:
-                await self._read_events(run, reply)
+                await self._read_events(owned, run, reply)
                 self._speed.observe_item(run.item.output_tokens, len(run.texts))
                 owned.complete(run)
             else:
                 self._handle_failure(owned, run, reply)
 
-    async def _read_events(self, run: ItemRun, reply: UpstreamResponse) -> None:
-        reader = EventStreamParser(run.last_event_id)
+    async def _read_events(
+        self, owned: OwnedJob, run: ItemRun, reply: UpstreamResponse
+    ) -> None:
         events_before, started = len(run.texts), clock.monotonic()
         try:
-            async for part in reply.iter_body():
-                for event in reader.feed(part):
-                    if event.event_id is None:
-                        continue
-                    run.texts.append(event.data)
-                    run.last_event_id = event.event_id
-            reader.finish()
+            await self._append_events(run, reply)
+        except TextTooLongError:
+            self._discard_text(owned, run)
+            raise
         finally:
             duration_s = clock.monotonic() - started
-            self._speed.observe_run(len(run.texts) - events_before, duration_s)
+            event_count = max(0, len(run.texts) - events_before)
+            self._speed.observe_run(event_count, duration_s)
+
+    async def _append_events(
+        self, run: ItemRun, reply: UpstreamResponse
+    ) -> None:
+        parser = EventStreamParser(run.last_event_id)
+        size = sum(EVENT_OVERHEAD + len(text) for text in run.texts)
+        idle_deadline = clock.monotonic() + ITEM_IDLE_TIMEOUT_S
+        async for event in read_events(
+            reply.iter_body(), parser, ITEM_IDLE_TIMEOUT_S
+        ):
+            if event.event_id is None:
+                if clock.remaining(idle_deadline) <= 0:
+                    raise UpstreamLostError(
+                        "The stream had no numbered event for "
+                        f"{ITEM_IDLE_TIMEOUT_S} s."
+                    )
+                continue
+            idle_deadline = clock.monotonic() + ITEM_IDLE_TIMEOUT_S
+            run.texts.append(event.data)
+            run.last_event_id = event.event_id
+            size += EVENT_OVERHEAD + len(event.data)
+            if size > MAX_TEXT_SIZE or len(run.texts) > _max_events(run.item):
+                raise TextTooLongError(
+                    f"The item's text is too long: {len(run.texts)} events "
+                    f"of together {size} characters."
+                )
+
+    def _discard_text(self, owned: OwnedJob, run: ItemRun) -> None:
+        """Discards a text that is too long; the item starts again.
+
+        The item is given up after its last attempt, because its text may really
+        be that long.
+        """
+        run.discard_events()
+        if owned.record_failure(run.item.item_id):
+            owned.give_up(run)
+            self._log(
+                events.Event.ITEM_GIVEN_UP,
+                owned,
+                run,
+                failures=owned.failure_count(run.item.item_id),
+            )
 
     def _handle_failure(
         self, owned: OwnedJob, run: ItemRun, reply: UpstreamResponse
@@ -152,3 +208,10 @@
             last_event=run.last_event_id,
             **fields,
         )
+
+
+def _max_events(item: Item) -> int:
+    """Returns the number of events from which an item's text is too long."""
+    if not item.output_tokens:
+        return MAX_TEXT_SIZE
+    return MAX_EVENTS_PER_TOKEN * item.output_tokens + MAX_CLOSING_EVENTS
--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -47,6 +47,12 @@
         if self.scope is not None:
             self.scope.cancel()
 
+    def discard_events(self) -> None:
+        """Discards the received events, so that the next run starts anew."""
+        self.texts.clear()
+        self.last_event_id = None
+        self.saved_event_count = 0
+
 
 class OwnedJob:
     """A job's head as last written or read, and the runs of its items."""
@@ -88,7 +94,7 @@
     def unsaved_event_count(self) -> int:
         """Returns how many events of unfinished items have no checkpoint."""
         return sum(
-            len(run.texts) - run.saved_event_count
+            max(0, len(run.texts) - run.saved_event_count)
             for run in self.runs_by_id.values()
             if not run.is_done
         )
