--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -107,7 +107,7 @@
     def unsaved_event_count(self) -> int:
         """Returns how many events of unfinished items have no checkpoint."""
         return sum(
-            len(run.texts) - run.saved_event_count
+            max(0, len(run.texts) - run.saved_event_count)
             for run in self.runs_by_id.values()
             if not run.is_done
         )
