Keep the newest head of each job in the worker

- test_end_of_an_old_commit_does_not_release_a_job_claimed_again: a round of commits released a job that the worker had claimed again in the meantime; the runs of its items went on unknown to the worker, and all were run again.
- test_late_answer_of_a_read_does_not_undo_a_newer_head: a head that was read before a change replaced the newer one, and the watch does not repeat it.
- test_completed_job_is_not_claimed_again: after its last commit a job was claimed once more by an old head (2 refused or useless calls a job).

Change: heads are recorded by ascending revision, also after own commits; a closed one stays until the watch has reported it.

--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -213,16 +213,27 @@
                 error=error.detail,
             )
             return
-        if job.is_open():
-            self._heads_by_id[job_id] = (job, record.revision)
-        else:
-            self._heads_by_id.pop(job_id, None)
+        self._record_head(job, record.revision)
         owned = self._owned_by_id.get(job_id)
         if owned is not None:
             owned.apply_head(job, record.revision)
             self._drop_if_lost(owned)
+        if not job.is_open():
+            self._heads_by_id.pop(job_id, None)
+
+    def _record_head(self, job: Job, revision: int) -> None:
+        """Records a job's head unless a newer one is known.
+
+        The head of a job that is complete or has ended stays until the watch
+        has reported it, so that an older report does not open the job again.
+        """
+        known = self._heads_by_id.get(job.job_id)
+        if known is None or known[1] < revision:
+            self._heads_by_id[job.job_id] = (job, revision)
 
     def _drop_if_lost(self, owned: OwnedJob) -> None:
+        if self._owned_by_id.get(owned.job.job_id) is owned:
+            self._record_head(owned.job, owned.revision)
         if not owned.job.is_open():
             self._drop(owned, "the job has ended or is complete")
         elif owned.job.owner != self._incarnation:
@@ -231,10 +242,12 @@
             )
 
     def _drop(self, owned: OwnedJob, reason: str) -> None:
-        if self._owned_by_id.pop(owned.job.job_id, None) is None:
-            return
         for run in owned.running():
             run.stop()
+        # The job may have been claimed again since.
+        if self._owned_by_id.get(owned.job.job_id) is not owned:
+            return
+        del self._owned_by_id[owned.job.job_id]
         events.log(
             events.Event.JOB_RELEASED,
             job=owned.job.job_id,
@@ -257,6 +270,8 @@
         if job_id in self._owned_by_id or job_id in self._claiming_ids:
             return False
         job, _ = self._heads_by_id[job_id]
+        if not job.is_open():
+            return False
         if job.owner == self._incarnation:
             # A previous claim was written, but its answer was lost or its items
             # could not be read.
@@ -314,10 +329,7 @@
             return
         except StoreUnavailableError:
             return
-        if not job.is_open():
-            self._heads_by_id.pop(job_id, None)
-            return
-        self._heads_by_id[job_id] = (job, revision)
+        self._record_head(job, revision)
 
     async def _read_items(self, job: Job) -> list[Item]:
         items: list[Item] = []
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -22,6 +22,7 @@
     StoreUnavailableError,
     UpstreamLostError,
 )
+from plumvane.platform.retirement import RetireState, retire_status
 from plumvane.relay.client import Attempt
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.jobs import Item, ItemResult, Job
@@ -32,6 +33,7 @@
 from plumvane.store.memory import MemoryStore
 from plumvane.worker.items import ItemRunner
 from plumvane.worker.owned import OwnedJob
+from plumvane.worker.retirement import Retirement
 from plumvane.worker.worker import Worker
 from tests.gateways import SERVICE, make_listed_upstream, make_route
 
@@ -613,3 +615,142 @@
             group.cancel_scope.cancel()
 
     run_with_timeout(steps)
+
+
+# Guards against a worker that lets go of a job that it has just claimed again,
+# because a round of commits still knows its earlier ownership: the runs of the
+# items go on, unknown to the worker, and all items are run again.
+def test_end_of_an_old_commit_does_not_release_a_job_claimed_again() -> None:
+    async def steps() -> None:
+        store, engine = MemoryStore(), FakeEngine()
+        jobs = JobStore(store)
+        await jobs.accept("j", "h", items(2), JOB_ROUTE)
+        worker = make_worker("w1", store, engine)
+        await worker._claim(*await jobs.head("j"))
+        former = worker._owned_by_id["j"]
+        former.outcomes.append(ItemResult("i0", True, "x"))
+
+        async def commit_all(unsaved: Any, **options: Any) -> None:
+            # While the commit waits, the job goes to another worker and back.
+            for owner in ("w2/1", ""):
+                job, revision = await jobs.head("j")
+                job.owner = owner
+                await jobs.commit([Commit(job, revision, {})])
+                record = await store.get(JOB_PREFIX + "j")
+                assert record is not None
+                worker._apply_change(record)
+            await worker._claim(*await jobs.head("j"))
+            assert worker._owned_by_id["j"] is not former
+
+        worker._committer.commit_all = commit_all  # type: ignore[method-assign]
+        with anyio.move_on_after(0.5):
+            await worker._commit_results()
+        job, _ = await jobs.head("j")
+        assert job.owner == worker._incarnation
+        assert "j" in worker._owned_by_id
+
+    run_with_timeout(steps)
+
+
+# Guards against a head that is replaced by an older one, which the watch does
+# not report again: a job without an owner is then not claimed.
+def test_late_answer_of_a_read_does_not_undo_a_newer_head() -> None:
+    class SlowStore(MemoryStore):
+        """Store whose next read of a head is answered late."""
+
+        before_answer: Callable[[], Awaitable[None]] | None = None
+
+        async def get(self, key: str) -> Record | None:
+            record = await super().get(key)
+            if self.before_answer is not None and key.startswith(JOB_PREFIX):
+                step, self.before_answer = self.before_answer, None
+                await step()
+            return record
+
+    async def steps() -> None:
+        store, engine = SlowStore(), FakeEngine()
+        jobs = JobStore(store)
+        await jobs.accept("j", "h", items(2), JOB_ROUTE)
+        worker = make_worker("w1", store, engine)
+
+        async def change_owner(owner: str) -> None:
+            job, revision = await jobs.head("j")
+            job.owner = owner
+            await jobs.commit([Commit(job, revision, {})])
+            record = await store.get(JOB_PREFIX + "j")
+            assert record is not None
+            worker._apply_change(record)
+
+        await change_owner("w2/1")
+        store.before_answer = lambda: change_owner("")
+        await worker._reload_head("j")
+        _, revision = await jobs.head("j")
+        assert worker._heads_by_id["j"][1] == revision
+
+    run_with_timeout(steps)
+
+
+# Guards against refused calls of the store, which are charged, after each job.
+def test_completed_job_is_not_claimed_again() -> None:
+    class ConflictCountingStore(MemoryStore):
+        """Store that counts refused transactions."""
+
+        conflicts = 0
+
+        async def transact(self, writes: Any, *, expected_by_key: Any) -> int:
+            try:
+                return await super().transact(
+                    writes, expected_by_key=expected_by_key
+                )
+            except ConflictError:
+                self.conflicts += 1
+                raise
+
+    async def steps() -> None:
+        store, engine = ConflictCountingStore(), FakeEngine()
+        worker = make_worker("w1", store, engine)
+        async with anyio.create_task_group() as group:
+            group.start_soon(worker.run)
+            for number in range(5):
+                job_id = f"j{number}"
+                await JobStore(store).accept(job_id, "h", items(2), JOB_ROUTE)
+                await wait_until_listed(store, job_id, 2)
+                await anyio.sleep(0.7)
+            group.cancel_scope.cancel()
+        assert store.conflicts == 0, store.conflicts
+
+    run_with_timeout(steps)
+
+
+# Guards against a worker process that ends by itself when the operators retire
+# it while the store does not answer.
+def test_retirement_goes_on_while_the_store_does_not_answer() -> None:
+    class DownStore(MemoryStore):
+        """Store that answers no end of a lease at first."""
+
+        is_down = True
+
+        async def revoke_lease(self, lease_id: str) -> None:
+            if self.is_down:
+                self.is_down = False
+                raise StoreUnavailableError("down")
+            await super().revoke_lease(lease_id)
+
+    async def steps() -> None:
+        store, engine = DownStore(), FakeEngine()
+        worker = make_worker("w1", store, engine)
+        retirement = Retirement("w1", store, worker.drain)
+        key, _ = retire_status("w1", RetireState.COMPLETED)
+        async with anyio.create_task_group() as group:
+            group.start_soon(worker.run)
+            while not worker._is_registered():
+                await anyio.sleep(POLL_S)
+            group.start_soon(retirement.run)
+            retirement._requested.set()
+            while b"completed" not in getattr(
+                await store.get(key), "value", b""
+            ):
+                await anyio.sleep(POLL_S)
+            group.cancel_scope.cancel()
+
+    run_with_timeout(steps)
