Write nothing for a job that another worker owns

Positions stayed consistent, since each write is conditional, but of two owners both wrote, and items ran twice.

Change: the ownership of a job ends when its head names another owner; the committer writes nothing for it then, and reads no results for it either.

Evidence: test_former_owner_writes_nothing_once_it_knows_the_new_owner failed before (the head listed ['i1']) and passes now; tests.test_job_reads and tests.test_worker 36 passed, 0 failed. In the test of the former owner's own run the new owner now writes its claim to the store first, as workers do.

--- a/plumvane/worker/committer.py
+++ b/plumvane/worker/committer.py
@@ -92,6 +92,7 @@
         drafts = [
             _prepare(owned, owned.progress() if with_progress else ())
             for owned in unsaved
+            if not owned.has_other_owner()
         ]
         for group in _split_into_transactions(drafts):
             try:
@@ -122,7 +123,12 @@
         self._results.put(owned.job, results)
 
     async def commit_and_reconcile(self, owned: OwnedJob) -> None:
-        """Commits a job's new results; after a failure, reads its head."""
+        """Commits a job's new results; after a failure, reads its head.
+
+        Nothing is written for a job that another worker owns.
+        """
+        if owned.has_other_owner():
+            return
         try:
             await self.commit(owned)
             return
@@ -149,7 +155,6 @@
 
     async def _reconcile(self, owned: OwnedJob) -> None:
         """Adopts the head in the store after a failed write."""
-        owner = owned.job.owner
         try:
             job, revision = await self._jobs.head(owned.job.job_id)
         except PlumvaneError as error:
@@ -163,7 +168,7 @@
             revision=revision,
         )
         owned.apply_head(job, revision)
-        if job.owner == owner:
+        if not owned.has_other_owner():
             await self.read_missing_results(owned)
 
 
--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -86,6 +86,7 @@
         """
         self.job = job
         self.revision = revision
+        self._owner = job.owner
         # Outcomes not yet committed to the store.
         self.outcomes: list[ItemResult] = []
         # Failed runs by item, including those not yet committed to the head.
@@ -104,6 +105,10 @@
                 run.version = saved.version
                 run.saved_event_count = len(run.texts)
 
+    def has_other_owner(self) -> bool:
+        """Returns whether another worker, or none, owns the job by now."""
+        return self.job.owner != self._owner
+
     def unsaved_event_count(self) -> int:
         """Returns how many events of unfinished items have no checkpoint."""
         return sum(
--- a/tests/test_job_reads.py
+++ b/tests/test_job_reads.py
@@ -15,7 +15,7 @@
 import eliot
 
 from plumvane import clock
-from plumvane.batch.jobstore import JobStore
+from plumvane.batch.jobstore import Commit, JobStore
 from plumvane.discovery.loads import WORKER_ROLE
 from plumvane.discovery.relayed import PeerEntry
 from plumvane.errors import (
@@ -92,7 +92,13 @@
 
     async def list_item(self, owned: OwnedJob, item_id: str) -> None:
         """Completes an item and commits its result."""
-        owned.outcomes.append(ItemResult(item_id, True, f"text of {item_id}"))
+        await self.list_outcome(owned, item_id, f"text of {item_id}")
+
+    async def list_outcome(
+        self, owned: OwnedJob, item_id: str, text: str
+    ) -> None:
+        """Completes an item with a text and commits its result."""
+        owned.outcomes.append(ItemResult(item_id, True, text))
         await self.committer.commit_all([owned])
 
     async def answer(self, message: Message) -> Message:
@@ -136,6 +142,13 @@
     await JobStore(store).accept(job_id, "h", ITEMS, JOB_ROUTE)
 
 
+async def claim_job(worker: WorkerParts, owner: str) -> None:
+    """Writes a new owner to a job's head."""
+    job, revision = await worker.jobs.head("j")
+    job.owner = owner
+    await worker.jobs.commit([Commit(job, revision, {})])
+
+
 def deadline_in(seconds: float = 0.0) -> float:
     return clock.monotonic() + seconds
 
@@ -302,10 +315,9 @@
         frozen = await former.own("j")
         frozen.outcomes.append(ItemResult("i1", True, "run of w1"))
         owner = WorkerParts("w2", store)
+        await claim_job(owner, "w2/1")
         taken_over = await owner.own("j")
-        taken_over.job.owner = "w2/1"
-        taken_over.outcomes.append(ItemResult("i1", True, "run of w2"))
-        await owner.committer.commit_all([taken_over])
+        await owner.list_outcome(taken_over, "i1", "run of w2")
         # The former owner wakes up and commits its run.
         await former.committer.commit_all([frozen])
         known = await make_reader(store, former).results("j", 0, deadline_in())
@@ -314,6 +326,26 @@
     run_with_timeout(steps)
 
 
+# Guards against a former owner that goes on listing results of a job.
+def test_former_owner_writes_nothing_once_it_knows_the_new_owner() -> None:
+    async def steps() -> None:
+        store = CountingStore()
+        await accept_job(store)
+        former = WorkerParts("w1", store)
+        await claim_job(former, "w1/1")
+        owned = await former.own("j")
+        owned.outcomes.append(ItemResult("i1", True, "run of w1"))
+        await claim_job(WorkerParts("w2", store), "w2/1")
+        # The first commit is refused; the watch reports the claim meanwhile.
+        owned.apply_head(*await former.jobs.head("j"))
+        await former.committer.commit_all([owned])
+        await former.committer.commit_and_reconcile(owned)
+        job, _ = await former.jobs.head("j")
+        assert (job.owner, job.listed_ids) == ("w2/1", [])
+
+    run_with_timeout(steps)
+
+
 # Guards against an owner that answers "no result" at a position that its own
 # unanswered write has listed and that callers may have read elsewhere.
 def test_owner_does_not_deny_a_result_of_its_unanswered_write() -> None:
