Count copies of referenced chunks after the loss of a data centre

The check was wrong: it wanted two copies of every file on the bulk instances left, also of chunks that no log refers to.

Change: the test reads the chunks that the logs in the store refer to, by its own reading of the records, and wants exactly two intact copies of each. That is stricter where it matters: a referenced chunk without any copy was not counted before, and now fails.

--- a/tests/batches.py
+++ b/tests/batches.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
+import base64
 import hashlib
 import json
 import pathlib
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
+import msgspec
+
 from plumvane.entry.batches import partition_of_job
+from plumvane.partitions.records import (
+    ItemsDone,
+    ItemsFailed,
+    JobAccepted,
+    LogRecord,
+    ResultsMoved,
+    Segment,
+)
+from plumvane.partitions.segments import decode_record
 from standins.engine import expected_text
 from standins.launcher import MODEL, Fleet, Process
 from tests.fleets import Caller, wait_for
@@ -19,6 +31,7 @@
     "is_complete_answer",
     "item_lines",
     "owner_of",
+    "referenced_chunks",
     "wait_completed",
 ]
 
@@ -81,3 +94,39 @@
             copies = copies_by_digest.get(path.name, 0)
             copies_by_digest[path.name] = copies + is_intact
     return copies_by_digest
+
+
+def referenced_chunks(fleet: Fleet) -> set[str]:
+    """Returns the digests of the chunks that the partitions' logs refer to.
+
+    Results that list only items with an earlier outcome are not in use. A chunk
+    that was stored but not committed, as its sidecar or the owner was lost in
+    between, is in no log.
+    """
+    digests: set[str] = set()
+    closed_by_job: dict[str, set[int]] = {}
+    for record in _log_records(fleet):
+        if isinstance(record, JobAccepted):
+            digests.update(chunk.digest for chunk in record.chunks)
+        elif isinstance(record, ResultsMoved):
+            digests.add(record.chunk.digest)
+        elif isinstance(record, ItemsDone):
+            closed = closed_by_job.setdefault(record.job_id, set())
+            covered = set(record.results.covered())
+            if covered - closed:
+                digests.add(record.results.digest)
+            closed |= covered
+        elif isinstance(record, ItemsFailed):
+            closed = closed_by_job.setdefault(record.job_id, set())
+            closed.update(item.index for item in record.items)
+    return digests
+
+
+def _log_records(fleet: Fleet) -> Iterator[LogRecord]:
+    """Yields the records of all partitions, each partition's in log order."""
+    _, body = fleet.call("GET", f"{fleet['store'].url}/list?prefix=partitions/")
+    for stored in json.loads(body)["records"]:
+        if "/segments/" in stored["key"]:
+            value = base64.b64decode(stored["value"])
+            segment = msgspec.msgpack.decode(value, type=Segment)
+            yield from map(decode_record, segment.records)
