Send a chunk again when the connection to a bulk instance was lost

Fault: a job was refused with bulk_unavailable, "1 of 2 bulk instances stored the chunk.", as one connection was lost once, with both instances up.

Cause: a client tried each live bulk instance once. With two instances there is no other candidate, so that one lost connection refused the whole job, although the link opens a new connection at once.

Change: if too few instances hold the chunk after all were tried, those whose connection was lost are tried once more. Storing a chunk is idempotent. Instances that replied with an error, or not within 5 s, are not tried again, and with enough instances nothing changes.

Test: a new one freezes the connections of one of two bulk instances until the entry has given its own up.

--- a/plumvane/chunks/client.py
+++ b/plumvane/chunks/client.py
@@ -4,10 +4,13 @@
 
 from collections.abc import Iterable
 
+import anyio
+
 from plumvane import clock, hashing
 from plumvane.chunks.folder import digest_of
 from plumvane.errors import (
     BulkUnavailableError,
+    LinkLostError,
     NotFoundError,
     PlumvaneError,
 )
@@ -23,6 +26,8 @@
 RETRY_AFTER_S = 5.0
 # An instance whose call failed is tried last for this long.
 DEPRIORITIZE_S = 10.0
+# Pause before a chunk is sent again to instances whose connection was lost.
+RECONNECT_PAUSE_S = 0.1
 
 
 class ChunkClient:
@@ -74,6 +79,9 @@
     async def store(self, data: bytes) -> tuple[str, tuple[str, ...]]:
         """Stores a chunk on two instances, in two data centres if possible.
 
+        If all instances were tried and too few hold the chunk, those whose
+        connection was lost are tried once more, over a new connection.
+
         Returns:
             Digest of the chunk, and addresses of the instances that hold it.
 
@@ -87,22 +95,16 @@
             )
         digest = digest_of(data)
         holders: list[Instance] = []
-        tried: set[str] = set()
-        while len(holders) < REPLICATION_FACTOR:
-            candidates = [
-                instance
-                for instance in self.rank_targets(digest, holders)
-                if instance.name not in tried
-            ]
-            if not candidates:
-                raise BulkUnavailableError(
-                    f"{len(holders)} of {REPLICATION_FACTOR} bulk instances "
-                    "stored the chunk.",
-                    retry_after_s=RETRY_AFTER_S,
-                )
-            tried.add(candidates[0].name)
-            if await self._store_at(candidates[0].address, digest, data):
-                holders.append(candidates[0])
+        lost = await self._add_holders(holders, digest, data)
+        if len(holders) < REPLICATION_FACTOR and lost:
+            await anyio.sleep(RECONNECT_PAUSE_S)
+            await self._add_holders(holders, digest, data, only=lost)
+        if len(holders) < REPLICATION_FACTOR:
+            raise BulkUnavailableError(
+                f"{len(holders)} of {REPLICATION_FACTOR} bulk instances "
+                "stored the chunk.",
+                retry_after_s=RETRY_AFTER_S,
+            )
         return digest, tuple(instance.address for instance in holders)
 
     async def fetch(self, digest: str, addresses: Iterable[str]) -> bytes:
@@ -140,17 +142,51 @@
             live_by_name[name] for name in hashing.rank(digest, live_by_name)
         ]
 
-    async def _store_at(self, address: str, digest: str, data: bytes) -> bool:
-        try:
-            await self._links.call(
-                address,
-                StoreChunk(digest, data),
-                deadline=clock.monotonic() + CALL_TIMEOUT_S,
-            )
-        except PlumvaneError:
-            self._deprioritize(address)
-            return False
-        return True
+    async def _add_holders(
+        self,
+        holders: list[Instance],
+        digest: str,
+        data: bytes,
+        *,
+        only: set[str] | None = None,
+    ) -> set[str]:
+        """Stores a chunk on further instances until enough hold it.
+
+        Args:
+            holders: Instances that hold the chunk; new ones are appended.
+            digest: Digest of the chunk.
+            data: The chunk.
+            only: Names of the instances to try; all live ones by default.
+
+        Returns:
+            Names of the instances whose connection was lost.
+        """
+        tried: set[str] = set()
+        lost: set[str] = set()
+        while len(holders) < REPLICATION_FACTOR:
+            candidates = [
+                instance
+                for instance in self.rank_targets(digest, holders)
+                if instance.name not in tried
+                and (only is None or instance.name in only)
+            ]
+            if not candidates:
+                break
+            target = candidates[0]
+            tried.add(target.name)
+            try:
+                await self._links.call(
+                    target.address,
+                    StoreChunk(digest, data),
+                    deadline=clock.monotonic() + CALL_TIMEOUT_S,
+                )
+            except PlumvaneError as error:
+                self._deprioritize(target.address)
+                if isinstance(error, LinkLostError):
+                    lost.add(target.name)
+                continue
+            holders.append(target)
+        return lost
 
     def _rank_sources(self, digest: str, addresses: Iterable[str]) -> list[str]:
         """Returns the addresses that may have a chunk, most likely first.
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -12,6 +12,7 @@
 
 import httpcore
 
+from plumvane.events import Event
 from standins.launcher import (
     MODEL,
     OPERATOR_TOKEN,
@@ -21,7 +22,14 @@
     Process,
 )
 
-__all__ = ["OPERATOR", "TEAM", "Caller", "running_fleet", "wait_for"]
+__all__ = [
+    "OPERATOR",
+    "TEAM",
+    "Caller",
+    "running_fleet",
+    "silent_peers",
+    "wait_for",
+]
 
 TEAM = {"authorization": f"Bearer {TEAM_TOKEN}"}
 OPERATOR = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
@@ -89,6 +97,18 @@
     raise AssertionError(f"not seen in {timeout_s} s: {description}")
 
 
+def silent_peers(process: Process) -> set[str]:
+    """Returns the peers whose connections a process closed as silent."""
+    log = process.log.read_text(encoding="utf-8")
+    # The last line may be incomplete.
+    messages = [json.loads(line) for line in log.split("\n")[:-1]]
+    return {
+        message["peer"]
+        for message in messages
+        if message.get("event") == Event.PEER_SILENT.number
+    }
+
+
 class Caller:
     """A client of the fleet with the token of one team."""
 
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -19,7 +19,7 @@
     owner_of,
     wait_completed,
 )
-from tests.fleets import TEAM, Caller, running_fleet, wait_for
+from tests.fleets import TEAM, Caller, running_fleet, silent_peers, wait_for
 
 SLOW_STEPS = ("--step_s=0.05",)
 STEADY_STEPS = ("--step_s=0.02",)
@@ -280,6 +280,28 @@
         wait_for(is_repaired, "each chunk whole twice", COPIES_TIMEOUT_S)
 
 
+def test_job_is_accepted_after_the_link_to_a_bulk_instance_was_lost() -> None:
+    with running_fleet(bulks=2, proxied=True) as fleet:
+        caller = Caller(fleet)
+        fleet.set_peer_faults("bulk-0", mode="freeze")
+        answers: list[Any] = []
+        submission = threading.Thread(
+            target=lambda: answers.append(
+                caller.submit(fleet["entry-0"], item_lines(["plan"]), key="k")
+            )
+        )
+        submission.start()
+        bulk_address = fleet["bulk-0"].peer_address
+        wait_for(
+            lambda: bulk_address in silent_peers(fleet["entry-0"]),
+            "the loss of the link",
+        )
+        fleet.set_peer_faults("bulk-0", mode="pass")
+        submission.join()
+        assert answers[0][0] == 202, answers
+        wait_completed(caller, fleet["entry-0"], answers[0][1]["id"])
+
+
 def test_items_of_streams_ended_early_by_the_engine_run_again() -> None:
     with running_fleet(bulks=2, engine_flags=SLOW_STEPS) as fleet:
         caller = Caller(fleet)
--- a/tests/test_requests_once.py
+++ b/tests/test_requests_once.py
@@ -8,9 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from plumvane.events import Event
-from standins.launcher import Fleet, Process
-from tests.fleets import Caller, running_fleet, wait_for
+from standins.launcher import Fleet
+from tests.fleets import Caller, running_fleet, silent_peers, wait_for
 
 SLOW_SERVICE = ("--delay_s=2.0",)
 # Time from sending a quote to its deadline.
@@ -42,18 +41,6 @@
     wait_for(lambda: json.dumps(body) in _executions(fleet), "the execution")
 
 
-def _silent_peers(process: Process) -> set[str]:
-    """Returns the peers whose connections a process closed as silent."""
-    log = process.log.read_text(encoding="utf-8")
-    # The last line may be incomplete.
-    messages = [json.loads(line) for line in log.split("\n")[:-1]]
-    return {
-        message["peer"]
-        for message in messages
-        if message.get("event") == Event.PEER_SILENT.number
-    }
-
-
 def test_quote_of_a_killed_entry_is_settled_by_its_owner() -> None:
     with running_fleet(
         entries=3, engines=0, services=1, service_flags=SLOW_SERVICE
@@ -150,7 +137,7 @@
         )
         sidecar_address = fleet["service-0-sidecar"].peer_address
         wait_for(
-            lambda: sidecar_address in _silent_peers(fleet["entry-0"]),
+            lambda: sidecar_address in silent_peers(fleet["entry-0"]),
             "the loss of the link",
         )
         fleet.set_peer_faults("service-0-sidecar", mode="pass")
