Answer reads of batch jobs with 503 while the store is silent

The platform asks for 503 from a node that can't be sure.

Cause: a store call without an answer may have been executed, so its error is not marked as not run, and the gateway answers such errors with 502. A read has no effect.

Change: reads of results and of bodies mark the error as not run. The end of a job stays at 502, since it may take effect.

--- a/plumvane/gateway/jobs.py
+++ b/plumvane/gateway/jobs.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+from collections.abc import Iterator
 
 import anyio
 
@@ -23,7 +25,7 @@
 SUBMIT_TIMEOUT_S = 0.8
 # Pause between two attempts to write a job, in seconds.
 STORE_RETRY_S = 0.2
-# Retry-After of a rejected submission, in seconds; another instance may reach
+# Retry-After of a rejected call, in seconds; another instance may reach
 # the store at once.
 RETRY_AFTER_S = 0.5
 # Longest time that a read may wait for a result, in seconds; set by the
@@ -129,9 +131,11 @@
         """
         match call:
             case ReadJob():
-                await self._read_results(exchange, call)
+                with _read_without_effect():
+                    await self._read_results(exchange, call)
             case ReadItem():
-                await self._read_item(exchange, call)
+                with _read_without_effect():
+                    await self._read_item(exchange, call)
             case EndJob():
                 await self._end_job(exchange, call.job_id)
 
@@ -175,3 +179,19 @@
         was_open = await self._jobs.end(job_id)
         events.log(events.Event.JOB_ENDED, job=job_id, was_open=was_open)
         await exchange.respond(200)
+
+
+@contextlib.contextmanager
+def _read_without_effect() -> Iterator[None]:
+    """Marks a failed read as not run: whatever the store did, it has no effect.
+
+    Raises:
+        StoreUnavailableError: The store did not respond.
+    """
+    try:
+        yield
+    except StoreUnavailableError as error:
+        error.not_run = True
+        if error.retry_after_s is None:
+            error.retry_after_s = RETRY_AFTER_S
+        raise
--- a/tests/test_gateway_app.py
+++ b/tests/test_gateway_app.py
@@ -21,6 +21,7 @@
 from plumvane.serving.jobs import ItemResult
 from plumvane.serving.routes import RouteKind, RouteTable, Service
 from plumvane.serving.upstreams import Upstream
+from plumvane.store.base import Record
 from plumvane.store.memory import MemoryStore
 from tests.gateways import SERVICE, make_listed_upstream, make_route
 
@@ -261,6 +262,24 @@
     run_steps(steps)
 
 
+def test_read_of_a_job_that_is_not_certain_gets_503() -> None:
+    class SilentStore(MemoryStore):
+        async def get(self, key: str) -> Record | None:
+            raise StoreUnavailableError("no response")
+
+    async def steps() -> None:
+        app = App(SilentStore())
+        app.configure()
+        for target in ("/v1/lots/r1?after=0", "/v1/items/r1?id=i1"):
+            status, headers, _ = await app.call("GET", target)
+            assert status == 503, target
+            assert b"retry-after" in headers
+        status, _, _ = await app.call("DELETE", "/v1/lots/r1")
+        assert status == 502, "the end may still take effect"
+
+    run_steps(steps)
+
+
 def test_submission_gets_a_response_before_its_caller_disconnects() -> None:
     """A submission must not wait for the store longer than its caller waits.
 
