--- a/soak/clients.py
+++ b/soak/clients.py
@@ -313,7 +313,7 @@
             gateway=gateway,
         )
         self.observations.count_response("read", status)
-        error = job.check_status(status)
+        error = job.check_read_status(status)
         if status == 200:
             error = job.add_page(position, json.loads(body), sent_at)
         if error:
--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -94,6 +94,12 @@
         """Returns the error of a call on the accepted job, or ""."""
         return f"LOST: got status {status}" if status in (404, 410) else ""
 
+    def check_read_status(self, status: int) -> str:
+        """Returns the error of a read of the accepted job, or ""."""
+        if status in (500, 502, 504):
+            return f"got status {status} in place of 503"
+        return self.check_status(status)
+
     def add_page(
         self, position: int, page: dict[str, Any], sent_at: float
     ) -> str:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -166,6 +166,13 @@
     assert make_job().check_status(410).startswith("LOST: ")
 
 
+def test_read_that_is_not_certain_must_get_503() -> None:
+    for status in (0, 200, 429, 503):
+        assert make_job().check_read_status(status) == ""
+    assert make_job().check_read_status(502) == "got status 502 in place of 503"
+    assert make_job().check_read_status(404).startswith("LOST: ")
+
+
 def test_dead_letter_of_a_sound_item_needs_an_ended_job() -> None:
     job = make_job()
     item_id = next(iter(job.paths_by_item))
