Cut programs of the soak from the store for longer than a takeover

In the logs, most new owners had listed nothing when the former owner came back.

Change: cuts last 4 to 9 s.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,7 +19,7 @@
 # worker, so that another one takes over while the owner still holds results.
 OWNER_PAUSES_S = (3.0, 6.0)
 # Range of the times for which programs are cut from the store, in seconds.
-CUT_S = (2.0, 9.0)
+CUT_S = (4.0, 9.0)
 # Delays of the blocks of bytes of a slow store, in seconds, and the time for
 # which it is slow after such a pause.
 STORE_DELAYS_S = (0.2, 0.4)
