--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -95,8 +95,13 @@
         "Results are not committed while the store does not respond.",
     )
     JOB_UNREADABLE = (5019, "The head of a batch job cannot be decoded.")
+    RETIRE_STARTED = (
+        5017,
+        "The operator requested that the instance hand over its work.",
+    )
+    RETIRE_COMPLETED = (5018, "The instance has handed over its work.")
     JOB_READ = (5020, "Results of a batch job were returned to a caller.")
-    RESULTS_RECONCILED = (
+    JOB_RECONCILED = (
         5021,
         "A batch job's head was read after a failed commit.",
     )
@@ -104,11 +109,6 @@
         5022,
         "A batch item starts again; no upstream has the version that began it.",
     )
-    RETIRE_STARTED = (
-        5017,
-        "The operator requested that the instance hand over its work.",
-    )
-    RETIRE_COMPLETED = (5018, "The instance has handed over its work.")
     REQUEST_ROUTED = (4101, "A request was sent to an upstream.")
     REQUEST_RETRIED = (4102, "A request, or its remaining part, is sent again.")
     REQUEST_REFUSED = (4103, "A request was rejected; it has not run.")
--- a/plumvane/worker/committer.py
+++ b/plumvane/worker/committer.py
@@ -99,6 +99,7 @@
                 await self._write(group)
             except ConflictError:
                 for draft in group:
+                    _log_conflict(draft.owned)
                     await self.commit_and_reconcile(draft.owned)
             except PlumvaneError as error:
                 for draft in group:
@@ -133,11 +134,7 @@
             await self.commit(owned)
             return
         except ConflictError:
-            events.log(
-                events.Event.COMMIT_CONFLICT,
-                job=owned.job.job_id,
-                revision=owned.revision,
-            )
+            _log_conflict(owned)
         except PlumvaneError as error:
             log_commit_delayed(owned, error)
             await anyio.sleep(RETRY_S)
@@ -151,7 +148,7 @@
             owned.mark_saved(draft.commit.progress)
             self._results.apply_commit(owned.job, results)
             for position, result in results.items():
-                _report_listed(owned, position, result)
+                _report_listed(owned.job.job_id, position, result, revision)
 
     async def _reconcile(self, owned: OwnedJob) -> None:
         """Adopts the head in the store after a failed write."""
@@ -161,7 +158,7 @@
             log_commit_delayed(owned, error)
             return
         events.log(
-            events.Event.RESULTS_RECONCILED,
+            events.Event.JOB_RECONCILED,
             job=job.job_id,
             owner=job.owner,
             listed=len(job.listed_ids),
@@ -218,15 +215,25 @@
     )
 
 
-def _report_listed(owned: OwnedJob, position: int, result: ItemResult) -> None:
+def _log_conflict(owned: OwnedJob) -> None:
+    events.log(
+        events.Event.COMMIT_CONFLICT,
+        job=owned.job.job_id,
+        revision=owned.revision,
+    )
+
+
+def _report_listed(
+    job_id: str, position: int, result: ItemResult, revision: int
+) -> None:
     outcome = "done" if result.is_completed else "failed"
     metrics.add(Metric.BATCH_ITEMS, outcome=outcome)
     events.log(
         events.Event.ITEM_LISTED,
-        job=owned.job.job_id,
+        job=job_id,
         item=result.item_id,
         position=position,
         completed=result.is_completed,
         digest=result.digest(),
-        revision=owned.revision,
+        revision=revision,
     )
--- a/plumvane/worker/results.py
+++ b/plumvane/worker/results.py
@@ -111,7 +111,11 @@
         entry.notify_changed()
 
     def has_all_listed(self, job: Job) -> bool:
-        """Returns whether all results that a head lists are known here."""
+        """Returns whether all results that a head lists are known here.
+
+        Positions have no gaps, and a known result is a listed one, so their
+        numbers tell.
+        """
         entry = self._entries_by_id.get(job.job_id)
         known = len(entry.results_by_position) if entry is not None else 0
         return known >= len(job.listed_ids)
