Read a segment again that was closed after a takeover listed it

Callers saw: a completed non-idempotent request was granted to run again after a takeover, and its result was unknown.

Cause: recover listed the log page by page and read a segment again, whose revision differs from the chain's, only if segments were prefetched. A former owner with a lapsed lease can close a segment between two pages: the list has the segment as it was, and the next page has the one that was opened after it.

Change: each segment whose revision differs from the chain's is read again.

Why it works: the chain of the open segment names the revision of each closed one, and the fence on the open segment fails if the former owner writes later.

--- a/plumvane/partitions/log.py
+++ b/plumvane/partitions/log.py
@@ -350,10 +350,8 @@
         chosen = []
         for closed in newest.segment.chain:
             known = found.get(closed.number)
-            if known is None or (
-                prefetched.segments_by_number
-                and known.revision != closed.revision
-            ):
+            # The segment may have been closed after it was listed.
+            if known is None or known.revision != closed.revision:
                 known = await self.segments.read(closed.number)
             if known is not None:
                 chosen.append(known)
