Keep results of a range until no owner denies its job wrongly

Callers saw: items of a job ran again although a sidecar had their results, as it had discarded them.

Cause: a sidecar took the first NotFoundError as the answer that the owner had accepted the results. An owner says the same of a job that it does not know, as does a former owner of a job that was accepted after it.

Change: after a NotFoundError the other owners are tried too. It is the result only if none accepts the report and every listed owner replied; otherwise the report is sent again.

Why it works: an owner of the partition that has the job is a listed one, so its reply decides. Owners of other partitions reply that they are not the owner.

--- a/plumvane/sidecar/range_reports.py
+++ b/plumvane/sidecar/range_reports.py
@@ -178,7 +178,7 @@
                 its claim.
 
         Raises:
-            NotFoundError: The owner no longer wants the range.
+            NotFoundError: No owner wants the range any more.
             PlumvaneError: No owner accepted the report.
         """
         grant = run.grant
@@ -198,18 +198,27 @@
         last_error: PlumvaneError = NotOwnerError(
             "No partition owner is known."
         )
-        for owner in dict.fromkeys([run.owner, *self._reporter.owners]):
+        denial: NotFoundError | None = None
+        is_listed_owner_silent = False
+        listed = tuple(self._reporter.owners)
+        for owner in dict.fromkeys([run.owner, *listed]):
             try:
                 await self._links.call(
                     owner, message, deadline=clock.monotonic() + CALL_TIMEOUT_S
                 )
-            except (
-                NotOwnerError,
-                LinkLostError,
-                DeadlineExceededError,
-            ) as error:
+            except NotFoundError as error:
+                # A former owner denies a job that was accepted after it.
+                denial = error
+                continue
+            except NotOwnerError as error:
+                last_error = error
+                continue
+            except (LinkLostError, DeadlineExceededError) as error:
                 last_error = error
+                is_listed_owner_silent |= owner in listed
                 continue
             run.owner = owner
             return
+        if denial is not None and not is_listed_owner_silent:
+            raise denial
         raise last_error
--- a/tests/test_stale_owners.py
+++ b/tests/test_stale_owners.py
@@ -12,6 +12,10 @@
 
 import anyio
 
+from plumvane.errors import (
+    LinkLostError,
+    NotFoundError,
+)
 from plumvane.partitions.log import PartitionLog
 from plumvane.partitions.records import (
     LogRecord,
@@ -21,9 +25,15 @@
 from plumvane.peers.messages import (
     Claim,
     ClaimResult,
+    Done,
+    Message,
     Outcome,
+    RangeDone,
+    RangeGrant,
 )
 from plumvane.requests.ledger import OwnerState, RequestLedger
+from plumvane.sidecar.range_reports import RangeReporter
+from plumvane.sidecar.ranges import RangeRun
 from plumvane.store.base import Store, WatchResult
 from plumvane.store.memory import MemoryStore
 
@@ -125,3 +135,39 @@
                 assert isinstance(reply, ClaimResult), repr(reply)
 
     run_with_timeout(steps)
+
+
+# Guards against results that are lost as a former owner never had their job.
+def test_results_are_kept_until_an_owner_that_has_the_job_accepts_them() -> (
+    None
+):
+    accepted: list[RangeDone] = []
+
+    class FakeOwners:
+        """The owner that granted the range is lost; two others answer."""
+
+        owners = ("former", "next")
+
+        async def call(
+            self, address: str, message: RangeDone, *, deadline: float
+        ) -> Message:
+            if address == "lost":
+                raise LinkLostError("The owner was lost.")
+            if address == "former":
+                raise NotFoundError("The range is no longer needed.")
+            accepted.append(message)
+            return Done()
+
+        async def store(self, data: bytes) -> tuple[str, tuple[str, ...]]:
+            return "results", ("bulk",)
+
+    async def steps() -> None:
+        fakes: Any = FakeOwners()
+        reporter = RangeReporter("sidecar", "first", fakes, fakes, fakes)
+        grant = RangeGrant(0, "batch-1", 0, 1, "claim", 0.0, 1e12, ())
+        run = RangeRun("lost", grant)
+        run.add_result(0, b"{}")
+        await reporter.finish(run)
+        assert [report.results is not None for report in accepted] == [True]
+
+    run_with_timeout(steps)
