Let an owner with a lapsed lease deny nothing

Callers saw: 404 for a request whose result was stored and for a job that was accepted, and an empty last page in place of results that had been read before.

Cause: a frozen or partitioned owner does not know of a takeover at first. lookup and cancel of the ledger, and the calls on jobs, replied from memory without a check of the lease.

Change: with a lapsed lease, the calls on jobs and a PullWork fail with NotOwnerError while the store is up, so that the caller asks the owner. A denial (unknown request or job, a range that is not needed, the last page of a job that is not completed) fails with NotOwnerError, or with StoreUnavailableError (503) while the store is down. Known results and jobs are served during an outage of the store as before.

Why it works: no other instance takes a partition while its owner's lease is valid, so such an owner knows all that is stored. A stored result and a completed job do not change.

--- a/plumvane/entry/host.py
+++ b/plumvane/entry/host.py
@@ -248,18 +248,32 @@
         return jobs.show(message.job_id, message.team)
 
     async def _call_job(self, message: JobCall) -> Message:
+        self._state.check_lease()
         jobs = self._jobs(message.partition)
-        if message.cancel:
-            return await jobs.cancel(message.job_id, message.team)
-        self._scheduler.update_forecasts(self.all_jobs())
-        return jobs.show(message.job_id, message.team)
+        try:
+            if message.cancel:
+                return await jobs.cancel(message.job_id, message.team)
+            self._scheduler.update_forecasts(self.all_jobs())
+            return jobs.show(message.job_id, message.team)
+        except NotFoundError:
+            self._state.check_denial()
+            raise
 
     async def _fetch_results(self, message: FetchResults) -> Message:
-        return self._jobs(message.partition).page(
-            message.job_id, message.team, message.from_item
-        )
+        self._state.check_lease()
+        jobs = self._jobs(message.partition)
+        try:
+            page = jobs.page(message.job_id, message.team, message.from_item)
+        except NotFoundError:
+            self._state.check_denial()
+            raise
+        job = jobs.show(message.job_id, message.team)
+        if page.last and job.state != "completed":
+            self._state.check_denial()
+        return page
 
     async def _list_jobs(self, message: JobList) -> Message:
+        self._state.check_lease()
         self._scheduler.update_forecasts(self.all_jobs())
         states = []
         for jobs in self._jobs_by_partition.values():
@@ -313,6 +327,7 @@
         )
 
     async def _pull(self, message: PullWork) -> Message:
+        self._state.check_lease()
         document = self._current.document
         grant = self._scheduler.pull(
             message,
@@ -325,6 +340,7 @@
     async def _report_range(self, message: RangeDone) -> Message:
         accepted = await self._jobs(message.partition).report(message)
         if not accepted:
+            self._state.check_denial()
             raise NotFoundError(
                 f"The range is no longer needed by job {message.job_id}."
             )
--- a/plumvane/requests/control.py
+++ b/plumvane/requests/control.py
@@ -6,11 +6,14 @@
 import dataclasses
 from collections.abc import Callable
 
+from plumvane.errors import NotOwnerError, StoreUnavailableError
 from plumvane.peers.messages import Settled
 from plumvane.requests.claims import ClaimedRun
 
 __all__ = ["OwnerState", "RunControl"]
 
+RETRY_AFTER_S = 2.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerState:
@@ -26,6 +29,26 @@
     store_is_down: Callable[[], bool]
     retention_s: Callable[[], float]
 
+    def check_lease(self) -> None:
+        """Raises NotOwnerError if the lease has lapsed and the store is up."""
+        if not self.has_valid_lease() and not self.store_is_down():
+            raise NotOwnerError("The owner's lease has lapsed.")
+
+    def check_denial(self) -> None:
+        """Checks that no other owner can have stored what is unknown here.
+
+        Raises:
+            NotOwnerError: The lease has lapsed; another instance may own the
+                partition.
+            StoreUnavailableError: The lease has lapsed and the store is down.
+        """
+        self.check_lease()
+        if not self.has_valid_lease():
+            raise StoreUnavailableError(
+                "The owner cannot renew its lease.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
 
 class RunControl(abc.ABC):
     """Calls the sidecar and the entry that run a claimed request."""
--- a/plumvane/requests/ledger.py
+++ b/plumvane/requests/ledger.py
@@ -253,13 +253,16 @@
 
         Raises:
             NotFoundError: The request is unknown.
-            NotOwnerError: Another instance took the partition.
+            NotOwnerError: Another instance took the partition or may have.
+            StoreUnavailableError: The request is unknown here, but may be
+                known to another owner.
         """
         await self._recovered.wait()
         record = await self._find_result((team, key))
         if record is None:
             run = self._claims.get((team, key))
             if run is None:
+                self._state.check_denial()
                 raise NotFoundError(f"Request {key!r} is unknown.")
             record = self._add_result(
                 _complete_message(run, cancelled_outcome())
@@ -272,7 +275,9 @@
 
         Raises:
             NotFoundError: The request is unknown, or is still running.
-            NotOwnerError: Another instance took the partition.
+            NotOwnerError: Another instance took the partition or may have.
+            StoreUnavailableError: There is no result here, but another owner
+                may have one.
         """
         record = await self._find_result((team, key))
         if record is None:
@@ -280,6 +285,7 @@
             record = await self._find_result((team, key))
         if record is not None:
             return await self._claim_result((team, key), record)
+        self._state.check_denial()
         state = "unknown"
         if self._claims.get((team, key)) is not None:
             state = "still running"
@@ -328,14 +334,6 @@
         if self._closed or self._log.lost:
             raise NotOwnerError("Another instance owns the partition.")
 
-    def _check_lease(self) -> None:
-        """Raises NotOwnerError if the lease has lapsed and the store is up."""
-        if (
-            not self._state.has_valid_lease()
-            and not self._state.store_is_down()
-        ):
-            raise NotOwnerError("The owner's lease has lapsed.")
-
     async def _claim_result(
         self, key: RequestKey, record: RequestCompleted
     ) -> ClaimResult:
@@ -350,12 +348,12 @@
             self._check_owned()
         durable = self._results.is_stored(key)
         if not durable:
-            self._check_lease()
+            self._state.check_lease()
         return ClaimResult(record.request_id, record.outcome, durable)
 
     async def _grant(self, claim: Claim) -> ClaimGranted:
         if claim.idempotent:
-            self._check_lease()
+            self._state.check_lease()
             run = self._claims.add(claim, clock.wall())
             run.started.set()
             return ClaimGranted(claim.request_id, run.claimed_at)
--- a/tests/test_stale_owners.py
+++ b/tests/test_stale_owners.py
@@ -12,10 +12,15 @@
 
 import anyio
 
+from plumvane.entry.host import PartitionHost
 from plumvane.errors import (
     LinkLostError,
     NotFoundError,
+    NotOwnerError,
+    PlumvaneError,
 )
+from plumvane.fleet.current import CurrentDocument
+from plumvane.jobs.table import JobTable
 from plumvane.partitions.log import PartitionLog
 from plumvane.partitions.records import (
     LogRecord,
@@ -23,19 +28,26 @@
     RequestStarted,
 )
 from plumvane.peers.messages import (
+    CancelRequest,
     Claim,
     ClaimResult,
     Done,
+    FetchResults,
+    JobCall,
+    Lookup,
     Message,
     Outcome,
     RangeDone,
     RangeGrant,
+    ResultPage,
 )
 from plumvane.requests.ledger import OwnerState, RequestLedger
 from plumvane.sidecar.range_reports import RangeReporter
 from plumvane.sidecar.ranges import RangeRun
 from plumvane.store.base import Store, WatchResult
 from plumvane.store.memory import MemoryStore
+from tests.chunks import MemoryChunks
+from tests.jobs import job_record, range_report, result_ref
 
 OUTER_DEADLINE_S = 15.0
 
@@ -80,6 +92,105 @@
         group.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def former_owner(store: Store) -> AsyncIterator[PartitionHost]:
+    """Yields a host whose lease has lapsed and that still has partition 0."""
+    unused: Any = None
+    host = PartitionHost(
+        CurrentDocument(),
+        unused,
+        lambda: False,
+        store_is_down=lambda: False,
+        claim_recovery=unused,
+        address="former",
+        chunks=MemoryChunks(),
+    )
+    async with running_log(store, 1) as (log, records):
+        async with anyio.create_task_group() as group:
+            group.start_soon(host.run)
+            while host._group is None:
+                await anyio.sleep(0)
+            host.add_partition(0, records, log)
+            yield host
+            group.cancel_scope.cancel()
+
+
+async def reply_of(host: PartitionHost, message: Message) -> Any:
+    """Returns the reply to a call, or the error that it fails with."""
+    try:
+        return await host.handle(message)
+    except PlumvaneError as error:
+        return error
+
+
+# Guards against a caller that gets 404 for a result that was stored and read.
+def test_former_owner_does_not_deny_a_stored_result() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
+        async with (
+            former_owner(store) as host,
+            running_log(store, 2) as (
+                log,
+                _,
+            ),
+        ):
+            await log.commit(completed("k"))
+            for kind in (Lookup, CancelRequest):
+                reply = await reply_of(host, kind(0, "team", "k"))
+                assert isinstance(reply, NotOwnerError), repr(reply)
+
+    run_with_timeout(steps)
+
+
+# Guards against a caller that gets 404 for a job that the next owner accepted.
+def test_former_owner_does_not_deny_an_accepted_job() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
+        async with (
+            former_owner(store) as host,
+            running_log(store, 2) as (
+                log,
+                _,
+            ),
+        ):
+            record = job_record()
+            await log.commit(record)
+            call = JobCall(0, record.job_id, record.team)
+            reply = await reply_of(host, call)
+            assert isinstance(reply, NotOwnerError), repr(reply)
+
+    run_with_timeout(steps)
+
+
+# Guards against an empty last page for results that had been read before.
+def test_former_owner_does_not_serve_an_incomplete_page_of_results() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
+        record = job_record(items=64)
+        async with running_log(store, 1) as (log, _):
+            await log.commit(record)
+        async with (
+            former_owner(store) as host,
+            running_log(store, 2) as (
+                log,
+                records,
+            ),
+        ):
+            table = JobTable(log, 0, 2, may_accept=lambda: True)
+            for known in records:
+                table.apply(known)
+            grant = table.jobs()[0].grant(64, "sidecar")
+            assert isinstance(grant, RangeGrant)
+            await table.report(range_report(grant, result_ref(0, 64)))
+            assert len(table.page(record.job_id, record.team, 0).results) == 1
+            call = FetchResults(0, record.job_id, record.team)
+            reply = await reply_of(host, call)
+            is_denied = isinstance(reply, ResultPage) and not reply.results
+            assert not is_denied, repr(reply)
+
+    run_with_timeout(steps)
+
+
 # Guards against a takeover that misses committed records of the former owner.
 def test_takeover_reads_a_segment_that_was_closed_between_two_pages() -> None:
     async def steps() -> None:
