List a job of two owners once

Callers saw: a job twice in the list of a team's jobs, once as running and once as completed.

Cause: the list joined the replies of all owners. After a takeover the former owner lists the job too until it knows of it.

Change: of a job that two owners list, the state with more progress is kept.

Why it works: a former owner does not commit, so its state is never ahead of the next owner's.

Evidence: test_job_of_two_owners_is_listed_once found two states before and passes now; tests.test_stale_owners: 7 passed, 0 failed.

--- a/plumvane/entry/owners.py
+++ b/plumvane/entry/owners.py
@@ -91,9 +91,13 @@
         raise NotOwnerError(last_error.detail, retry_after_s=RETRY_AFTER_S)
 
     async def list_jobs(self, team: str, *, deadline: float) -> list[JobState]:
-        """Lists a team's jobs; owners that fail to reply are skipped."""
+        """Lists a team's jobs; owners that fail to reply are skipped.
+
+        Of a job that two owners list, the state with more progress is kept: a
+        former owner does not learn of progress after a takeover.
+        """
         message = JobList(team)
-        jobs: list[JobState] = []
+        jobs_by_id: dict[str, JobState] = {}
         for address in self._ownership.owner_addresses():
             try:
                 if address == self._ownership.address:
@@ -105,8 +109,11 @@
             except PlumvaneError:
                 continue
             if isinstance(reply, JobStates):
-                jobs.extend(reply.jobs)
-        return sorted(jobs, key=lambda job: job.created)
+                for job in reply.jobs:
+                    known = jobs_by_id.setdefault(job.job_id, job)
+                    if _progress(job) > _progress(known):
+                        jobs_by_id[job.job_id] = job
+        return sorted(jobs_by_id.values(), key=lambda job: job.created)
 
     def unowned_partitions(self) -> list[int]:
         """Returns the partitions without a known owner."""
@@ -141,3 +148,8 @@
                 f"Partition {partition} currently has no owner."
             )
         return await self._links.call(owner.address, message, deadline=deadline)
+
+
+def _progress(job: JobState) -> tuple[bool, int]:
+    """Returns a value that grows while a job makes progress."""
+    return job.state != "running", job.done + job.failed_count
--- a/tests/test_stale_owners.py
+++ b/tests/test_stale_owners.py
@@ -13,6 +13,7 @@
 import anyio
 
 from plumvane.entry.host import PartitionHost
+from plumvane.entry.owners import OwnerClient
 from plumvane.errors import (
     LinkLostError,
     NotFoundError,
@@ -34,6 +35,8 @@
     Done,
     FetchResults,
     JobCall,
+    JobState,
+    JobStates,
     Lookup,
     Message,
     Outcome,
@@ -214,6 +217,35 @@
     run_with_timeout(steps)
 
 
+# Guards against a job that is listed twice, in two states, after a takeover.
+def test_job_of_two_owners_is_listed_once() -> None:
+    def state_of(done: int) -> JobState:
+        state = "completed" if done == 64 else "running"
+        return JobState("batch-1", state, 64, done, (), 1e12, 0.0)
+
+    class FakeOwners:
+        """Two owners with different states of one job."""
+
+        address = "caller"
+
+        def owner_addresses(self) -> list[str]:
+            return ["former", "next"]
+
+        async def call(
+            self, address: str, message: Message, *, deadline: float
+        ) -> Message:
+            return JobStates((state_of(0 if address == "former" else 64),))
+
+    async def steps() -> None:
+        owners: Any = FakeOwners()
+        unused: Any = None
+        client = OwnerClient(owners, unused, owners, lambda: False)
+        jobs = await client.list_jobs("intake", deadline=1e12)
+        assert [job.state for job in jobs] == ["completed"], jobs
+
+    run_with_timeout(steps)
+
+
 # Guards against a non-idempotent request that runs twice after a takeover.
 def test_takeover_between_two_pages_grants_no_completed_request_again() -> None:
     async def steps() -> None:
