Ignore a report from an address that the list has replaced

Callers saw: calls to an instance that had moved failed at its former address, as a late report of its earlier process brought that address back until the next listing.

Cause: apply_report took any report with another address as the newer one.

Change: the directory remembers the address that the list had before an instance moved and ignores reports from it, until the list names it again.

Why it works: the list names an address only after the instance registered there, so a replaced address belongs to an earlier process. A report from an address that was not listed yet still overrides the list, which lags.

Evidence: test_late_report_does_not_restore_the_former_address found the former address before and passes now; tests.test_stale_owners and tests.test_directory: 12 passed, 0 failed.

--- a/plumvane/instances/directory.py
+++ b/plumvane/instances/directory.py
@@ -90,7 +90,9 @@
         self._poll_s = poll_s
         self._pool = HttpPool()
         self._instances_by_name: dict[str, Instance] = {}
-        self._listed_names: set[str] = set()
+        self._listed_address_by_name: dict[str, str] = {}
+        # Addresses that the list had before an instance moved.
+        self._former_address_by_name: dict[str, str] = {}
         self._leaving_names: set[str] = set()
         # Cached results of `live`; cleared when an instance is added, removed
         # or changes state.
@@ -136,7 +138,12 @@
         return instances
 
     def apply_report(self, report: Report) -> None:
-        """Applies a report that an instance sent of itself."""
+        """Applies a report that an instance sent of itself.
+
+        A report from an address that the list has replaced is late and ignored.
+        """
+        if self._former_address_by_name.get(report.name) == report.address:
+            return
         instance = self._instances_by_name.get(report.name)
         if instance is None or instance.address != report.address:
             instance = Instance(
@@ -161,7 +168,9 @@
 
     def apply_listing(self, listed: list[dict[str, str]]) -> None:
         """Applies a listing of the platform."""
-        self._listed_names = {item["name"] for item in listed}
+        self._update_listed_addresses(
+            {item["name"]: item["address"] for item in listed}
+        )
         self._leaving_names = {
             item["name"]
             for item in listed
@@ -206,7 +215,7 @@
                 self._mark_instance_leaving(instance)
             elif (
                 instance.state is State.LEAVING
-                and name in self._listed_names
+                and name in self._listed_address_by_name
                 and now >= instance.leaving_until
             ):
                 instance.state = State.LIVE
@@ -217,13 +226,21 @@
         oldest_report_at = clock.monotonic() - REPORT_MAX_AGE_S
         for name, instance in list(self._instances_by_name.items()):
             if (
-                name in self._listed_names
+                name in self._listed_address_by_name
                 or instance.reported_at >= oldest_report_at
             ):
                 continue
             del self._instances_by_name[name]
             self._live_by_role_and_service.clear()
 
+    def _update_listed_addresses(self, listed: dict[str, str]) -> None:
+        for name, address in self._listed_address_by_name.items():
+            if name not in listed:
+                self._former_address_by_name.pop(name, None)
+            elif listed[name] != address:
+                self._former_address_by_name[name] = address
+        self._listed_address_by_name = listed
+
     def _apply_listed(self, item: dict[str, str]) -> None:
         instance = self._instances_by_name.get(item["name"])
         if instance is None or instance.address != item["address"]:
--- a/tests/test_stale_owners.py
+++ b/tests/test_stale_owners.py
@@ -21,9 +21,11 @@
     PlumvaneError,
 )
 from plumvane.fleet.current import CurrentDocument
+from plumvane.instances.directory import Directory
 from plumvane.jobs.table import JobTable
 from plumvane.partitions.log import PartitionLog
 from plumvane.partitions.records import (
+    JobAccepted,
     LogRecord,
     RequestCompleted,
     RequestStarted,
@@ -42,7 +44,9 @@
     Outcome,
     RangeDone,
     RangeGrant,
+    Report,
     ResultPage,
+    SubmitJob,
 )
 from plumvane.requests.ledger import OwnerState, RequestLedger
 from plumvane.sidecar.range_reports import RangeReporter
@@ -82,6 +86,18 @@
     return RequestCompleted("team", key, f"run-{key}", b"", outcome, 1e12)
 
 
+def submission(record: JobAccepted) -> SubmitJob:
+    return SubmitJob(
+        0,
+        record.job_id,
+        record.team,
+        b"d",
+        record.model,
+        record.chunks,
+        record.deadline,
+    )
+
+
 @contextlib.asynccontextmanager
 async def running_log(
     store: Store, epoch: int
@@ -314,3 +330,26 @@
         assert [report.results is not None for report in accepted] == [True]
 
     run_with_timeout(steps)
+
+
+# Guards against calls to a former address that a late report brought back.
+def test_late_report_does_not_restore_the_former_address() -> None:
+    def listed(address: str) -> list[dict[str, str]]:
+        return [
+            {
+                "name": "s",
+                "role": "sidecar",
+                "address": address,
+                "data_centre": "a",
+                "serves": "m",
+                "state": "live",
+            }
+        ]
+
+    directory = Directory("http://127.0.0.1:1/instances")
+    directory.apply_listing(listed("127.0.0.1:1"))
+    directory.apply_listing(listed("127.0.0.1:2"))
+    directory.apply_report(
+        Report("s", "sidecar", "127.0.0.1:1", "a", "m", 1, leaving=False)
+    )
+    assert [i.address for i in directory.live("sidecar")] == ["127.0.0.1:2"]
