Send records of split routes again if a peer does not answer

Callers may see: a stream on a route that is split over services is refused when it is taken up, since its record was given up after one peer did not answer; with one version listed it no longer counted as one that needs copies.

Evidence: test_records_of_a_split_route_go_to_other_peers_if_some_are_lost failed before with a TimeoutError; tests.test_stream_origins 9 passed, 0 failed now.

--- a/plumvane/discovery/origins.py
+++ b/plumvane/discovery/origins.py
@@ -98,9 +98,9 @@
         self._records_by_id: collections.OrderedDict[str, StreamRecord] = (
             collections.OrderedDict()
         )
-        # Records without copies at peers, and those on split routes, whose
-        # service cannot be told from the route.
+        # Records without copies at peers.
         self._unshared_by_id: dict[str, StreamRecord] = {}
+        # Streams on split routes, whose service the route does not tell.
         self._split_ids: set[str] = set()
         self._share_requested = anyio.Event()
         self._silent_until_by_name: dict[str, float] = {}
@@ -204,7 +204,6 @@
             if not self._is_shareable(record):
                 continue
             del self._unshared_by_id[request_id]
-            self._split_ids.discard(request_id)
             for name in self._ranked_peers(request_id, COPIES):
                 records_by_peer.setdefault(name, []).append(record)
         return records_by_peer
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -22,6 +22,11 @@
 OUTER_DEADLINE_S = 15.0
 POLL_S = 0.01
 ROUTE = make_route(RouteKind.STREAM, is_resumable=True)
+SPLIT_ROUTE = make_route(
+    RouteKind.STREAM,
+    is_resumable=True,
+    services=(WeightedService(SERVICE, 1), WeightedService("other", 1)),
+)
 NAMES = ("g1", "g2", "g3", "g4")
 Steps = Callable[["Fleet"], Awaitable[None]]
 
@@ -202,19 +207,32 @@
 
 
 def test_service_of_a_split_route_comes_from_a_record_only() -> None:
-    split = make_route(
-        RouteKind.STREAM,
-        is_resumable=True,
-        services=(WeightedService(SERVICE, 1), WeightedService("other", 1)),
-    )
-
     async def steps(fleet: Fleet) -> None:
         fleet.list_versions("1", age_s=2 * STREAM_LIFETIME_S)
-        assert await fleet.find_elsewhere(split) == [None] * 4
-        fleet.begin("g1", "1", split)
+        assert await fleet.find_elsewhere(SPLIT_ROUTE) == [None] * 4
+        fleet.begin("g1", "1", SPLIT_ROUTE)
         await fleet.wait_for_copies(3)
         fleet.lost_names.add("g1")
-        assert await fleet.find_elsewhere(split) == [Origin(SERVICE, "1")] * 3
+        found = await fleet.find_elsewhere(SPLIT_ROUTE)
+        assert found == [Origin(SERVICE, "1")] * 3
+
+    run_fleet(steps)
+
+
+def test_records_of_a_split_route_go_to_other_peers_if_some_are_lost() -> None:
+    async def steps(fleet: Fleet) -> None:
+        fleet.list_versions("1", age_s=2 * STREAM_LIFETIME_S)
+        fleet.lost_names.update({"g2", "g3"})
+        left = fleet.origins_by_name["g4"]
+        for number in range(20):
+            fleet.origins_by_name["g1"].record(
+                f"s{number}",
+                Origin(SERVICE, "1"),
+                SPLIT_ROUTE,
+                clock.monotonic() + 5.0,
+            )
+        while len(left._records_by_id) < 20:
+            await anyio.sleep(POLL_S)
 
     run_fleet(steps)
 
