Fail one message, never a process, for malformed data and unexpected errors

What callers would see: after one bad value in the store, one bad batch job or one bad frame at the port for peers, all processes that read it end, again and again; a job is taken over by the next worker, which ends too.

Change: one function decodes (plumvane/decoding.py); border types carry bounds; submissions are refused with 400 if an item cannot be sent; servers and links for peers skip malformed frames (6007); an unexpected error ends its call (6008), its item's run (5024), its load report or its background task, which is restarted.

--- a/plumvane/discovery/quarantine.py
+++ b/plumvane/discovery/quarantine.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from plumvane import clock, events
+from plumvane.decoding import decode
 from plumvane.discovery.loads import WORKER_ROLE
 from plumvane.discovery.relayed import RelayedStore
 from plumvane.errors import (
@@ -108,6 +109,9 @@
     upstreams: tuple[str, ...]
 
 
+_stored_decoder = msgspec.msgpack.Decoder(StoredQuarantine)
+
+
 class PromptQuarantine:
     """The parts in quarantine, as this instance knows them."""
 
@@ -381,9 +385,7 @@
         for record in stored.records:
             part = record.key.removeprefix(QUARANTINE_PREFIX)
             try:
-                value = msgspec.msgpack.decode(
-                    record.value, type=StoredQuarantine
-                )
+                value = decode(_stored_decoder, record.value)
             except msgspec.MsgspecError as error:
                 events.log(
                     events.Event.QUARANTINE_UNREADABLE,
--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from plumvane import clock, events
+from plumvane.decoding import decode
 from plumvane.discovery.mirror import Mirror
 from plumvane.discovery.peer_calls import PEER_WATCH_S, register_handlers
 from plumvane.discovery.registration import Registration
@@ -87,9 +88,11 @@
         Raises:
             msgspec.MsgspecError: The value is not a valid entry.
         """
-        return msgspec.msgpack.decode(value, type=cls)
+        return decode(_peer_decoder, value)
 
 
+_peer_decoder = msgspec.msgpack.Decoder(PeerEntry)
+
 T = TypeVar("T")
 R = TypeVar("R", bound=Message)
 AddressList = list[str]
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -113,6 +113,10 @@
         5023,
         "A batch item waits; a part of its prompt crashes upstreams.",
     )
+    ITEM_FAULT = (
+        5024,
+        "A batch item's run failed because of an internal error.",
+    )
     REQUEST_ROUTED = (4101, "A request was sent to an upstream.")
     REQUEST_RETRIED = (4102, "A request, or its remaining part, is sent again.")
     REQUEST_REFUSED = (4103, "A request was rejected; it has not run.")
@@ -138,6 +142,11 @@
         6006,
         "A peer did not answer a call about the versions of streams.",
     )
+    PEER_MALFORMED = (6007, "A peer's message cannot be decoded.")
+    PEER_CALL_FAILED = (
+        6008,
+        "A peer's call failed because of an internal error.",
+    )
     UPSTREAM_FAILED = (7001, "The upstream does not respond or failed.")
     BATCH_PREEMPTED = (7002, "Batch streams were preempted by online requests.")
     UPSTREAM_LISTED = (7004, "An upstream's entry was added or changed.")
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -18,7 +18,7 @@
 from plumvane.gateway.forwarder import Forwarder
 from plumvane.gateway.jobs import BatchJobHandler
 from plumvane.gateway.reads import JobReader
-from plumvane.process import run_program
+from plumvane.process import run_program, supervise
 from plumvane.relay.client import UpstreamClient
 from plumvane.settings import GatewaySettings
 
@@ -68,11 +68,14 @@
         settings.process.name, store, view.upstreams, quarantine.apply
     )
     async with anyio.create_task_group() as group:
-        group.start_soon(store.run)
-        group.start_soon(loads.run)
-        group.start_soon(origins.run)
-        group.start_soon(quarantine.run)
-        group.start_soon(view.run)
+        for task in (
+            store.run,
+            loads.run,
+            origins.run,
+            quarantine.run,
+            view.run,
+        ):
+            group.start_soon(supervise, task)
         group.start_soon(server.run)
         group.start_soon(readiness_server.run)
         await stopping.wait()
--- a/plumvane/peers/link.py
+++ b/plumvane/peers/link.py
@@ -290,25 +290,32 @@
         self, channel: Channel, group: anyio.abc.TaskGroup
     ) -> None:
         while True:
-            frames = await channel.receive()
-            header, body = wire.unpack(frames[0]), frames[1]
+            try:
+                rows = wire.split(await channel.receive())
+            except ProtocolError as error:
+                events.log(
+                    events.Event.PEER_MALFORMED,
+                    peer=self.address,
+                    error=error.detail,
+                )
+                group.cancel_scope.cancel()
+                continue
+            header, body = rows[0]
             if header.kind == wire.Kind.WELCOME:
                 self._last_answered_send = clock.monotonic()
                 self._session_opened.set()
             elif header.kind == wire.Kind.UNKNOWN_SESSION:
                 group.cancel_scope.cancel()
             elif header.kind == wire.Kind.REFUSED:
-                self._refusal = ProtocolError(body.decode())
+                self._refusal = ProtocolError(body.decode(errors="replace"))
                 events.log(events.Event.PEER_REFUSED, peer=self.address)
                 group.cancel_scope.cancel()
             elif header.kind == wire.Kind.PONG:
                 if self._ping_times:
                     self._record_answered_send(self._ping_times.popleft())
             else:
-                for index in range(0, len(frames), 2):
-                    self._handle_reply(
-                        wire.unpack(frames[index]), frames[index + 1]
-                    )
+                for row in rows:
+                    self._handle_reply(*row)
 
     def _record_answered_send(self, sent_at: float) -> None:
         """Records when a frame was sent that the peer has answered."""
--- a/plumvane/peers/messages/codec.py
+++ b/plumvane/peers/messages/codec.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from plumvane import decoding
 from plumvane.peers.messages import (
     chunks,
     instances,
@@ -46,7 +47,9 @@
 )
 
 _AnyMessage: Any = functools.reduce(operator.or_, Message.__subclasses__())
-_decoder = msgspec.msgpack.Decoder(_AnyMessage)
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(
+    _AnyMessage
+)
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -61,4 +64,4 @@
     Raises:
         msgspec.DecodeError: The data is not a message of a known type.
     """
-    return _decoder.decode(data)  # type: ignore[no-any-return]
+    return decoding.decode(_decoder, data)
--- a/plumvane/peers/server.py
+++ b/plumvane/peers/server.py
@@ -11,7 +11,7 @@
 import msgspec
 import zmq
 
-from plumvane import clock
+from plumvane import clock, events
 from plumvane.errors import PlumvaneError, ProtocolError, SettingsError
 from plumvane.peers import wire
 from plumvane.peers.channel import Channel
@@ -231,8 +231,16 @@
         group: anyio.abc.TaskGroup,
     ) -> None:
         while True:
-            identity, header_bytes, body = await channel.receive()
-            header = wire.unpack(header_bytes)
+            identity, *frames = await channel.receive()
+            try:
+                header, body = wire.split(frames)[0]
+            except ProtocolError as error:
+                events.log(
+                    events.Event.PEER_MALFORMED,
+                    peer=identity.hex(),
+                    error=error.detail,
+                )
+                continue
             if header.kind == wire.Kind.HELLO:
                 self._open_session(channel, identity, body)
                 continue
@@ -289,6 +297,9 @@
         except PlumvaneError as error:
             call.finish(failure_from_error(error))
             return
+        except Exception as error:
+            self._finish_failed(session, call, error)
+            return
         group.start_soon(self._run_call, session, call, header, message)
 
     async def _run_call(
@@ -304,9 +315,21 @@
                 call.finish(await self._dispatch(call, message))
             except PlumvaneError as error:
                 call.finish(failure_from_error(error))
+            except Exception as error:
+                self._finish_failed(session, call, error)
             finally:
                 session.scopes_by_call_id.pop(header.call_id, None)
 
+    def _finish_failed(
+        self, session: _Session, call: Call, error: Exception
+    ) -> None:
+        """Ends a call whose handler failed unexpectedly, and only that call."""
+        events.log(
+            events.Event.PEER_CALL_FAILED, peer=session.name, error=repr(error)
+        )
+        detail = "The call failed because of an internal error."
+        call.finish(failure_from_error(ProtocolError(detail)))
+
     async def _dispatch(self, call: Call, message: Message) -> Message:
         handler = self._handlers_by_type.get(type(message))
         if handler is None:
--- a/plumvane/peers/wire.py
+++ b/plumvane/peers/wire.py
@@ -4,8 +4,11 @@
 
 import enum
 import struct
+from collections.abc import Sequence
 
-__all__ = ["PROTOCOL_VERSION", "Header", "Kind", "pack", "unpack"]
+from plumvane.errors import ProtocolError
+
+__all__ = ["PROTOCOL_VERSION", "Header", "Kind", "pack", "split", "unpack"]
 
 PROTOCOL_VERSION = 1
 
@@ -57,3 +60,20 @@
         struct.error: The data does not have the length of a header.
     """
     return Header(*_HEADER.unpack(data))
+
+
+def split(frames: Sequence[bytes]) -> list[tuple[Header, bytes]]:
+    """Decodes the frames of a message: headers, each followed by a body.
+
+    Raises:
+        ProtocolError: A frame is missing or is not a header.
+    """
+    if not frames or len(frames) % 2:
+        raise ProtocolError(f"A message has {len(frames)} frames.")
+    try:
+        return [
+            (unpack(frames[index]), frames[index + 1])
+            for index in range(0, len(frames), 2)
+        ]
+    except struct.error as error:
+        raise ProtocolError(f"A frame is not a header: {error}.") from error
--- a/plumvane/platform/configuration.py
+++ b/plumvane/platform/configuration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from plumvane.decoding import decode
 from plumvane.errors import ConfigurationError
 from plumvane.serving.routes import (
     Route,
@@ -136,7 +137,7 @@
         ConfigurationError: The value cannot be decoded.
     """
     try:
-        configuration = _decoder.decode(value)
+        configuration = decode(_decoder, value)
     except msgspec.MsgspecError as error:
         raise ConfigurationError(
             f"The configuration in the store cannot be decoded: {error}.",
--- a/plumvane/platform/jobs.py
+++ b/plumvane/platform/jobs.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Annotated
 
 import msgspec
 
+from plumvane.decoding import decode
 from plumvane.errors import InvalidJsonError
 from plumvane.platform import names
 from plumvane.serving.jobs import Item, ItemResult, Submission
@@ -15,6 +17,22 @@
 MAX_ITEMS = 200
 
 
+# What an HTTP request can carry (RFC 9110, section 5); an item that cannot be
+# sent must not be accepted. Patterns end with \\Z since $ allows a line feed.
+_Identifier = Annotated[str, msgspec.Meta(pattern=r"^[\x21-\x7e]+\Z")]
+_Path = Annotated[str, msgspec.Meta(pattern=r"^/[\x21-\x7e]*\Z")]
+_HeaderName = Annotated[
+    str, msgspec.Meta(pattern=r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
+]
+_HeaderValue = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^([\x21-\x7e\x80-\xff]"
+        r"([\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)?\Z"
+    ),
+]
+
+
 class _Item(msgspec.Struct):
     """A batch item.
 
@@ -25,9 +43,9 @@
         body: Body of its request; base64 in JSON.
     """
 
-    id: str
-    path: str
-    headers: dict[str, str] = {}
+    id: _Identifier
+    path: _Path
+    headers: dict[_HeaderName, _HeaderValue] = {}
     body: bytes = b""
 
 
@@ -70,7 +88,7 @@
         InvalidJsonError: The body is not a valid batch job.
     """
     try:
-        submission = _decoder.decode(body)
+        submission = decode(_decoder, body)
     except msgspec.MsgspecError as error:
         raise InvalidJsonError(
             f"The body is not a valid batch job: {error}."
@@ -80,6 +98,8 @@
             f"The job has {len(submission.items)} items; "
             f"1 to {MAX_ITEMS} are allowed."
         )
+    if len({item.id for item in submission.items}) < len(submission.items):
+        raise InvalidJsonError("Two items of the job have the same id.")
     items = [
         Item(i.id, i.path, i.headers, i.body, _output_tokens(i.headers))
         for i in submission.items
--- a/plumvane/platform/listing.py
+++ b/plumvane/platform/listing.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
+from plumvane.decoding import decode
 from plumvane.errors import ProtocolError
 from plumvane.serving.upstreams import ListedUpstream, Load
 
 __all__ = ["decode_load", "decode_report", "decode_upstream"]
 
 
+# Loads and slots are counts; a negative one would attract all requests.
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+MAX_PORT = 65_535
+
+
 class _Registration(msgspec.Struct, rename="kebab"):
     """Registration that an upstream writes to the store.
 
@@ -30,7 +36,7 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: _Count
     state: Literal["ready", "draining"]
     sequence: int
     version: str = ""
@@ -45,8 +51,8 @@
         active_requests: Number of running requests.
     """
 
-    queue_depth: int
-    active_requests: int
+    queue_depth: _Count
+    active_requests: _Count
 
 
 _registration_decoder = msgspec.json.Decoder(_Registration)
@@ -65,9 +71,11 @@
             or invalid; the upstream cannot be used.
     """
     try:
-        registration = _registration_decoder.decode(value)
+        registration = decode(_registration_decoder, value)
         host, _, port = registration.address.rpartition(":")
         ipaddress.ip_address(host)
+        if not 0 < int(port) <= MAX_PORT:
+            raise ValueError(f"{port} is not a port")
         return ListedUpstream(
             upstream_id=upstream_id,
             service=registration.service,
@@ -94,6 +102,8 @@
         running, waiting, slots = (int(part) for part in parts)
     except ValueError:
         return None
+    if min(running, waiting, slots) < 0:
+        return None
     return Load(running, waiting, slots)
 
 
@@ -104,7 +114,7 @@
         ProtocolError: The report cannot be decoded.
     """
     try:
-        report = _report_decoder.decode(body)
+        report = decode(_report_decoder, body)
     except msgspec.MsgspecError as error:
         raise ProtocolError(
             f"The load report cannot be decoded: {error}."
--- a/plumvane/platform/store.py
+++ b/plumvane/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from plumvane import clock
+from plumvane.decoding import decode
 from plumvane.errors import (
     BodyTooLargeError,
     ConflictError,
@@ -111,6 +112,13 @@
     remove: list[str]
 
 
+_record_decoder = msgspec.json.Decoder(_StoredRecord)
+_page_decoder = msgspec.json.Decoder(_RangePage)
+_watch_decoder = msgspec.json.Decoder(_WatchResponse)
+_transaction_decoder = msgspec.json.Decoder(_TransactionResponse)
+_lease_decoder = msgspec.json.Decoder(_Lease)
+
+
 class PlatformStore(TransactionalStore):
     """Client of the platform's store over HTTP."""
 
@@ -137,7 +145,7 @@
         if status == 404:
             return None
         _raise_for_status(status, key)
-        return _decode(body, _StoredRecord).to_record()
+        return _decode(body, _record_decoder).to_record()
 
     async def list(
         self, prefix: str, *, after_key: str = "", limit: int | None = None
@@ -156,7 +164,7 @@
                 path += f"&after={_quote(after_key)}"
             status, body = await self._call("GET", path)
             _raise_for_status(status, prefix)
-            page = _decode(body, _RangePage)
+            page = _decode(body, _page_decoder)
             if revision is None:
                 revision = page.store_revision
             records.extend(item.to_record() for item in page.items)
@@ -187,7 +195,7 @@
             "POST", "/v1/kv-txn", msgspec.json.encode(sent)
         )
         _raise_for_status(status, ", ".join(write.key for write in writes))
-        return _decode(body, _TransactionResponse).revision
+        return _decode(body, _transaction_decoder).revision
 
     async def watch(
         self, prefix: str, after_revision: int, *, deadline: float
@@ -206,7 +214,7 @@
                 f"Changes since revision {after_revision} are not available."
             )
         _raise_for_status(status, prefix)
-        response = _decode(body, _WatchResponse)
+        response = _decode(body, _watch_decoder)
         records = tuple(item.to_record() for item in response.events)
         return WatchResult(records, response.store_revision)
 
@@ -219,7 +227,7 @@
             msgspec.json.encode({"ttl-ms": int(ttl_s * 1000)}),
         )
         _raise_for_status(status, "A lease")
-        lease = _decode(body, _Lease)
+        lease = _decode(body, _lease_decoder)
         return Lease(str(lease.lease), sent + lease.ttl_ms / 1000)
 
     async def renew_lease(self, lease_id: str) -> Lease:
@@ -229,7 +237,9 @@
         if status == 404:
             raise NotFoundError(f"Lease {lease_id} has expired.")
         _raise_for_status(status, lease_id)
-        return Lease(lease_id, sent + _decode(body, _Lease).ttl_ms / 1000)
+        return Lease(
+            lease_id, sent + _decode(body, _lease_decoder).ttl_ms / 1000
+        )
 
     async def revoke_lease(self, lease_id: str) -> None:
         """See base class."""
@@ -273,9 +283,9 @@
     raise ProtocolError(f"The store returned status {status} for {subject}.")
 
 
-def _decode(body: bytes, kind: type[T]) -> T:
+def _decode(body: bytes, decoder: msgspec.json.Decoder[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=kind)
+        return decode(decoder, body)
     except msgspec.MsgspecError as error:
         raise StoreUnavailableError(
             f"The store's response cannot be decoded: {error}.",
--- a/plumvane/relay/reports.py
+++ b/plumvane/relay/reports.py
@@ -68,6 +68,13 @@
             except (ProtocolError, *NETWORK_ERRORS):
                 # Counted as a missed report below.
                 load = None
+            except Exception as error:
+                events.log(
+                    events.Event.TASK_FAILED,
+                    task=f"load report of {upstream.upstream_id}",
+                    error=repr(error),
+                )
+                load = None
             if load is not None:
                 apply_load(upstream, load, clock.monotonic())
                 return
--- a/plumvane/serving/jobs.py
+++ b/plumvane/serving/jobs.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import TypeVar
 
 import msgspec
 import xxhash
 
+from plumvane.decoding import decode
 from plumvane.errors import ProtocolError
 
 __all__ = [
@@ -33,6 +35,8 @@
 # allows responses of 1 MB.
 PAGE_BYTES = 800_000
 
+T = TypeVar("T")
+
 
 class Item(msgspec.Struct, frozen=True):
     """An item of a batch job.
@@ -171,12 +175,7 @@
         Raises:
             ProtocolError: The value is not a head of this version.
         """
-        try:
-            return _job_decoder.decode(value)
-        except msgspec.MsgspecError as error:
-            raise ProtocolError(
-                f"The head of a batch job cannot be decoded: {error}."
-            ) from error
+        return _decode(_job_decoder, value, "head")
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -233,8 +232,12 @@
 
 
 def decode_items(value: bytes) -> list[Item]:
-    """Decodes items from the store."""
-    return _items_decoder.decode(value)
+    """Decodes items from the store.
+
+    Raises:
+        ProtocolError: The value is not a list of items of this version.
+    """
+    return _decode(_items_decoder, value, "list of items")
 
 
 def encode_result(result: ItemResult) -> bytes:
@@ -243,8 +246,12 @@
 
 
 def decode_result(value: bytes) -> ItemResult:
-    """Decodes a result from the store."""
-    return _result_decoder.decode(value)
+    """Decodes a result from the store.
+
+    Raises:
+        ProtocolError: The value is not a result of this version.
+    """
+    return _decode(_result_decoder, value, "result")
 
 
 def encode_progress(progress: list[ItemProgress]) -> bytes:
@@ -253,5 +260,18 @@
 
 
 def decode_progress(value: bytes) -> list[ItemProgress]:
-    """Decodes the checkpoints of a job's items from the store."""
-    return _progress_decoder.decode(value)
+    """Decodes the checkpoints of a job's items from the store.
+
+    Raises:
+        ProtocolError: The value is not a checkpoint of this version.
+    """
+    return _decode(_progress_decoder, value, "checkpoint")
+
+
+def _decode(decoder: msgspec.msgpack.Decoder[T], value: bytes, what: str) -> T:
+    try:
+        return decode(decoder, value)
+    except msgspec.MsgspecError as error:
+        raise ProtocolError(
+            f"The {what} of a batch job cannot be decoded: {error}."
+        ) from error
--- a/plumvane/worker/items.py
+++ b/plumvane/worker/items.py
@@ -31,6 +31,8 @@
 # Delay before an item whose run was interrupted or refused is retried, in
 # seconds.
 RETRY_S = 0.2
+# The same after an internal error, which the next run may well repeat.
+FAULT_RETRY_S = 2.0
 # Status of an item that no upstream can complete; it is not retried.
 PERMANENT_FAILURE_STATUS = 422
 # Maximum size of an item's text, in characters: a longer one fits neither one
@@ -111,6 +113,10 @@
                 self._quarantine.record_loss(
                     upstream, run.prompt, run.received_events
                 )
+        except Exception as error:
+            # A fault in one item must not end the runs of all others.
+            run.retry_at = clock.monotonic() + FAULT_RETRY_S
+            self._log(events.Event.ITEM_FAULT, owned, run, error=repr(error))
         finally:
             upstream.batch_in_flight -= 1
             run.scope = None
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -11,7 +11,7 @@
 from plumvane.discovery.origins import StreamOrigins
 from plumvane.discovery.permits import Permits
 from plumvane.discovery.quarantine import PromptQuarantine
-from plumvane.process import run_program
+from plumvane.process import run_program, supervise
 from plumvane.relay.client import UpstreamClient
 from plumvane.relay.reports import ReportReader
 from plumvane.settings import WorkerSettings
@@ -63,12 +63,15 @@
     retirement = Retirement(settings.process.name, store, worker.drain)
     view.on_operator_change = retirement.handle_operator_change
     async with anyio.create_task_group() as group:
-        group.start_soon(store.run)
-        group.start_soon(loads.run)
-        group.start_soon(view.run)
-        group.start_soon(quarantine.run)
-        group.start_soon(worker.run)
-        group.start_soon(retirement.run)
+        for task in (
+            store.run,
+            loads.run,
+            view.run,
+            quarantine.run,
+            worker.run,
+            retirement.run,
+        ):
+            group.start_soon(supervise, task)
         await stopping.wait()
         with anyio.move_on_after(DRAIN_TIMEOUT_S):
             await worker.drain()
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import secrets
 
@@ -28,6 +29,7 @@
     ProtocolError,
     StoreUnavailableError,
 )
+from plumvane.process import supervise
 from plumvane.relay.client import UpstreamClient
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.assignment import chosen_worker
@@ -157,12 +159,15 @@
     async def run(self) -> None:
         """Claims and runs jobs until it is cancelled."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._mirror.run)
-            group.start_soon(self._registration.run)
-            group.start_soon(self.attribution.run)
-            group.start_soon(self._claim_jobs, group)
-            group.start_soon(self._schedule_items, group)
-            group.start_soon(self._commit_results)
+            for task in (
+                self._mirror.run,
+                self._registration.run,
+                self.attribution.run,
+                functools.partial(self._claim_jobs, group),
+                functools.partial(self._schedule_items, group),
+                self._commit_results,
+            ):
+                group.start_soon(supervise, task)
 
     async def drain(self) -> None:
         """Stops all items and hands the jobs over to other workers.
