Divide preemptions among the workers that run items at an upstream

Cause: one item is preempted for each request in an upstream's queue, but each worker did so for the same request, since all see the same loads: up to six items with six workers, and again in the next round when the load was older than the preemption. The cost grows with the workers.

Preemptions that the load does not show yet are subtracted.

--- a/plumvane/discovery/loads.py
+++ b/plumvane/discovery/loads.py
@@ -34,6 +34,8 @@
         peers: RelayedStore,
         upstreams: UpstreamTable,
         on_message: Callable[[Message], None],
+        *,
+        is_worker: bool = False,
     ) -> None:
         """Creates the follower.
 
@@ -43,8 +45,11 @@
             upstreams: Table to which the loads are applied.
             on_message: Called with the messages that workers send beside the
                 loads.
+            is_worker: Whether this instance is a worker, which also gets the
+                items that other workers run.
         """
         self._name = name
+        self._is_worker = is_worker
         self._peers = peers
         self._upstreams = upstreams
         self._on_message = on_message
@@ -73,7 +78,7 @@
         try:
             link = self._peers.links.link(address)
             async with link.open_call(
-                FollowLoads(), self._apply_part
+                FollowLoads(self._is_worker), self._apply_part
             ) as pending:
                 await pending.reply()
         except PlumvaneError as error:
--- a/plumvane/peers/messages/loads.py
+++ b/plumvane/peers/messages/loads.py
@@ -6,15 +6,27 @@
 
 from plumvane.peers.messages.base import Message
 
-__all__ = ["FollowLoads", "UpstreamLoad", "UpstreamLoads"]
+__all__ = [
+    "FollowLoads",
+    "ItemCount",
+    "RunningItems",
+    "UpstreamLoad",
+    "UpstreamLoads",
+]
 
 
 class FollowLoads(Message, frozen=True, tag="loadsfollow"):
     """Subscribes to the loads that a worker reads.
 
-    The reply consists of `UpstreamLoads` parts, until the call is cancelled.
+    The reply consists of `UpstreamLoads` parts, until the call is cancelled;
+    workers get `RunningItems` as well.
+
+    Attributes:
+        is_worker: Whether the subscriber is a worker.
     """
 
+    is_worker: bool = False
+
 
 class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
     """Load of one upstream.
@@ -49,3 +61,29 @@
     """
 
     loads: tuple[UpstreamLoad, ...]
+
+
+class ItemCount(msgspec.Struct, frozen=True, array_like=True):
+    """Items of a worker at one upstream that may be preempted.
+
+    Attributes:
+        upstream_id: Identifier of the upstream.
+        normal: Number of items that are not urgent.
+        urgent: Number of urgent items.
+    """
+
+    upstream_id: str
+    normal: int
+    urgent: int
+
+
+class RunningItems(Message, frozen=True, tag="itemsrunning"):
+    """Items that a worker runs, so that workers can divide preemptions.
+
+    Attributes:
+        worker: Name of the worker.
+        counts: Its preemptible items, by upstream.
+    """
+
+    worker: str
+    counts: tuple[ItemCount, ...]
--- a/plumvane/serving/pacing.py
+++ b/plumvane/serving/pacing.py
@@ -52,7 +52,8 @@
         slots: Number of requests that it runs concurrently.
         load: Estimated number of requests that it runs or queues.
         waiting: Requests in its queue at the last report.
-        preemptible_items: Items of this worker there that may be preempted.
+        preemptible_items: Items of this worker there that it may preempt for
+            the requests in the queue; other workers preempt the rest.
         is_cooling_down: Whether requests were queued there within the
             cool-down.
     """
@@ -166,7 +167,7 @@
 
 def preemption_candidates(
     running: Sequence[RunningItem[T]], *, protects_urgent: bool
-) -> list[T]:
+) -> list[RunningItem[T]]:
     """Returns the items of an upstream that may be preempted, in order.
 
     The newest items come first, and urgent items after all others. The oldest
@@ -183,7 +184,7 @@
         protected = min(
             sum(item.is_urgent for item in running), PROTECTED_ITEMS
         )
-    return [item.run for item in ordered[: len(ordered) - protected]]
+    return ordered[: len(ordered) - protected]
 
 
 def plan_batch_items(
@@ -191,9 +192,10 @@
 ) -> Plan:
     """Decides where items start and where they are preempted.
 
-    One item is preempted for each request in the queue of an upstream. All
-    workers see the same loads, so each takes its share of the free slots; else
-    they would together start more items than there are slots. Urgent items
+    One item is preempted for each request in the queue of an upstream, by one
+    of the workers. All workers see the same loads, so each takes its share of
+    the free slots; else they would together start more items than there are
+    slots. Urgent items
     start in any free slot; other items leave `RESERVED_SLOTS` free and respect
     the cool-down.
 
--- a/plumvane/worker/feed.py
+++ b/plumvane/worker/feed.py
@@ -10,6 +10,7 @@
 from plumvane.peers.messages import Message
 from plumvane.peers.messages.loads import (
     FollowLoads,
+    RunningItems,
     UpstreamLoad,
     UpstreamLoads,
 )
@@ -30,6 +31,7 @@
         """Creates a feed without subscribers."""
         self.snapshot: Callable[[], Iterable[Message]] = tuple
         self._calls: set[Call] = set()
+        self._worker_calls: set[Call] = set()
 
     def serve(self, server: PeerServer) -> None:
         """Registers the handler of subscriptions."""
@@ -67,12 +69,20 @@
         for call in self._calls:
             call.send_part(message)
 
+    def send_items(self, items: RunningItems) -> None:
+        """Sends the items that this worker runs to the other workers."""
+        for call in self._worker_calls:
+            call.send_part(items)
+
     async def _follow(self, call: Call, message: FollowLoads) -> Message:
         for first in self.snapshot():
             call.send_part(first)
         self._calls.add(call)
+        if message.is_worker:
+            self._worker_calls.add(call)
         try:
             await anyio.sleep_forever()
         finally:
             self._calls.discard(call)
+            self._worker_calls.discard(call)
         raise AssertionError("A subscription ends only by cancellation.")
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -58,7 +58,11 @@
     # Keeps copies of the gateways' records.
     StreamOrigins(settings.process.name, store, view).serve(store.server)
     loads = LoadFollower(
-        settings.process.name, store, view.upstreams, quarantine.apply
+        settings.process.name,
+        store,
+        view.upstreams,
+        worker.apply_message,
+        is_worker=True,
     )
     retirement = Retirement(settings.process.name, store, worker.drain)
     view.on_operator_change = retirement.handle_operator_change
--- a/plumvane/worker/scheduler.py
+++ b/plumvane/worker/scheduler.py
@@ -13,6 +13,7 @@
 from plumvane import clock, events
 from plumvane.discovery.quarantine import PromptQuarantine
 from plumvane.discovery.view import FleetView
+from plumvane.peers.messages.loads import ItemCount, RunningItems
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.assignment import chosen_worker
 from plumvane.serving.pacing import (
@@ -25,6 +26,7 @@
     plan_batch_items,
     preemption_candidates,
 )
+from plumvane.serving.preemptions import PreemptibleItems, PreemptionShares
 from plumvane.serving.upstreams import Upstream
 from plumvane.worker.items import ItemRunner
 from plumvane.worker.owned import ItemRun, OwnedJob
@@ -70,6 +72,8 @@
         self._speed = speed
         self._rng = rng
         self._cooldown_until_by_id: dict[str, float] = {}
+        self._shares = PreemptionShares(name)
+        self._items_by_upstream: dict[str, PreemptibleItems] = {}
 
     async def read_loads(self, workers: Collection[str]) -> list[Upstream]:
         """Reads the loads of the engines that are assigned to this worker.
@@ -124,6 +128,7 @@
                 this one.
             group: Task group in which items run.
         """
+        self._items_by_upstream = {}
         jobs_by_service: dict[str, list[OwnedJob]] = {}
         for owned in jobs:
             service = self._choose_service(owned)
@@ -132,6 +137,27 @@
         for service, service_jobs in jobs_by_service.items():
             await self._schedule_service(service, service_jobs, workers, group)
 
+    def running_items(self) -> RunningItems:
+        """Returns the preemptible items that the last round left running."""
+        return RunningItems(
+            self._name,
+            tuple(
+                ItemCount(upstream_id, items.normal, items.urgent)
+                for upstream_id, items in self._items_by_upstream.items()
+            ),
+        )
+
+    def apply_running_items(self, message: RunningItems) -> None:
+        """Records the items that another worker runs."""
+        self._shares.update(
+            message.worker,
+            {
+                row.upstream_id: PreemptibleItems(row.normal, row.urgent)
+                for row in message.counts
+            },
+            clock.monotonic(),
+        )
+
     def _choose_service(self, owned: OwnedJob) -> str | None:
         """Returns a service of a job's route, or None if no route matches."""
         run = next(iter(owned.runs_by_id.values()), None)
@@ -164,15 +190,20 @@
             for upstream_id in upstreams_by_id
         }
         states = [
-            self._upstream_state(
-                upstream, len(preemptible_by_id[upstream_id]), now
-            )
+            self._upstream_state(upstream, preemptible_by_id[upstream_id], now)
             for upstream_id, upstream in upstreams_by_id.items()
         ]
         preemptions = plan_batch_items(states, 0, 0, len(workers))
         for upstream_id, count in preemptions.preemptions_by_id.items():
-            for run in preemptible_by_id[upstream_id][:count]:
-                run.stop()
+            self._shares.record_preemptions(upstream_id, count, now)
+            for item in preemptible_by_id[upstream_id][:count]:
+                item.run.stop()
+            del preemptible_by_id[upstream_id][:count]
+        self._items_by_upstream.update(
+            (upstream_id, _count_items(items))
+            for upstream_id, items in preemptible_by_id.items()
+            if items
+        )
         waiting = self._waiting(jobs, now)
         self._discard_events_of_gone_versions(service, waiting)
         versions_by_id = {
@@ -235,18 +266,35 @@
         }
 
     def _upstream_state(
-        self, upstream: Upstream, preemptible_items: int, now: float
+        self,
+        upstream: Upstream,
+        preemptible: Sequence[RunningItem[ItemRun]],
+        now: float,
     ) -> UpstreamState:
+        """Returns the state of an upstream.
+
+        Args:
+            upstream: The upstream.
+            preemptible: Items of this worker there that may be preempted.
+            now: Monotonic time in seconds.
+        """
         upstream_id = upstream.upstream_id
         waiting = upstream.waiting(now)
         if waiting:
             self._cooldown_until_by_id[upstream_id] = now + BATCH_COOLDOWN_S
+        preemptions = self._shares.share(
+            upstream_id,
+            waiting,
+            _count_items(preemptible),
+            now - upstream.load_age(now),
+            now,
+        )
         return UpstreamState(
             upstream_id=upstream_id,
             slots=upstream.slots,
             load=upstream.estimated_load(now),
             waiting=waiting,
-            preemptible_items=preemptible_items,
+            preemptible_items=preemptions,
             is_cooling_down=upstream_id in self._cooldown_until_by_id,
         )
 
@@ -308,6 +356,11 @@
         return items_by_upstream
 
 
+def _count_items(items: Iterable[RunningItem[ItemRun]]) -> PreemptibleItems:
+    urgent = [item.is_urgent for item in items]
+    return PreemptibleItems(urgent.count(False), urgent.count(True))
+
+
 def _group_by_version(
     waiting: Sequence[WaitingItem], versions: Collection[str]
 ) -> list[tuple[str | None, list[WaitingItem]]]:
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -29,6 +29,8 @@
     ProtocolError,
     StoreUnavailableError,
 )
+from plumvane.peers.messages import Message
+from plumvane.peers.messages.loads import RunningItems
 from plumvane.process import supervise
 from plumvane.relay.client import UpstreamClient
 from plumvane.relay.reports import ReportReader
@@ -116,6 +118,7 @@
             pause_s=WATCH_PAUSE_S,
             watch_s=self._watch_s,
         )
+        self._quarantine = quarantine
         speed = ItemDurationEstimator()
         runner = ItemRunner(view, caller, quarantine, permits, speed)
         self._scheduler = ItemScheduler(
@@ -145,6 +148,13 @@
         registered = self._incarnations_by_name.get(self._name)
         return registered == self._incarnation
 
+    def apply_message(self, message: Message) -> None:
+        """Applies a message that another worker streams beside the loads."""
+        if isinstance(message, RunningItems):
+            self._scheduler.apply_running_items(message)
+        else:
+            self._quarantine.apply(message)
+
     def _watch_s(self) -> float:
         return OWNER_WATCH_S if self._owned_by_id else WATCH_S
 
@@ -367,6 +377,7 @@
                 await self._scheduler.schedule(
                     list(self._owned_by_id.values()), workers, group
                 )
+                self.feed.send_items(self._scheduler.running_items())
 
     async def _commit_results(self) -> None:
         next_checkpoint = clock.monotonic() + CHECKPOINT_INTERVAL_S
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -120,7 +120,8 @@
     urgent = sum(item_priority(w.due, w.left_s, now).is_urgent for w in waiting)
     plan = plan_batch_items(states, urgent, len(waiting) - urgent, 1)
     for engine, count in plan.preemptions_by_id.items():
-        for work in candidates_by_engine[int(engine)][:count]:
+        candidates = candidates_by_engine[int(engine)]
+        for work in [item.run for item in candidates[:count]]:
             engines.queues[int(engine)].remove(work)
             work.started = None
             waiting.append(work)
@@ -168,7 +169,8 @@
         RunningItem("urgent new", True, 4.0),
         RunningItem("new", False, 3.0),
     ]
-    assert preemption_candidates(running, protects_urgent=True) == [
+    candidates = preemption_candidates(running, protects_urgent=True)
+    assert [item.run for item in candidates] == [
         "new",
         "old",
         "urgent new",
