Open a connection of its own for each request of a sidecar to its upstream

What callers would see: an answer that is another caller's. A server that sends an answer a second time, late, on a connection that was given the next request, answers that one with it. Responses of engines and services name no request on this interface.

Bytes that have arrived when a connection is returned or taken are noticed; those that arrive after the next request is written are not. The gateway's and the worker's client compares the request id and was right.

Change: HttpPool(reuses_connections=False) for both; the connection is one on the same machine.

--- a/plumvane/httppool.py
+++ b/plumvane/httppool.py
@@ -194,6 +194,8 @@
         self,
         ssl_context: ssl.SSLContext | None = None,
         socket_options: Iterable[httpcore.SOCKET_OPTION] = (),
+        *,
+        reuses_connections: bool = True,
     ) -> None:
         """Creates an empty pool.
 
@@ -201,7 +203,11 @@
             ssl_context: TLS context that verifies servers of https URLs;
                 httpcore's default if None.
             socket_options: Options set on the sockets of new connections.
+            reuses_connections: Whether connections are kept for further
+                requests. A server whose responses do not name their request
+                may send one twice, which the next request would read.
         """
+        self._reuses_connections = reuses_connections
         self._ssl_context = ssl_context
         self._socket_options = tuple(socket_options)
         self._idle_by_origin: dict[str, list[_Connection]] = {}
@@ -296,7 +302,11 @@
         finally:
             # After an error the server may still send data of this response,
             # which the next request would read.
-            if is_complete and connection.is_reusable():
+            if (
+                self._reuses_connections
+                and is_complete
+                and connection.is_reusable()
+            ):
                 self._idle_by_origin.setdefault(str(target.origin), []).append(
                     connection
                 )
--- a/plumvane/upstreams/engine.py
+++ b/plumvane/upstreams/engine.py
@@ -56,7 +56,7 @@
         """
         self._observe_step = observe_step
         self._url = url.rstrip("/")
-        self._pool = HttpPool()
+        self._pool = HttpPool(reuses_connections=False)
 
     async def stream(
         self,
--- a/plumvane/upstreams/service.py
+++ b/plumvane/upstreams/service.py
@@ -23,7 +23,7 @@
             url: Base URL of the service.
         """
         self._url = url.rstrip("/")
-        self._pool = HttpPool()
+        self._pool = HttpPool(reuses_connections=False)
 
     async def call(self, request_id: str, path: str, body: bytes) -> Outcome:
         """Sends one call; never retries it.
