--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -80,8 +80,9 @@
         group.start_soon(readiness_server.run)
         await stopping.wait()
         readiness_app.is_draining = True
-        await anyio.sleep(DRAIN_DELAY_S)
+        # Callers with keep-alive connections go to other instances from now on.
         app.is_draining = True
+        await anyio.sleep(DRAIN_DELAY_S)
         server.stop()
         await server.wait_stopped()
         group.cancel_scope.cancel()
