Schedule items without waiting for engines that are silent

Cause: a worker reads the loads of its engines and then schedules. An engine that has gone dark answers nothing, so that each round of a worker that reads it took 0.15 s more, and items stayed in the slots of waiting requests for so long. With an eighth of the engines dark and six workers hardly any worker is without one. Each worker also read every dark engine ten times a second, as its load was stale.

Change: engines that have missed three reports are asked twice a second, in a task of their own.

Test: test_loads.test_silent_engine_does_not_delay_the_loads_of_the_others, new with read_silent_loads; on the code before all twelve engines are awaited in each round (test_engine_with_a_stale_load_is_read_by_any_worker stands as it was).

--- a/plumvane/worker/scheduler.py
+++ b/plumvane/worker/scheduler.py
@@ -36,6 +36,9 @@
 # Age above which a load that another worker should have sent is read here too,
 # in seconds: three reading intervals.
 STALE_LOAD_AGE_S = 0.3
+# Interval in which engines that are silent are asked for their load, in
+# seconds; an answer ends their ejection.
+SILENT_READ_INTERVAL_S = 0.5
 
 WaitingItem = tuple[ItemPriority, OwnedJob, ItemRun]
 
@@ -100,9 +103,28 @@
             for upstream in engines
             if upstream not in own and upstream.load_age(now) > STALE_LOAD_AGE_S
         ]
-        await self._reports.read([*own, *stale])
+        # The others need not wait for the timeout of a silent one.
+        await self._reports.read(
+            [
+                upstream
+                for upstream in [*own, *stale]
+                if not upstream.is_silent()
+            ]
+        )
         return own
 
+    async def read_silent_loads(self) -> None:
+        """Asks silent engines for their load until cancelled."""
+        while True:
+            await anyio.sleep(SILENT_READ_INTERVAL_S)
+            await self._reports.read(
+                [
+                    upstream
+                    for upstream in self._engines()
+                    if upstream.is_silent()
+                ]
+            )
+
     def _engines(self) -> list[Upstream]:
         routes = self._view.routes
         if routes is None:
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -175,6 +175,7 @@
                 self.attribution.run,
                 functools.partial(self._claim_jobs, group),
                 functools.partial(self._schedule_items, group),
+                self._scheduler.read_silent_loads,
                 self._commit_results,
             ):
                 group.start_soon(supervise, task)
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -136,3 +136,24 @@
     assert upstream.is_ejected(now)
     apply_load(upstream, Load(0, 0), now)
     assert not upstream.is_ejected(now)
+
+
+def test_silent_engine_does_not_delay_the_loads_of_the_others() -> None:
+    async def run() -> None:
+        reports = FakeReportReader()
+        one = pacer("w1", reports)
+        silent = one._view.upstreams.upstreams_by_id["u0"]
+        for _ in range(SILENT_REPORTS):
+            silent.record_missed_report()
+        await one.read_loads(("w1",))
+        assert len(reports.read_ids) == ENGINES - 1
+        reports.read_ids.clear()
+        with anyio.move_on_after(5.0):
+            async with anyio.create_task_group() as group:
+                group.start_soon(one.read_silent_loads)
+                while silent.is_silent():
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+        assert not silent.is_silent(), "it is asked apart from the others"
+
+    anyio.run(run)
