Read changes of upstreams by the time in which they must take effect

Cause: each process reads the changes of upstreams by a watch of its own, with 0.5 s between two answers. While the servers of a service are replaced one after the other nearly every watch has news, so that a release costs the store about two calls a second from each of 64 processes, for as long as it lasts.

Change: the delay is a quarter of the platform's drain time, 1 s at most: 1 s at 4 s, 0.5 s as before at 2 s.

--- a/plumvane/discovery/connect.py
+++ b/plumvane/discovery/connect.py
@@ -11,6 +11,13 @@
 
 __all__ = ["connect"]
 
+# Delay between two reads of changed upstream entries: a share of the time in
+# which an upstream that leaves must get no new request, and at most so long, in
+# seconds. Each process reads the changes, so that a release of many upstreams
+# costs the store the more calls the shorter the delay is.
+UPSTREAM_PAUSE_SHARE = 0.25
+MAX_UPSTREAM_PAUSE_S = 1.0
+
 
 def connect(
     settings: WorkerSettings, rng: random.Random, role: str
@@ -33,4 +40,9 @@
         role,
         listen_address=str(settings.peers.bind_address),
     )
-    return store, FleetView(store, process.data_centre, rng)
+    pause_s = min(
+        UPSTREAM_PAUSE_SHARE * settings.upstreams.drain_ms / 1000,
+        MAX_UPSTREAM_PAUSE_S,
+    )
+    view = FleetView(store, process.data_centre, rng, upstream_pause_s=pause_s)
+    return store, view
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -20,8 +20,8 @@
 
 __all__ = ["FleetView"]
 
-# Delay between two reads of changed upstream entries, in seconds; the state
-# `draining` must take effect within 2 s.
+# Delay between two reads of changed upstream entries, in seconds: a quarter of
+# the shortest time in which the state `draining` has to take effect.
 UPSTREAM_PAUSE_S = 0.5
 # Time after an outage of the store in which an entry that expired during it may
 # be registered again, in seconds. The platform documents about two seconds.
@@ -35,7 +35,12 @@
     """Follows the operators' keys and the entries of upstreams."""
 
     def __init__(
-        self, store: Store, data_centre: str, rng: random.Random
+        self,
+        store: Store,
+        data_centre: str,
+        rng: random.Random,
+        *,
+        upstream_pause_s: float = UPSTREAM_PAUSE_S,
     ) -> None:
         """Creates an empty view.
 
@@ -43,6 +48,8 @@
             store: The platform's store.
             data_centre: Data centre of this process.
             rng: Random source that breaks ties between upstreams.
+            upstream_pause_s: Delay between two reads of changed upstream
+                entries, in seconds.
         """
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamTable(data_centre, rng)
@@ -59,7 +66,7 @@
             store,
             names.UPSTREAM_PREFIX,
             self._apply_entry,
-            pause_s=UPSTREAM_PAUSE_S,
+            pause_s=upstream_pause_s,
         )
         self._unreadable_ids: set[str] = set()
 
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -365,16 +365,29 @@
         return self.listen_address or self.address
 
 
+class UpstreamsSection(_Section, frozen=True, kw_only=True):
+    """Section [upstreams]: the upstreams that the platform lists.
+
+    Attributes:
+        drain_ms: Time in milliseconds after its announcement from which an
+            upstream that leaves gets no new request.
+    """
+
+    drain_ms: Annotated[int, msgspec.Meta(ge=500)] = 2_000
+
+
 class WorkerSettings(ProgramSettings, frozen=True, kw_only=True):
     """Settings of plumvane-worker.
 
     Attributes:
         store: Section [store].
         peers: Section [peers].
+        upstreams: Section [upstreams]; may be missing.
     """
 
     store: StoreSection
     peers: PeersSection
+    upstreams: UpstreamsSection = UpstreamsSection()
 
 
 class GatewaySettings(WorkerSettings, frozen=True, kw_only=True):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,8 +9,9 @@
 
 import anyio
 
-from plumvane import clock
+from plumvane import clock, settings
 from plumvane.discovery import mirror, view
+from plumvane.discovery.connect import connect
 from plumvane.discovery.registration import Registration
 from plumvane.discovery.view import FleetView
 from plumvane.errors import StoreUnavailableError
@@ -264,3 +265,20 @@
         assert route.timeout_s == 2.0
 
     run_with_view(steps)
+
+
+def test_changes_of_upstreams_are_read_in_a_quarter_of_their_drain_time() -> (
+    None
+):
+    """A release of many upstreams costs each process a call per delay."""
+    for drain_ms, pause_s in ((2_000, 0.5), (3_000, 0.75), (60_000, 1.0)):
+        loaded = settings.WorkerSettings(
+            process=settings.InstanceSection(name="w", data_centre="a"),
+            store=settings.StoreSection(url=settings.Url("http://127.0.0.1:1")),
+            peers=settings.PeersSection(
+                address=settings.Address("127.0.0.1", 1)
+            ),
+            upstreams=settings.UpstreamsSection(drain_ms=drain_ms),
+        )
+        _, fleet = connect(loaded, random.Random(1), "worker")
+        assert fleet._entries._pause_s == pause_s
