Commit partial results every 0.9 s unless a caller waits for them

Cause: six workers commit every 0.3 s, as each has some item that ends in most intervals; each commit also wakes the watches of all workers.

Change: results of a job that is done, or due within 3 s, are committed in the next 0.3 s as before; other partial results share a commit within 0.9 s, half of the interval in which checkpoints are written anyway.

Test: test_worker.test_partial_results_that_are_not_due_soon_share_a_commit: 12 items that end 0.15 s apart took more than the 4 commits allowed with the interval of 0.3 s.

--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -138,6 +138,10 @@
         unsaved_failures = self._failures_by_id != self.job.failures_by_id
         return bool(self.outcomes) or unsaved_failures
 
+    def has_all_outcomes(self) -> bool:
+        """Returns whether each item has a result or an outcome."""
+        return all(run.is_done for run in self.runs_by_id.values())
+
     def copy_head(self) -> Job:
         """Returns a copy of the head with the current failure counts."""
         job = Job.decode(self.job.encode())
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -70,6 +70,10 @@
 # Interval between commits, in seconds; the results of an interval share
 # transactions.
 COMMIT_INTERVAL_S = 0.3
+# The same for results of jobs that still run and are not due soon, and the time
+# before the due time from which a job is, in seconds.
+PARTIAL_COMMIT_INTERVAL_S = 0.9
+DUE_SOON_S = 3.0
 # Interval between checkpoints of items, in seconds: the progress that an item
 # loses with its worker. A job with fewer new events than the minimum is not
 # checkpointed.
@@ -382,11 +386,17 @@
 
     async def _commit_results(self) -> None:
         next_checkpoint = clock.monotonic() + CHECKPOINT_INTERVAL_S
+        next_partial = clock.monotonic()
         while True:
             await anyio.sleep(COMMIT_INTERVAL_S)
             is_checkpoint = clock.remaining(next_checkpoint) <= 0
             if is_checkpoint:
                 next_checkpoint = clock.monotonic() + CHECKPOINT_INTERVAL_S
+            elif clock.remaining(next_partial) > 0 and not any(
+                map(_is_commit_urgent, self._owned_by_id.values())
+            ):
+                continue
+            next_partial = clock.monotonic() + PARTIAL_COMMIT_INTERVAL_S
             unsaved = [
                 owned
                 for owned in self._owned_by_id.values()
@@ -403,3 +413,11 @@
                 self._drop_if_lost(owned)
             for owned in list(self._owned_by_id.values()):
                 await self._committer.read_missing_results(owned)
+
+
+def _is_commit_urgent(owned: OwnedJob) -> bool:
+    """Returns whether a caller waits for the uncommitted results of a job."""
+    if not owned.outcomes:
+        return False
+    is_due = owned.job.due_ms / 1000 - clock.wall() < DUE_SOON_S
+    return is_due or owned.has_all_outcomes()
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
@@ -29,6 +30,7 @@
 from plumvane.worker.items import ItemRunner
 from plumvane.worker.owned import OwnedJob
 from plumvane.worker.retirement import Retirement
+from plumvane.worker.worker import DUE_SOON_S, _is_commit_urgent
 from tests.gateways import make_listed_upstream
 from tests.workers import (
     FULL_TEXT,
@@ -396,3 +398,56 @@
             group.cancel_scope.cancel()
 
     run_with_timeout(steps)
+
+
+def test_partial_results_that_are_not_due_soon_share_a_commit() -> None:
+    """Commits of all jobs are most of the store's writes at size."""
+
+    def owned(due_s: float, done: int) -> OwnedJob:
+        due_ms = int((clock.wall() + due_s) * 1000)
+        job = Job("j", "h", ["i0", "i1"], [0, 0], 1, due_ms, due_ms, 2)
+        made = OwnedJob(job, 1, list(items(2)))
+        for run in list(made.runs_by_id.values())[:done]:
+            made.complete(run)
+        return made
+
+    far, near = DUE_SOON_S + 10.0, DUE_SOON_S - 1.0
+    assert not _is_commit_urgent(owned(near, 0))
+    assert not _is_commit_urgent(owned(far, 1))
+    assert _is_commit_urgent(owned(near, 1)), "it is due soon"
+    assert _is_commit_urgent(owned(far, 2)), "the job is done"
+
+    class CountingStore(MemoryStore):
+        commits = 0
+
+        async def transact(self, *args: Any, **kwargs: Any) -> int:
+            self.commits += 1
+            return await super().transact(*args, **kwargs)
+
+    async def steps() -> None:
+        store = CountingStore()
+        await JobStore(store).accept("j", "h", items(12), JOB_ROUTE)
+        async with anyio.create_task_group() as group:
+            group.start_soon(make_worker("w1", store, SlowEngine()).run)
+            await wait_until_listed(store, "j", 12)
+            group.cancel_scope.cancel()
+        # Besides the submission, the registration and the claim.
+        assert store.commits <= 3 + 4, "results of 0.9 s share a commit"
+
+    run_with_timeout(steps)
+
+
+class SlowEngine(FakeEngine):
+    """Engine whose items end 0.15 s after each other."""
+
+    def _reply(self, item_id: str, after: int) -> Any:
+        reply = super()._reply(item_id, after)
+        events = reply.iter_body
+
+        async def iter_body() -> AsyncIterator[bytes]:
+            await anyio.sleep(0.15 * int(item_id[1:]))
+            async for part in events():
+                yield part
+
+        reply.iter_body = iter_body
+        return reply
