Let a worker that has lost its registration, but is heard, keep its jobs

What callers felt: jobs late after the store was silent or turned instances away, since their items were run again elsewhere.

The other workers then claimed all jobs of a worker at once, although it ran on; after an outage all claimed from all. Each worker also counted the missing ones out and took their share of the free slots.

A worker that hands over says so.

--- a/plumvane/peers/messages/loads.py
+++ b/plumvane/peers/messages/loads.py
@@ -80,10 +80,15 @@
 class RunningItems(Message, frozen=True, tag="itemsrunning"):
     """Items that a worker runs, so that workers can divide preemptions.
 
+    It also tells the other workers that this one is alive.
+
     Attributes:
         worker: Name of the worker.
+        incarnation: Incarnation of the worker, which owns its jobs; empty if
+            the worker hands them over and stops.
         counts: Its preemptible items, by upstream.
     """
 
     worker: str
-    counts: tuple[ItemCount, ...]
+    incarnation: str
+    counts: tuple[ItemCount, ...] = ()
--- a/plumvane/worker/scheduler.py
+++ b/plumvane/worker/scheduler.py
@@ -159,10 +159,15 @@
         for service, service_jobs in jobs_by_service.items():
             await self._schedule_service(service, service_jobs, workers, group)
 
-    def running_items(self) -> RunningItems:
-        """Returns the preemptible items that the last round left running."""
+    def running_items(self, incarnation: str) -> RunningItems:
+        """Returns the preemptible items that the last round left running.
+
+        Args:
+            incarnation: Incarnation of this worker.
+        """
         return RunningItems(
             self._name,
+            incarnation,
             tuple(
                 ItemCount(upstream_id, items.normal, items.urgent)
                 for upstream_id, items in self._items_by_upstream.items()
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -41,6 +41,7 @@
 from plumvane.worker.attribution import CrashAttribution
 from plumvane.worker.committer import Committer, log_commit_delayed
 from plumvane.worker.feed import LoadFeed
+from plumvane.worker.heard import HeardWorkers
 from plumvane.worker.items import ItemRunner
 from plumvane.worker.owned import ItemRun, OwnedJob
 from plumvane.worker.results import ResultCache
@@ -128,7 +129,9 @@
         self._scheduler = ItemScheduler(
             name, view, reports, runner, quarantine, speed, rng
         )
+        # Registered workers, including this one.
         self._incarnations_by_name: dict[str, str] = {}
+        self._heard = HeardWorkers()
         self._heads_by_id: dict[str, tuple[Job, int]] = {}
         self._owned_by_id: dict[str, OwnedJob] = {}
         self.results = ResultCache(
@@ -155,6 +158,9 @@
     def apply_message(self, message: Message) -> None:
         """Applies a message that another worker streams beside the loads."""
         if isinstance(message, RunningItems):
+            self._heard.record(
+                message.worker, message.incarnation, clock.monotonic()
+            )
             self._scheduler.apply_running_items(message)
         else:
             self._quarantine.apply(message)
@@ -190,6 +196,8 @@
         The progress of the items is written to the store for the next owners.
         """
         self._is_draining = True
+        self._heard.record(self._name, "", clock.monotonic())
+        self.feed.send_items(RunningItems(self._name, ""))
         # Items scheduled just before this point may still start.
         while running := self._running_items():
             for run in running:
@@ -225,10 +233,19 @@
     def _apply_worker(self, record: Record) -> None:
         name = record.key.removeprefix(WORKER_PREFIX)
         if record.deleted:
-            self._incarnations_by_name.pop(name, None)
+            if self._incarnations_by_name.pop(name, None) is not None:
+                self._heard.record_removal(name, clock.monotonic())
         else:
             self._incarnations_by_name[name] = record.value.decode()
 
+    def _live_incarnations(self) -> dict[str, str]:
+        """Returns the incarnations of all live workers, by name.
+
+        Those that have lost their registration but are still heard are live.
+        """
+        heard = self._heard.incarnations_by_name(clock.monotonic())
+        return {**heard, **self._incarnations_by_name}
+
     def _apply_head(self, record: Record) -> None:
         job_id = record.key.removeprefix(JOB_PREFIX)
         if record.deleted:
@@ -307,10 +324,10 @@
             # A previous claim was written, but its answer was lost or its items
             # could not be read.
             return True
-        if job.owner in self._incarnations_by_name.values():
+        incarnations_by_name = self._live_incarnations()
+        if job.owner in incarnations_by_name.values():
             return False
-        chosen = chosen_worker(job_id, self._incarnations_by_name)
-        return chosen == self._name
+        return chosen_worker(job_id, incarnations_by_name) == self._name
 
     async def _claim(self, job: Job, revision: int) -> None:
         job_id, previous_owner = job.job_id, job.owner
@@ -376,13 +393,16 @@
             if not self._view.is_loaded():
                 continue
             started = clock.monotonic()
-            workers = list(self._incarnations_by_name)
+            self._heard.record(self._name, self._incarnation, started)
+            workers = list(self._live_incarnations())
             self.feed.send(await self._scheduler.read_loads(workers), started)
             if self._owned_by_id:
                 await self._scheduler.schedule(
                     list(self._owned_by_id.values()), workers, group
                 )
-                self.feed.send_items(self._scheduler.running_items())
+            self.feed.send_items(
+                self._scheduler.running_items(self._incarnation)
+            )
 
     async def _commit_results(self) -> None:
         next_checkpoint = clock.monotonic() + CHECKPOINT_INTERVAL_S
