End reads of jobs whose caller does not read the response

Change: calls on batch jobs end after 30 s; the connection is closed, so that the response does not look complete.

Test: test_gateway_app.test_read_of_a_job_ends_if_its_caller_does_not_read_the_response; without the limit it fails with TimeoutError of the outer deadline.

--- a/plumvane/gateway/app.py
+++ b/plumvane/gateway/app.py
@@ -30,6 +30,9 @@
 # Retry-After of requests rejected for want of a current configuration, in
 # seconds; the start of an instance takes about one.
 RETRY_AFTER_S = 0.5
+# Time limit of a call on a batch job, in seconds. Calls wait for the store and
+# for results for a few seconds; the rest is for callers that read slowly.
+JOB_CALL_TIMEOUT_S = 30.0
 # Value of the label `route` in the metrics for calls on batch jobs.
 JOB_CALL_KIND = "job"
 # Statuses that assure the caller that its request has not run.
@@ -134,8 +137,10 @@
         call = decode_job_call(exchange.request)
         if call is not None:
             exchange.kind = JOB_CALL_KIND
-            await self._jobs.serve(exchange, call)
-            return
+            with anyio.move_on_after(JOB_CALL_TIMEOUT_S):
+                await self._jobs.serve(exchange, call)
+                return
+            raise IncompleteResponseError("the caller does not read it")
         route = self._match_route(exchange)
         exchange.kind = route.kind.value
         if route.kind is RouteKind.BATCH:
--- a/tests/test_gateway_app.py
+++ b/tests/test_gateway_app.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import AsyncIterator, Callable
 from typing import Any
+from unittest import mock
 
 import anyio
 
@@ -16,8 +17,9 @@
 from plumvane.discovery.quarantine import PromptQuarantine
 from plumvane.discovery.view import FleetView
 from plumvane.errors import StoreUnavailableError
+from plumvane.gateway import app as gateway_app
 from plumvane.gateway.app import GatewayApp, ReadinessApp
-from plumvane.gateway.forwarder import Forwarder
+from plumvane.gateway.forwarder import Forwarder, IncompleteResponseError
 from plumvane.gateway.jobs import BatchJobHandler
 from plumvane.gateway.reads import JobReader
 from plumvane.relay.client import Attempt, UpstreamClient
@@ -325,3 +327,42 @@
         assert b"retry-after" not in headers
 
     run_steps(steps)
+
+
+def test_read_of_a_job_ends_if_its_caller_does_not_read_the_response() -> None:
+    """The response, of up to 1 MB, would otherwise stay in memory."""
+
+    async def steps() -> None:
+        app = App()
+        app.configure()
+        body = json.dumps(JOB).encode()
+        assert (await app.call("POST", "/b/x", body))[0] == 202
+        sent: list[Any] = []
+
+        async def send(message: Any) -> None:
+            sent.append(message)
+            if len(sent) > 1:
+                await anyio.sleep_forever()
+
+        async def receive() -> dict[str, Any]:
+            if not sent:
+                return {"type": "http.request", "body": b""}
+            await anyio.sleep_forever()
+            raise AssertionError
+
+        scope = {
+            "type": "http",
+            "method": "GET",
+            "raw_path": b"/v1/items/r1",
+            "query_string": b"id=i1",
+            "headers": [(b"host", b"h"), (b"x-request-id", b"r2")],
+        }
+        try:
+            await app.app(scope, receive, send)
+        except IncompleteResponseError:
+            assert [m["type"] for m in sent][0] == "http.response.start"
+            return
+        raise AssertionError("the call did not end")
+
+    with mock.patch.object(gateway_app, "JOB_CALL_TIMEOUT_S", 0.3):
+        run_steps(steps)
