--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -117,6 +117,10 @@
         5024,
         "A batch item's run failed because of an internal error.",
     )
+    ARRIVAL_REFUSED = (
+        4108,
+        "A request did not arrive whole; it has not run.",
+    )
     REQUEST_ROUTED = (4101, "A request was sent to an upstream.")
     REQUEST_RETRIED = (4102, "A request, or its remaining part, is sent again.")
     REQUEST_REFUSED = (4103, "A request was rejected; it has not run.")
--- a/plumvane/web.py
+++ b/plumvane/web.py
@@ -15,6 +15,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from plumvane import events
 from plumvane.errors import SettingsError
 
 __all__ = ["HttpServer", "Tls", "bind"]
@@ -175,6 +176,13 @@
 
     def _refuse(self, status: int, detail: str) -> None:
         """Answers a request that is incomplete, so that it has not run."""
+        events.log(
+            events.Event.ARRIVAL_REFUSED,
+            caller=str(self.client),
+            status=status,
+            error=detail,
+            head_bytes=self._head_bytes,
+        )
         if not self._is_body_open or not self.cycle.response_started:
             self.transport.write(
                 b"HTTP/1.1 %d Refused\r\ncontent-type: text/plain\r\n"
