Start the longest of the items that are due together first

Cause: the items of a job are due together and started in the order of submission; a long one that starts last cannot end in time, while a short one still could.

Change: items of equal due time are ordered by their remaining run time.

--- a/plumvane/serving/pacing.py
+++ b/plumvane/serving/pacing.py
@@ -122,18 +122,21 @@
 class ItemPriority:
     """Priority of a waiting item; items with lower values start first.
 
-    Items are ordered by due time (earliest deadline first). Items that can no
-    longer finish in time come last; if they ran first, they would make other
-    items late one after another.
+    Items are ordered by due time (earliest deadline first), and those of one
+    job by length, the longest first: it would otherwise be late by itself.
+    Items that can no longer finish in time come last; if they ran first, they
+    would make other items late one after another.
 
     Attributes:
         is_late: Whether it can no longer finish in time.
         due: Unix time in seconds at which its job is due.
+        negated_remaining_s: Estimated remaining run time in seconds, negated.
         is_urgent: Whether it must run from now on to finish in time.
     """
 
     is_late: bool
     due: float
+    negated_remaining_s: float
     is_urgent: bool = dataclasses.field(compare=False)
 
 
@@ -147,7 +150,8 @@
     """
     left_s = due - now
     is_late = left_s <= 0 or left_s < remaining_s * (1 - REMAINING_ERROR)
-    return ItemPriority(is_late, due, not is_late and left_s < URGENT_S)
+    is_urgent = not is_late and left_s < URGENT_S
+    return ItemPriority(is_late, due, -remaining_s, is_urgent)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -235,6 +235,13 @@
     assert urgent == {"tight"}
 
 
+def test_longest_of_the_items_that_are_due_together_comes_first() -> None:
+    lengths = [2.0, 5.0, 3.0]
+    ordered = sorted(lengths, key=lambda s: item_priority(118.0, s, 100.0))
+    assert ordered == [5.0, 3.0, 2.0]
+    assert item_priority(117.0, 1.0, 100.0) < item_priority(118.0, 5.0, 100.0)
+
+
 def test_overload_makes_the_items_late_that_cannot_be_in_time() -> None:
     """Ordering by due time alone would make a quarter of the items late."""
     engines = run(120.0, job_items=40, job_every_s=8.0)
--- a/tests/test_preemptions.py
+++ b/tests/test_preemptions.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import random
+from unittest import mock
 
 from plumvane.serving.pacing import (
     BATCH_COOLDOWN_S,
@@ -36,6 +37,8 @@
 WORKERS = tuple(f"w{n}" for n in range(6))
 JOB_ITEMS = 10
 JOB_STEPS = 160
+# Length in multiples of the mean from which an item is long.
+LONG_LENGTH = 1.4
 
 
 @dataclasses.dataclass
@@ -47,7 +50,7 @@
     worker: str = ""
     due: float = 0.0
     started: float | None = None
-    engine: int = 0
+    is_long: bool = False
 
 
 class WorkerState:
@@ -64,7 +67,11 @@
 class Fleet:
     """Engines, workers and the loads that were last reported."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self, seed: int, lengths: tuple[float, float] = (1.0, 1.0)
+    ) -> None:
+        self.lengths = lengths
+        self.long_items = 0
         self.rng = random.Random(seed)
         self.queues: list[list[Work]] = [[] for _ in range(ENGINES)]
         self.workers = [WorkerState(name) for name in WORKERS]
@@ -104,10 +111,12 @@
     def _accept_job(self, now: float) -> None:
         worker = self.rng.choice(self.workers)
         self.items += JOB_ITEMS
-        worker.waiting += [
-            Work(now, ITEM_S, worker.name, now + DUE_S)
-            for _ in range(JOB_ITEMS)
-        ]
+        for _ in range(JOB_ITEMS):
+            item_s = ITEM_S * self.rng.uniform(*self.lengths)
+            work = Work(now, item_s, worker.name, now + DUE_S)
+            work.is_long = item_s > ITEM_S * LONG_LENGTH
+            self.long_items += work.is_long
+            worker.waiting.append(work)
 
     def _serve(self, now: float) -> None:
         for queue in self.queues:
@@ -205,6 +214,22 @@
     assert in_time >= 0.95 * items
 
 
+def test_long_items_of_a_job_are_not_the_ones_that_come_late() -> None:
+    """More jobs come than the engines can do in time."""
+    long_items = long_in_time = items = in_time = 0
+    with mock.patch(f"{__name__}.JOB_STEPS", 105):
+        for seed in range(4):
+            fleet = Fleet(seed, lengths=(0.5, 1.5))
+            fleet.run(60.0)
+            items += fleet.items
+            long_items += fleet.long_items
+            done = [w for w, end in fleet.done if w.worker and end <= w.due]
+            in_time += len(done)
+            long_in_time += sum(w.is_long for w in done)
+    assert in_time < items
+    assert long_in_time / long_items >= 0.75 * in_time / items
+
+
 def test_workers_preempt_one_item_together_for_each_waiting_request() -> None:
     items_by_worker = {name: PreemptibleItems(2, 1) for name in WORKERS}
     for waiting in range(1, 20):
