Read changes of peers at a rate that does not grow with the square of the fleet

Cause: each instance reads the changes of all instances' entries, 1 s apart. While N instances are restarted in turn nearly each read has news: N calls a second from N instances, for changes of which most concern nobody.

Change: the delay is the number of entries divided by 25 calls a second, at least 1 s as before and at most 3 s; entries last 10 s after their instance anyway.

--- a/plumvane/discovery/mirror.py
+++ b/plumvane/discovery/mirror.py
@@ -61,7 +61,8 @@
         self._store = store
         self._prefix = prefix
         self._on_change = on_change
-        self._pause_s = pause_s
+        # Delay between a change and the next watch, in seconds.
+        self.pause_s = pause_s
         self._watch_s = watch_s
         self._revision: int | None = None
 
@@ -115,7 +116,7 @@
         self._revision = max(revision, result.revision)
         self.current_at = sent_at
         if result.records:
-            await anyio.sleep(self._pause_s)
+            await anyio.sleep(self.pause_s)
 
     def _apply(self, record: Record) -> None:
         known = self.records_by_key.get(record.key)
--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -45,9 +45,12 @@
 __all__ = ["PEER_PREFIX", "PeerEntry", "RelayedStore"]
 
 PEER_PREFIX = "plumvane/peers/"
-# Delay between two reads of changed entries, in seconds; shorter than their
-# time to live.
-PEER_PAUSE_S = 1.0
+# Delay between two reads of changed entries, in seconds: in proportion to the
+# number of peers, so that reads of all of them stay below a rate, in calls per
+# second, while instances come and go. It is shorter than their time to live.
+MIN_PEER_PAUSE_S = 1.0
+MAX_PEER_PAUSE_S = 3.0
+MAX_PEER_READ_RATE = 25.0
 # Time to live of a peer's entry, in seconds: long enough to survive short
 # outages. A stale entry costs one failed call.
 PEER_TTL_S = 10.0
@@ -134,7 +137,7 @@
         # Registered instances, including this one.
         self.peers_by_name: dict[str, PeerEntry] = {}
         self._peers = Mirror(
-            self, PEER_PREFIX, self._apply_peer, pause_s=PEER_PAUSE_S
+            self, PEER_PREFIX, self._apply_peer, pause_s=MIN_PEER_PAUSE_S
         )
         key = PEER_PREFIX + name
         self._registration = Registration(
@@ -165,6 +168,10 @@
     def _apply_peer(self, record: Record) -> None:
         name = record.key.removeprefix(PEER_PREFIX)
         self.peers_by_name.pop(name, None)
+        pause_s = len(self._peers.records_by_key) / MAX_PEER_READ_RATE
+        self._peers.pause_s = min(
+            max(pause_s, MIN_PEER_PAUSE_S), MAX_PEER_PAUSE_S
+        )
         if record.deleted:
             return
         try:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -281,4 +281,4 @@
             upstreams=settings.UpstreamsSection(drain_ms=drain_ms),
         )
         _, fleet = connect(loaded, random.Random(1), "worker")
-        assert fleet._entries._pause_s == pause_s
+        assert fleet._entries.pause_s == pause_s
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -11,7 +11,7 @@
 from plumvane import clock
 from plumvane.discovery.relayed import PEER_PREFIX, PeerEntry, RelayedStore
 from plumvane.errors import ConflictError, StoreUnavailableError
-from plumvane.store.base import ABSENT, Write
+from plumvane.store.base import ABSENT, Record, Write
 from plumvane.store.memory import MemoryStore
 from standins.launcher import free_port
 
@@ -210,3 +210,21 @@
         assert clock.monotonic() - started_at < 1.0, "a silent peer was tried"
 
     run_with_peers(steps)
+
+
+def test_reads_of_changed_peers_do_not_grow_with_the_square_of_the_fleet() -> (
+    None
+):
+    """Restarts in turn of many instances: each change wakes every watch."""
+    for count, most_calls_per_s in ((5, 5.0), (23, 23.0), (64, 25.0)):
+        store = RelayedStore(
+            MemoryStore(), "p0", "127.0.0.1:1", random.Random(1)
+        )
+        for number in range(count):
+            entry = PeerEntry(f"127.0.0.1:{number + 1}", "gateway")
+            record = Record(
+                f"{PEER_PREFIX}p{number}", entry.encode(), number + 1
+            )
+            store._peers._apply(record)
+        assert count / store._peers.pause_s <= most_calls_per_s
+        assert store._peers.pause_s <= 3.0, "peers are found in bounded time"
