--- a/plumvane/web.py
+++ b/plumvane/web.py
@@ -136,12 +136,12 @@
     def shutdown(self) -> None:
         """See base class; waits for requests that are arriving."""
         self._is_stopping = True
-        if self._is_head_open:
+        if not self._is_idle():
+            super().shutdown()
+        elif self._is_head_open:
             self._start_timer(STOP_HEAD_S, self._refuse_stalled)
-        elif self._is_idle():
-            self._start_timer(STOP_IDLE_S, self._close_if_idle)
         else:
-            super().shutdown()
+            self._start_timer(STOP_IDLE_S, self._close_if_idle)
 
     def _start_timer(self, timeout_s: float, expire: Any) -> None:
         self._stop_timer()
@@ -172,6 +172,10 @@
         self._start_timer(BODY_CHECK_INTERVAL_S, self._check_body)
 
     def _refuse_stalled(self) -> None:
+        if self._is_head_open and not self._is_idle():
+            # The response to the request before is still being sent.
+            self._start_timer(HEAD_TIMEOUT_S, self._refuse_stalled)
+            return
         self._refuse(408, "The request did not arrive in time.")
 
     def _refuse(self, status: int, detail: str) -> None:
@@ -183,7 +187,9 @@
             error=detail,
             head_bytes=self._head_bytes,
         )
-        if not self._is_body_open or not self.cycle.response_started:
+        if self._is_idle() or not (
+            self.cycle.response_started or self.pipeline or self._is_head_open
+        ):
             self.transport.write(
                 b"HTTP/1.1 %d Refused\r\ncontent-type: text/plain\r\n"
                 b"content-length: %d\r\nconnection: close\r\n\r\n%b"
--- a/tests/test_arriving_requests.py
+++ b/tests/test_arriving_requests.py
@@ -223,6 +223,26 @@
         run_with_timeout(steps)
 
 
+def test_begun_head_does_not_cut_the_response_before_it() -> None:
+    async def steps() -> None:
+        app = App()
+        app.holds = True
+        async with running(app) as (_, port):
+            with connected(port) as caller:
+                caller.sendall(REQUEST + HEAD[:10])
+                while not app.waiting:
+                    await anyio.sleep(0.01)
+                await anyio.sleep(0.8)
+                app.holds = False
+                response = await read_all(caller)
+        first, _, second = response.partition(b"HTTP/1.1 408")
+        assert is_answered(first)
+        assert second, "the head that never ends is refused afterwards"
+
+    with mock.patch.object(web, "HEAD_TIMEOUT_S", 0.3):
+        run_with_timeout(steps)
+
+
 async def trickle(caller: socket.socket, byte: bytes) -> bytes:
     """Sends a byte now and then until the server ends the connection."""
     caller.setblocking(False)
