--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import secrets
 
@@ -28,6 +29,9 @@
     ProtocolError,
     StoreUnavailableError,
 )
+from plumvane.peers.messages import Message
+from plumvane.peers.messages.loads import RunningItems
+from plumvane.process import supervise
 from plumvane.relay.client import UpstreamClient
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.assignment import chosen_worker
@@ -37,6 +41,7 @@
 from plumvane.worker.attribution import CrashAttribution
 from plumvane.worker.committer import Committer, log_commit_delayed
 from plumvane.worker.feed import LoadFeed
+from plumvane.worker.heard import HeardWorkers
 from plumvane.worker.items import ItemRunner
 from plumvane.worker.owned import ItemRun, OwnedJob
 from plumvane.worker.results import ResultCache
@@ -66,6 +71,10 @@
 # Interval between commits, in seconds; the results of an interval share
 # transactions.
 COMMIT_INTERVAL_S = 0.3
+# The same for results of jobs that still run and are not due soon, and the time
+# before the due time from which a job is, in seconds.
+PARTIAL_COMMIT_INTERVAL_S = 0.9
+DUE_SOON_S = 3.0
 # Interval between checkpoints of items, in seconds: the progress that an item
 # loses with its worker. A job with fewer new events than the minimum is not
 # checkpointed.
@@ -114,12 +123,15 @@
             pause_s=WATCH_PAUSE_S,
             watch_s=self._watch_s,
         )
+        self._quarantine = quarantine
         speed = ItemDurationEstimator()
         runner = ItemRunner(view, caller, quarantine, permits, speed)
         self._scheduler = ItemScheduler(
             name, view, reports, runner, quarantine, speed, rng
         )
+        # Registered workers, including this one.
         self._incarnations_by_name: dict[str, str] = {}
+        self._heard = HeardWorkers()
         self._heads_by_id: dict[str, tuple[Job, int]] = {}
         self._owned_by_id: dict[str, OwnedJob] = {}
         self.results = ResultCache(
@@ -143,6 +155,16 @@
         registered = self._incarnations_by_name.get(self._name)
         return registered == self._incarnation
 
+    def apply_message(self, message: Message) -> None:
+        """Applies a message that another worker streams beside the loads."""
+        if isinstance(message, RunningItems):
+            self._heard.record(
+                message.worker, message.incarnation, clock.monotonic()
+            )
+            self._scheduler.apply_running_items(message)
+        else:
+            self._quarantine.apply(message)
+
     def _watch_s(self) -> float:
         return OWNER_WATCH_S if self._owned_by_id else WATCH_S
 
@@ -157,12 +179,16 @@
     async def run(self) -> None:
         """Claims and runs jobs until it is cancelled."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._mirror.run)
-            group.start_soon(self._registration.run)
-            group.start_soon(self.attribution.run)
-            group.start_soon(self._claim_jobs, group)
-            group.start_soon(self._schedule_items, group)
-            group.start_soon(self._commit_results)
+            for task in (
+                self._mirror.run,
+                self._registration.run,
+                self.attribution.run,
+                functools.partial(self._claim_jobs, group),
+                functools.partial(self._schedule_items, group),
+                self._scheduler.read_silent_loads,
+                self._commit_results,
+            ):
+                group.start_soon(supervise, task)
 
     async def drain(self) -> None:
         """Stops all items and hands the jobs over to other workers.
@@ -170,6 +196,8 @@
         The progress of the items is written to the store for the next owners.
         """
         self._is_draining = True
+        self._heard.record(self._name, "", clock.monotonic())
+        self.feed.send_items(RunningItems(self._name, ""))
         # Items scheduled just before this point may still start.
         while running := self._running_items():
             for run in running:
@@ -205,10 +233,19 @@
     def _apply_worker(self, record: Record) -> None:
         name = record.key.removeprefix(WORKER_PREFIX)
         if record.deleted:
-            self._incarnations_by_name.pop(name, None)
+            if self._incarnations_by_name.pop(name, None) is not None:
+                self._heard.record_removal(name, clock.monotonic())
         else:
             self._incarnations_by_name[name] = record.value.decode()
 
+    def _live_incarnations(self) -> dict[str, str]:
+        """Returns the incarnations of all live workers, by name.
+
+        Those that have lost their registration but are still heard are live.
+        """
+        heard = self._heard.incarnations_by_name(clock.monotonic())
+        return {**heard, **self._incarnations_by_name}
+
     def _apply_head(self, record: Record) -> None:
         job_id = record.key.removeprefix(JOB_PREFIX)
         if record.deleted:
@@ -287,10 +324,10 @@
             # A previous claim was written, but its answer was lost or its items
             # could not be read.
             return True
-        if job.owner in self._incarnations_by_name.values():
+        incarnations_by_name = self._live_incarnations()
+        if job.owner in incarnations_by_name.values():
             return False
-        chosen = chosen_worker(job_id, self._incarnations_by_name)
-        return chosen == self._name
+        return chosen_worker(job_id, incarnations_by_name) == self._name
 
     async def _claim(self, job: Job, revision: int) -> None:
         job_id, previous_owner = job.job_id, job.owner
@@ -356,20 +393,30 @@
             if not self._view.is_loaded():
                 continue
             started = clock.monotonic()
-            workers = list(self._incarnations_by_name)
+            self._heard.record(self._name, self._incarnation, started)
+            workers = list(self._live_incarnations())
             self.feed.send(await self._scheduler.read_loads(workers), started)
             if self._owned_by_id:
                 await self._scheduler.schedule(
                     list(self._owned_by_id.values()), workers, group
                 )
+            self.feed.send_items(
+                self._scheduler.running_items(self._incarnation)
+            )
 
     async def _commit_results(self) -> None:
         next_checkpoint = clock.monotonic() + CHECKPOINT_INTERVAL_S
+        next_partial = clock.monotonic()
         while True:
             await anyio.sleep(COMMIT_INTERVAL_S)
             is_checkpoint = clock.remaining(next_checkpoint) <= 0
             if is_checkpoint:
                 next_checkpoint = clock.monotonic() + CHECKPOINT_INTERVAL_S
+            elif clock.remaining(next_partial) > 0 and not any(
+                map(_is_commit_urgent, self._owned_by_id.values())
+            ):
+                continue
+            next_partial = clock.monotonic() + PARTIAL_COMMIT_INTERVAL_S
             unsaved = [
                 owned
                 for owned in self._owned_by_id.values()
@@ -386,3 +433,11 @@
                 self._drop_if_lost(owned)
             for owned in list(self._owned_by_id.values()):
                 await self._committer.read_missing_results(owned)
+
+
+def _is_commit_urgent(owned: OwnedJob) -> bool:
+    """Returns whether a caller waits for the uncommitted results of a job."""
+    if not owned.outcomes:
+        return False
+    is_due = owned.job.due_ms / 1000 - clock.wall() < DUE_SOON_S
+    return is_due or owned.has_all_outcomes()
