Tell all instances which engines are silent to the worker that reads them

What callers felt: when servers go dark, streams that wait a second for nothing, one after the other from each gateway.

Cause: only the worker that reads an engine's load knows that it misses its reports. At the others the last load grows old, and an engine without a fresh load counts as without a queue, so that it is chosen before those with one; each of 58 gateways learns by its own lost requests, again after each ejection.

Change: with the loads the worker tells ten times a second which of its engines have missed three reports; they get no new work for 1 s after each such message, unless a load or a response refutes it. Running streams go on. A worker to which half of its engines are silent says nothing, since it is rather cut off itself.

--- a/plumvane/discovery/loads.py
+++ b/plumvane/discovery/loads.py
@@ -13,7 +13,11 @@
 from plumvane.discovery.relayed import RelayedStore
 from plumvane.errors import PlumvaneError
 from plumvane.peers.messages import Message
-from plumvane.peers.messages.loads import FollowLoads, UpstreamLoads
+from plumvane.peers.messages.loads import (
+    FollowLoads,
+    SilentUpstreams,
+    UpstreamLoads,
+)
 from plumvane.serving.upstreams import Load, Upstream, UpstreamTable
 
 __all__ = ["WORKER_ROLE", "LoadFollower", "apply_load"]
@@ -89,6 +93,9 @@
         self._followed_addresses.discard(address)
 
     def _apply_part(self, part: Message) -> None:
+        if isinstance(part, SilentUpstreams):
+            self._apply_silence(part)
+            return
         if not isinstance(part, UpstreamLoads):
             self._on_message(part)
             return
@@ -105,6 +112,26 @@
                 load = Load(row.running, row.waiting)
                 apply_load(upstream, load, now - row.age_s)
 
+    def _apply_silence(self, message: SilentUpstreams) -> None:
+        """Spares the upstreams that are silent to the worker that reads them.
+
+        Their last loads, which grow old, would make them look idle.
+        """
+        now = clock.monotonic()
+        for row in message.upstreams:
+            upstream = self._upstreams.upstreams_by_id.get(row.upstream_id)
+            if (
+                upstream is not None
+                and row.started_ms == upstream.listed.started_ms
+                and upstream.record_reported_silence(now)
+            ):
+                events.log(
+                    events.Event.UPSTREAM_SILENT,
+                    upstream=row.upstream_id,
+                    load_age_s=round(min(upstream.load_age(now), 99.0), 2),
+                    source="peer",
+                )
+
 
 def apply_load(upstream: Upstream, load: Load, read_at: float) -> None:
     """Updates the load of an upstream; a silent one becomes usable again.
--- a/plumvane/peers/messages/loads.py
+++ b/plumvane/peers/messages/loads.py
@@ -10,6 +10,8 @@
     "FollowLoads",
     "ItemCount",
     "RunningItems",
+    "SilentUpstream",
+    "SilentUpstreams",
     "UpstreamLoad",
     "UpstreamLoads",
 ]
@@ -92,3 +94,25 @@
     worker: str
     incarnation: str
     counts: tuple[ItemCount, ...] = ()
+
+
+class SilentUpstream(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that does not answer requests for its load.
+
+    Attributes:
+        upstream_id: Identifier of the upstream.
+        started_ms: Unix time of its start in milliseconds; 0 if unknown.
+    """
+
+    upstream_id: str
+    started_ms: int
+
+
+class SilentUpstreams(Message, frozen=True, tag="silent"):
+    """Upstreams that are silent to the worker that reads their loads.
+
+    Attributes:
+        upstreams: The upstreams.
+    """
+
+    upstreams: tuple[SilentUpstream, ...]
--- a/plumvane/relay/health.py
+++ b/plumvane/relay/health.py
@@ -16,6 +16,7 @@
 
 def record_success(upstream: Upstream) -> None:
     """Records that an upstream responded, which ends its ejection."""
+    upstream.record_response(clock.monotonic())
     if upstream.record_success():
         events.log(events.Event.UPSTREAM_BACK, upstream=upstream.upstream_id)
 
--- a/plumvane/serving/upstreams.py
+++ b/plumvane/serving/upstreams.py
@@ -16,6 +16,10 @@
 # Consecutive load reports that must be missed before an upstream counts as
 # silent; a single one may be lost with its connection.
 SILENT_REPORTS = 3
+# Time for which a report counts that an upstream is silent, in seconds; it is
+# repeated while that is so. A response within the shorter time refutes it.
+SILENCE_REPORT_S = 1.0
+RESPONSE_REFUTES_S = 0.3
 # Age in seconds from which a reported load is ignored; requests last about a
 # second.
 MAX_LOAD_AGE_S = 1.0
@@ -98,6 +102,8 @@
         self._failures = 0
         self._ejected_until = 0.0
         self._missed_reports = 0
+        self._reported_silent_until = 0.0
+        self._answered_at = float("-inf")
 
     @property
     def upstream_id(self) -> str:
@@ -124,6 +130,7 @@
         if read_at < self._load_at:
             return
         self._missed_reports = 0
+        self._reported_silent_until = 0.0
         self._load = load
         self._load_at = read_at
         self._in_flight_at_load = self.in_flight
@@ -176,6 +183,18 @@
         """Returns whether it has missed several load reports in a row."""
         return self._missed_reports >= SILENT_REPORTS
 
+    def record_reported_silence(self, now: float) -> bool:
+        """Records that the worker that reads its load gets no answer.
+
+        Returns:
+            Whether it counts as silent from now on.
+        """
+        if now - self._answered_at < RESPONSE_REFUTES_S:
+            return False
+        is_new = now >= self._reported_silent_until
+        self._reported_silent_until = now + SILENCE_REPORT_S
+        return is_new
+
     def load_age(self, now: float) -> float:
         """Returns the age of the reported load, infinite without one."""
         return now - self._load_at if self._load is not None else float("inf")
@@ -209,6 +228,11 @@
         self._ejected_until = now + duration
         return self._ejected_until
 
+    def record_response(self, now: float) -> None:
+        """Records a response, which refutes that it is silent."""
+        self._answered_at = now
+        self._reported_silent_until = 0.0
+
     def record_success(self) -> bool:
         """Records an answer, which ends an ejection after failures.
 
@@ -222,7 +246,11 @@
 
     def is_ejected(self, now: float) -> bool:
         """Returns whether it gets no new work after failures or silence."""
-        return now < self._ejected_until or self.is_silent()
+        return (
+            now < self._ejected_until
+            or now < self._reported_silent_until
+            or self.is_silent()
+        )
 
 
 class UpstreamTable:
--- a/plumvane/worker/feed.py
+++ b/plumvane/worker/feed.py
@@ -11,6 +11,8 @@
 from plumvane.peers.messages.loads import (
     FollowLoads,
     RunningItems,
+    SilentUpstream,
+    SilentUpstreams,
     UpstreamLoad,
     UpstreamLoads,
 )
@@ -64,6 +66,22 @@
         if new_loads:
             self.publish(UpstreamLoads(tuple(new_loads)))
 
+    def send_silent(self, upstreams: Collection[Upstream]) -> None:
+        """Sends which of the upstreams that this worker reads are silent.
+
+        If half of them are, it is rather this worker that is cut off.
+
+        Args:
+            upstreams: Upstreams whose loads this worker reads.
+        """
+        silent = [upstream for upstream in upstreams if upstream.is_silent()]
+        if silent and 2 * len(silent) < len(upstreams):
+            rows = [
+                SilentUpstream(u.upstream_id, u.listed.started_ms)
+                for u in silent
+            ]
+            self.publish(SilentUpstreams(tuple(rows)))
+
     def publish(self, message: Message) -> None:
         """Sends a message to all subscribers."""
         for call in self._calls:
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -395,7 +395,9 @@
             started = clock.monotonic()
             self._heard.record(self._name, self._incarnation, started)
             workers = list(self._live_incarnations())
-            self.feed.send(await self._scheduler.read_loads(workers), started)
+            own = await self._scheduler.read_loads(workers)
+            self.feed.send(own, started)
+            self.feed.send_silent(own)
             if self._owned_by_id:
                 await self._scheduler.schedule(
                     list(self._owned_by_id.values()), workers, group
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -12,11 +12,13 @@
 from plumvane.discovery.loads import LoadFollower, apply_load
 from plumvane.discovery.quarantine import PromptQuarantine
 from plumvane.discovery.view import FleetView
+from plumvane.peers.messages import Message
 from plumvane.peers.messages.loads import UpstreamLoad, UpstreamLoads
 from plumvane.relay.reports import ReportReader
 from plumvane.serving.pacing import ItemDurationEstimator
 from plumvane.serving.routes import RouteTable, Service
 from plumvane.serving.upstreams import (
+    SILENCE_REPORT_S,
     SILENT_REPORTS,
     Load,
     Upstream,
@@ -157,3 +159,93 @@
         assert not silent.is_silent(), "it is asked apart from the others"
 
     anyio.run(run)
+
+
+class FeedCall:
+    """A subscription that passes the messages on to gateways."""
+
+    def __init__(self, followers: Sequence[LoadFollower]) -> None:
+        self._followers = followers
+
+    def send_part(self, part: Message) -> None:
+        for follower in self._followers:
+            follower._apply_part(part)
+
+
+def make_gateways(count: int) -> tuple[list[UpstreamTable], Any]:
+    """Returns the tables of gateways that list all engines, and their call."""
+    peers: Any = None
+    tables = [UpstreamTable("a", random.Random(n)) for n in range(count)]
+    for table in tables:
+        for number in range(ENGINES):
+            table.put(make_listed_upstream(f"u{number}"))
+    followers = [
+        LoadFollower("g", peers, table, PromptQuarantine("g", None).apply)
+        for table in tables
+    ]
+    return tables, FeedCall(followers)
+
+
+def silenced(ids: Sequence[str]) -> list[Upstream]:
+    """Returns the engines that a worker reads, some of them silent."""
+    engines = [
+        Upstream(make_listed_upstream(f"u{number}"))
+        for number in range(ENGINES)
+    ]
+    for engine in engines:
+        for _ in range(SILENT_REPORTS if engine.upstream_id in ids else 0):
+            engine.record_missed_report()
+    return engines
+
+
+def test_engines_that_go_dark_get_no_requests_from_any_gateway() -> None:
+    """Part of the engines goes dark under load, with many gateways.
+
+    Each gateway would send one request after the other there, since an engine
+    without a fresh load looks idle.
+    """
+    dark = ("u3", "u7")
+    tables, call = make_gateways(20)
+    feed = LoadFeed()
+    feed._calls.add(call)
+    feed.send_silent(silenced(dark))
+    now = clock.monotonic()
+    chosen_ids = set()
+    for table in tables:
+        for _ in range(ENGINES):
+            chosen = table.choose(SERVICE, now + 0.5)
+            assert chosen is not None
+            chosen.in_flight += 1
+            chosen_ids.add(chosen.upstream_id)
+    assert chosen_ids.isdisjoint(dark)
+    assert len(chosen_ids) == ENGINES - len(dark)
+
+
+def test_report_of_silence_ends_with_a_load_a_response_or_its_time() -> None:
+    for refute in ("load", "response", "time"):
+        tables, call = make_gateways(1)
+        feed = LoadFeed()
+        feed._calls.add(call)
+        feed.send_silent(silenced(("u3",)))
+        known = tables[0].upstreams_by_id["u3"]
+        now = clock.monotonic()
+        assert known.is_ejected(now)
+        if refute == "load":
+            apply_load(known, Load(1, 0), now)
+        elif refute == "response":
+            known.record_response(now)
+            feed.send_silent(silenced(("u3",)))
+        else:
+            now += SILENCE_REPORT_S
+        assert not known.is_ejected(now), refute
+
+
+def test_worker_that_hears_less_than_half_of_its_engines_reports_none() -> None:
+    tables, call = make_gateways(1)
+    feed = LoadFeed()
+    feed._calls.add(call)
+    feed.send_silent(silenced([f"u{n}" for n in range(ENGINES // 2)]))
+    now = clock.monotonic()
+    assert not any(
+        u.is_ejected(now) for u in tables[0].upstreams_by_id.values()
+    )
