End a process whose settings cannot work, also from a supervised task

Cause: since the tasks of gateways and workers are restarted after unexpected errors, an address in use was tried again for ever instead of ending the start with its remedy.

--- a/plumvane/process.py
+++ b/plumvane/process.py
@@ -82,6 +82,12 @@
     gc.freeze()
 
 
+def _is_settings_error(error: Exception) -> bool:
+    if isinstance(error, ExceptionGroup):
+        return error.subgroup(SettingsError) is not None
+    return isinstance(error, SettingsError)
+
+
 def _flatten(group: BaseExceptionGroup[SettingsError]) -> list[SettingsError]:
     found = []
     for error in group.exceptions:
@@ -98,12 +104,18 @@
     Args:
         run: The task, which should never return; if it does, it is not
             started again.
+
+    Raises:
+        SettingsError: The task cannot run with the settings, or an exception
+            group with such an error.
     """
     while True:
         try:
             await run()
             return
         except Exception as error:
+            if _is_settings_error(error):
+                raise
             events.log(
                 events.Event.TASK_FAILED,
                 task=getattr(run, "__qualname__", repr(run)),
