Read configurations in quick succession together

Cause: each process reads each change of the operators' keys by a call of its own, at once.

Change: an eighth of the time within which a configuration must take effect, at most 0.5 s, passes between two reads. It is a setting, [routes] apply_ms, which the templates fill in.

Tests: test_discovery.test_configurations_in_quick_succession_share_a_read: 25 changes in 1 s take at most 10 reads; without the delay the assertion fails.

--- a/plumvane/discovery/connect.py
+++ b/plumvane/discovery/connect.py
@@ -11,12 +11,14 @@
 
 __all__ = ["connect"]
 
-# Delay between two reads of changed upstream entries: a share of the time in
-# which an upstream that leaves must get no new request, and at most so long, in
-# seconds. Each process reads the changes, so that a release of many upstreams
-# costs the store the more calls the shorter the delay is.
+# Delay between two reads of changes: a share of the time within which they must
+# take effect, and at most so long, in seconds. Each process reads the changes,
+# so that a release of many upstreams, or many configurations in quick
+# succession, cost the store the more calls the shorter the delay is.
 UPSTREAM_PAUSE_SHARE = 0.25
 MAX_UPSTREAM_PAUSE_S = 1.0
+OPERATOR_PAUSE_SHARE = 0.125
+MAX_OPERATOR_PAUSE_S = 0.5
 
 
 def connect(
@@ -40,9 +42,17 @@
         role,
         listen_address=str(settings.peers.bind_address),
     )
-    pause_s = min(
-        UPSTREAM_PAUSE_SHARE * settings.upstreams.drain_ms / 1000,
-        MAX_UPSTREAM_PAUSE_S,
+    view = FleetView(
+        store,
+        process.data_centre,
+        rng,
+        upstream_pause_s=min(
+            UPSTREAM_PAUSE_SHARE * settings.upstreams.drain_ms / 1000,
+            MAX_UPSTREAM_PAUSE_S,
+        ),
+        operator_pause_s=min(
+            OPERATOR_PAUSE_SHARE * settings.routes.apply_ms / 1000,
+            MAX_OPERATOR_PAUSE_S,
+        ),
     )
-    view = FleetView(store, process.data_centre, rng, upstream_pause_s=pause_s)
     return store, view
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -41,6 +41,7 @@
         rng: random.Random,
         *,
         upstream_pause_s: float = UPSTREAM_PAUSE_S,
+        operator_pause_s: float = 0.0,
     ) -> None:
         """Creates an empty view.
 
@@ -50,6 +51,7 @@
             rng: Random source that breaks ties between upstreams.
             upstream_pause_s: Delay between two reads of changed upstream
                 entries, in seconds.
+            operator_pause_s: The same for the operators' keys.
         """
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamTable(data_centre, rng)
@@ -60,7 +62,10 @@
         # configuration.
         self.on_operator_change: Callable[[Record], None] = _ignore
         self.operator_keys = Mirror(
-            store, names.OPERATOR_PREFIX, self._apply_operator_key
+            store,
+            names.OPERATOR_PREFIX,
+            self._apply_operator_key,
+            pause_s=operator_pause_s,
         )
         self._entries = Mirror(
             store,
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -376,6 +376,16 @@
     drain_ms: Annotated[int, msgspec.Meta(ge=500)] = 2_000
 
 
+class RoutesSection(_Section, frozen=True, kw_only=True):
+    """Section [routes]: the operators' configuration.
+
+    Attributes:
+        apply_ms: Time in milliseconds within which a change takes effect.
+    """
+
+    apply_ms: Annotated[int, msgspec.Meta(ge=500)] = 2_000
+
+
 class WorkerSettings(ProgramSettings, frozen=True, kw_only=True):
     """Settings of plumvane-worker.
 
@@ -383,11 +393,13 @@
         store: Section [store].
         peers: Section [peers].
         upstreams: Section [upstreams]; may be missing.
+        routes: Section [routes]; may be missing.
     """
 
     store: StoreSection
     peers: PeersSection
     upstreams: UpstreamsSection = UpstreamsSection()
+    routes: RoutesSection = RoutesSection()
 
 
 class GatewaySettings(WorkerSettings, frozen=True, kw_only=True):
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -11,6 +11,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 TEMPLATE_VALUES = {
+    "bounds.config-apply-ms": "4000",
     "bounds.drain-ms": "4000",
     "node-name": "front-windhoek-hall-1",
     "zone": "windhoek-hall",
@@ -43,6 +44,7 @@
         assert loaded.process.name == TEMPLATE_VALUES["node-name"]
         assert str(loaded.peers.address) == "10.1.0.35:7675"
         assert loaded.upstreams.drain_ms == 4_000
+        assert loaded.routes.apply_ms == 4_000
 
 
 def test_roles_run_installed_scripts() -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,6 +15,7 @@
 from plumvane.discovery.registration import Registration
 from plumvane.discovery.view import FleetView
 from plumvane.errors import StoreUnavailableError
+from plumvane.platform import names
 from plumvane.store.base import Record, WatchResult
 from plumvane.store.memory import MemoryStore
 
@@ -267,18 +268,60 @@
     run_with_view(steps)
 
 
-def test_changes_of_upstreams_are_read_in_a_quarter_of_their_drain_time() -> (
-    None
-):
-    """A release of many upstreams costs each process a call per delay."""
-    for drain_ms, pause_s in ((2_000, 0.5), (3_000, 0.75), (60_000, 1.0)):
+def test_changes_are_read_in_a_share_of_the_time_to_take_effect() -> None:
+    """A release of upstreams, or a storm of configurations, at many processes.
+
+    Each change costs each process a call, but at most one in a delay.
+    """
+    for bound_ms, upstream_pause_s, operator_pause_s in (
+        (2_000, 0.5, 0.25),
+        (3_000, 0.75, 0.375),
+        (4_000, 1.0, 0.5),
+        (60_000, 1.0, 0.5),
+    ):
         loaded = settings.WorkerSettings(
             process=settings.InstanceSection(name="w", data_centre="a"),
             store=settings.StoreSection(url=settings.Url("http://127.0.0.1:1")),
             peers=settings.PeersSection(
                 address=settings.Address("127.0.0.1", 1)
             ),
-            upstreams=settings.UpstreamsSection(drain_ms=drain_ms),
+            upstreams=settings.UpstreamsSection(drain_ms=bound_ms),
+            routes=settings.RoutesSection(apply_ms=bound_ms),
         )
         _, fleet = connect(loaded, random.Random(1), "worker")
-        assert fleet._entries.pause_s == pause_s
+        assert fleet._entries.pause_s == upstream_pause_s
+        assert fleet.operator_keys.pause_s == operator_pause_s
+
+
+def test_configurations_in_quick_succession_share_a_read() -> None:
+    class CountingStore(MemoryStore):
+        watches = 0
+
+        async def watch(self, *args: Any, **kwargs: Any) -> WatchResult:
+            self.watches += 1
+            return await super().watch(*args, **kwargs)
+
+    async def steps() -> None:
+        store = CountingStore()
+        followed = FleetView(
+            store, "a", random.Random(1), operator_pause_s=0.25
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(followed.operator_keys.run)
+            await followed.operator_keys.loaded.wait()
+            for version in range(1, 26):
+                value = json.dumps({"version": version, "routes": []}).encode()
+                await store.put(
+                    names.CONFIGURATION_KEY, value, expected_revision=None
+                )
+                await anyio.sleep(0.04)
+            while followed.routes is None or followed.routes.version < 25:
+                await anyio.sleep(POLL_S)
+            group.cancel_scope.cancel()
+        assert store.watches <= 10, "25 changes in 1 s, a read in 0.25 s"
+
+    async def run() -> None:
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            await steps()
+
+    anyio.run(run)
