Keep upstreams whose entries expired in an outage that the watch slept through

Cause, by reading: entries that expire in an outage are kept for 2.3 s only if the watch itself had failed. A watch that waits, for up to 25 s, does not fail; it reports the expired entries when the store is back, and all upstreams are gone until they have registered again.

Change: any call that fails for a second or more shows the outage (calls are made every 3 s at least); while it lasts missing upstreams stay, and 2.3 s beyond.

Tests: test_discovery.test_entries_that_a_waiting_watch_reports_gone_survive_an_outage (without the change: `assert is_listed(fleet, "u1")`), test_relayed_store.test_outage_is_known_from_calls_that_fail.

--- a/plumvane/discovery/connect.py
+++ b/plumvane/discovery/connect.py
@@ -54,5 +54,6 @@
             OPERATOR_PAUSE_SHARE * settings.routes.apply_ms / 1000,
             MAX_OPERATOR_PAUSE_S,
         ),
+        outage_ended_at=store.outage_ended_at,
     )
     return store, view
--- a/plumvane/discovery/mirror.py
+++ b/plumvane/discovery/mirror.py
@@ -10,7 +10,7 @@
 from plumvane.errors import HistoryLostError, PlumvaneError
 from plumvane.store.base import Record, Store
 
-__all__ = ["WATCH_S", "Mirror"]
+__all__ = ["OUTAGE_S", "WATCH_S", "Mirror"]
 
 # Longest wait of one watch, in seconds; the platform's limit is 30. TCP
 # keep-alive probes detect a dead connection in the meantime.
--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -11,7 +11,7 @@
 
 from plumvane import clock, events
 from plumvane.decoding import decode
-from plumvane.discovery.mirror import Mirror
+from plumvane.discovery.mirror import OUTAGE_S, Mirror
 from plumvane.discovery.peer_calls import PEER_WATCH_S, register_handlers
 from plumvane.discovery.registration import Registration
 from plumvane.errors import (
@@ -149,6 +149,8 @@
             is_present=lambda: key in self._peers.records_by_key,
         )
         self._unreachable = anyio.Event()
+        self._unreachable_since = float("-inf")
+        self._outage_ended_at = float("-inf")
         self._last_responding_address = ""
         self._silent_until_by_address: dict[str, float] = {}
         register_handlers(self.server, store, self._is_unreachable)
@@ -156,6 +158,19 @@
     def _is_unreachable(self) -> bool:
         return self._unreachable.is_set()
 
+    def outage_ended_at(self) -> float:
+        """Returns when the store's last outage ended for this instance.
+
+        Unlike a watch that waits, calls that fail show an outage. The time is a
+        monotonic one in seconds, infinite while the outage lasts.
+        """
+        if self._is_unreachable() and self._is_outage():
+            return float("inf")
+        return self._outage_ended_at
+
+    def _is_outage(self) -> bool:
+        return clock.monotonic() - self._unreachable_since >= OUTAGE_S
+
     async def run(self) -> None:
         """Serves and discovers peers, and probes the store, until cancelled."""
         async with anyio.create_task_group() as group:
@@ -304,6 +319,7 @@
     def _record_unreachable(self, error: StoreUnavailableError) -> None:
         if not self._unreachable.is_set():
             self._unreachable.set()
+            self._unreachable_since = clock.monotonic()
             events.log(events.Event.STORE_CUT, error=error.detail)
 
     async def _probe(self) -> None:
@@ -312,6 +328,8 @@
             # The first probe is immediate: the store may close waiting watches
             # and still serve other calls.
             if await self._can_reach_store():
+                if self._is_outage():
+                    self._outage_ended_at = clock.monotonic()
                 self._unreachable = anyio.Event()
                 events.log(events.Event.STORE_REACHED)
             else:
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 
@@ -42,6 +43,7 @@
         *,
         upstream_pause_s: float = UPSTREAM_PAUSE_S,
         operator_pause_s: float = 0.0,
+        outage_ended_at: Callable[[], float] = lambda: float("-inf"),
     ) -> None:
         """Creates an empty view.
 
@@ -52,7 +54,10 @@
             upstream_pause_s: Delay between two reads of changed upstream
                 entries, in seconds.
             operator_pause_s: The same for the operators' keys.
+            outage_ended_at: Returns the monotonic time in seconds at which the
+                last outage of the store ended, infinite while it lasts.
         """
+        self._outage_ended_at = outage_ended_at
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamTable(data_centre, rng)
         self.versions = VersionHistory()
@@ -95,6 +100,11 @@
             await anyio.sleep(CHECK_INTERVAL_S)
             if self._entries.is_failing:
                 continue
+            if self._outage_ended_at() == math.inf:
+                self.upstreams.extend_missing(
+                    clock.monotonic() + REREGISTRATION_TIMEOUT_S
+                )
+                continue
             for upstream in self.upstreams.remove_missing(clock.monotonic()):
                 events.log(
                     events.Event.UPSTREAM_GONE,
@@ -185,9 +195,10 @@
 
     def _apply_removal(self, upstream_id: str) -> None:
         now = clock.monotonic()
-        reregistration_deadline = (
-            self._entries.recovered_at + REREGISTRATION_TIMEOUT_S
-        )
+        # A watch that waits through an outage does not fail, and still reports
+        # the entries that expired in it.
+        ended_at = max(self._entries.recovered_at, self._outage_ended_at())
+        reregistration_deadline = min(ended_at, now) + REREGISTRATION_TIMEOUT_S
         if now < reregistration_deadline:
             self.upstreams.keep_until(upstream_id, reregistration_deadline)
             return
--- a/plumvane/serving/upstreams.py
+++ b/plumvane/serving/upstreams.py
@@ -318,6 +318,14 @@
         if known is not None and known.missing_deadline is None:
             known.missing_deadline = deadline
 
+    def extend_missing(self, deadline: float) -> None:
+        """Keeps all upstreams that are missing until a later deadline."""
+        for upstream in self.upstreams_by_id.values():
+            if upstream.missing_deadline is not None:
+                upstream.missing_deadline = max(
+                    upstream.missing_deadline, deadline
+                )
+
     def remove_missing(self, now: float) -> list[Upstream]:
         """Removes and returns the upstreams missing beyond their deadline."""
         expired = [
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -200,6 +201,43 @@
     run_with_view(steps)
 
 
+# Guards against requests that are refused for want of upstreams when the store
+# is back: the entries of all had expired, and a waiting watch reported it.
+def test_entries_that_a_waiting_watch_reports_gone_survive_an_outage() -> None:
+    async def run() -> None:
+        store = MemoryStore()
+        ended_at = math.inf
+        await put(store, "op/config", configuration(1))
+        for name in ("u1", "u2"):
+            await put(store, f"servers/{name}", entry())
+        fleet = FleetView(
+            store, "a", random.Random(1), outage_ended_at=lambda: ended_at
+        )
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(fleet.run)
+                await wait_until(fleet.is_loaded)
+                for name in ("u1", "u2"):
+                    await store.delete(
+                        f"servers/{name}", expected_revision=None
+                    )
+                # The outage lasts longer than entries are kept after it.
+                await anyio.sleep(view.REREGISTRATION_TIMEOUT_S + 0.7)
+                assert is_listed(fleet, "u1")
+                assert is_listed(fleet, "u2")
+                ended_at = clock.monotonic()
+                await put(store, "servers/u1", entry(sequence=2))
+                await wait_until(lambda: not is_listed(fleet, "u2"))
+                assert clock.monotonic() - ended_at >= 1.0
+                assert is_listed(fleet, "u1")
+                ended_at = -math.inf
+                await store.delete("servers/u1", expected_revision=None)
+                await wait_until(lambda: not is_listed(fleet, "u1"))
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 def test_prefix_is_listed_again_after_lost_history() -> None:
     async def steps(store: OutageStore, fleet: FleetView) -> None:
         store.fail()
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -164,6 +165,25 @@
     run_with_peers(steps)
 
 
+def test_outage_is_known_from_calls_that_fail() -> None:
+    async def steps(
+        stores: list[RelayedStore], connections: list[StoreConnection]
+    ) -> None:
+        store = stores[0]
+        assert store.outage_ended_at() == -math.inf
+        connections[0].is_unreachable = True
+        await store.get("a")
+        assert store.outage_ended_at() == -math.inf, "a call may fail alone"
+        while store.outage_ended_at() != math.inf:
+            await anyio.sleep(POLL_S)
+        connections[0].is_unreachable = False
+        while store.outage_ended_at() == math.inf:
+            await anyio.sleep(POLL_S)
+        assert 0 <= clock.monotonic() - store.outage_ended_at() < 5.0
+
+    run_with_peers(steps)
+
+
 def test_peers_are_found_by_their_keys() -> None:
     async def steps(
         stores: list[RelayedStore], connections: list[StoreConnection]
