--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from plumvane import clock, events
-from plumvane.discovery.mirror import Mirror
+from plumvane.decoding import decode
+from plumvane.discovery.mirror import OUTAGE_S, Mirror
 from plumvane.discovery.peer_calls import PEER_WATCH_S, register_handlers
 from plumvane.discovery.registration import Registration
 from plumvane.errors import (
@@ -44,9 +45,12 @@
 __all__ = ["PEER_PREFIX", "PeerEntry", "RelayedStore"]
 
 PEER_PREFIX = "plumvane/peers/"
-# Delay between two reads of changed entries, in seconds; shorter than their
-# time to live.
-PEER_PAUSE_S = 1.0
+# Delay between two reads of changed entries, in seconds: in proportion to the
+# number of peers, so that reads of all of them stay below a rate, in calls per
+# second, while instances come and go. It is shorter than their time to live.
+MIN_PEER_PAUSE_S = 1.0
+MAX_PEER_PAUSE_S = 3.0
+MAX_PEER_READ_RATE = 25.0
 # Time to live of a peer's entry, in seconds: long enough to survive short
 # outages. A stale entry costs one failed call.
 PEER_TTL_S = 10.0
@@ -87,9 +91,11 @@
         Raises:
             msgspec.MsgspecError: The value is not a valid entry.
         """
-        return msgspec.msgpack.decode(value, type=cls)
+        return decode(_peer_decoder, value)
 
 
+_peer_decoder = msgspec.msgpack.Decoder(PeerEntry)
+
 T = TypeVar("T")
 R = TypeVar("R", bound=Message)
 AddressList = list[str]
@@ -131,7 +137,7 @@
         # Registered instances, including this one.
         self.peers_by_name: dict[str, PeerEntry] = {}
         self._peers = Mirror(
-            self, PEER_PREFIX, self._apply_peer, pause_s=PEER_PAUSE_S
+            self, PEER_PREFIX, self._apply_peer, pause_s=MIN_PEER_PAUSE_S
         )
         key = PEER_PREFIX + name
         self._registration = Registration(
@@ -143,6 +149,8 @@
             is_present=lambda: key in self._peers.records_by_key,
         )
         self._unreachable = anyio.Event()
+        self._unreachable_since = float("-inf")
+        self._outage_ended_at = float("-inf")
         self._last_responding_address = ""
         self._silent_until_by_address: dict[str, float] = {}
         register_handlers(self.server, store, self._is_unreachable)
@@ -150,6 +158,19 @@
     def _is_unreachable(self) -> bool:
         return self._unreachable.is_set()
 
+    def outage_ended_at(self) -> float:
+        """Returns when the store's last outage ended for this instance.
+
+        Unlike a watch that waits, calls that fail show an outage. The time is a
+        monotonic one in seconds, infinite while the outage lasts.
+        """
+        if self._is_unreachable() and self._is_outage():
+            return float("inf")
+        return self._outage_ended_at
+
+    def _is_outage(self) -> bool:
+        return clock.monotonic() - self._unreachable_since >= OUTAGE_S
+
     async def run(self) -> None:
         """Serves and discovers peers, and probes the store, until cancelled."""
         async with anyio.create_task_group() as group:
@@ -162,6 +183,10 @@
     def _apply_peer(self, record: Record) -> None:
         name = record.key.removeprefix(PEER_PREFIX)
         self.peers_by_name.pop(name, None)
+        pause_s = len(self._peers.records_by_key) / MAX_PEER_READ_RATE
+        self._peers.pause_s = min(
+            max(pause_s, MIN_PEER_PAUSE_S), MAX_PEER_PAUSE_S
+        )
         if record.deleted:
             return
         try:
@@ -294,6 +319,7 @@
     def _record_unreachable(self, error: StoreUnavailableError) -> None:
         if not self._unreachable.is_set():
             self._unreachable.set()
+            self._unreachable_since = clock.monotonic()
             events.log(events.Event.STORE_CUT, error=error.detail)
 
     async def _probe(self) -> None:
@@ -302,6 +328,8 @@
             # The first probe is immediate: the store may close waiting watches
             # and still serve other calls.
             if await self._can_reach_store():
+                if self._is_outage():
+                    self._outage_ended_at = clock.monotonic()
                 self._unreachable = anyio.Event()
                 events.log(events.Event.STORE_REACHED)
             else:
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 
@@ -20,8 +21,8 @@
 
 __all__ = ["FleetView"]
 
-# Delay between two reads of changed upstream entries, in seconds; the state
-# `draining` must take effect within 2 s.
+# Delay between two reads of changed upstream entries, in seconds: a quarter of
+# the shortest time in which the state `draining` has to take effect.
 UPSTREAM_PAUSE_S = 0.5
 # Time after an outage of the store in which an entry that expired during it may
 # be registered again, in seconds. The platform documents about two seconds.
@@ -35,7 +36,14 @@
     """Follows the operators' keys and the entries of upstreams."""
 
     def __init__(
-        self, store: Store, data_centre: str, rng: random.Random
+        self,
+        store: Store,
+        data_centre: str,
+        rng: random.Random,
+        *,
+        upstream_pause_s: float = UPSTREAM_PAUSE_S,
+        operator_pause_s: float = 0.0,
+        outage_ended_at: Callable[[], float] = lambda: float("-inf"),
     ) -> None:
         """Creates an empty view.
 
@@ -43,7 +51,13 @@
             store: The platform's store.
             data_centre: Data centre of this process.
             rng: Random source that breaks ties between upstreams.
+            upstream_pause_s: Delay between two reads of changed upstream
+                entries, in seconds.
+            operator_pause_s: The same for the operators' keys.
+            outage_ended_at: Returns the monotonic time in seconds at which the
+                last outage of the store ended, infinite while it lasts.
         """
+        self._outage_ended_at = outage_ended_at
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamTable(data_centre, rng)
         self.versions = VersionHistory()
@@ -53,13 +67,16 @@
         # configuration.
         self.on_operator_change: Callable[[Record], None] = _ignore
         self.operator_keys = Mirror(
-            store, names.OPERATOR_PREFIX, self._apply_operator_key
+            store,
+            names.OPERATOR_PREFIX,
+            self._apply_operator_key,
+            pause_s=operator_pause_s,
         )
         self._entries = Mirror(
             store,
             names.UPSTREAM_PREFIX,
             self._apply_entry,
-            pause_s=UPSTREAM_PAUSE_S,
+            pause_s=upstream_pause_s,
         )
         self._unreadable_ids: set[str] = set()
 
@@ -83,6 +100,11 @@
             await anyio.sleep(CHECK_INTERVAL_S)
             if self._entries.is_failing:
                 continue
+            if self._outage_ended_at() == math.inf:
+                self.upstreams.extend_missing(
+                    clock.monotonic() + REREGISTRATION_TIMEOUT_S
+                )
+                continue
             for upstream in self.upstreams.remove_missing(clock.monotonic()):
                 events.log(
                     events.Event.UPSTREAM_GONE,
@@ -173,9 +195,10 @@
 
     def _apply_removal(self, upstream_id: str) -> None:
         now = clock.monotonic()
-        reregistration_deadline = (
-            self._entries.recovered_at + REREGISTRATION_TIMEOUT_S
-        )
+        # A watch that waits through an outage does not fail, and still reports
+        # the entries that expired in it.
+        ended_at = max(self._entries.recovered_at, self._outage_ended_at())
+        reregistration_deadline = min(ended_at, now) + REREGISTRATION_TIMEOUT_S
         if now < reregistration_deadline:
             self.upstreams.keep_until(upstream_id, reregistration_deadline)
             return
--- a/plumvane/serving/pacing.py
+++ b/plumvane/serving/pacing.py
@@ -52,7 +52,8 @@
         slots: Number of requests that it runs concurrently.
         load: Estimated number of requests that it runs or queues.
         waiting: Requests in its queue at the last report.
-        preemptible_items: Items of this worker there that may be preempted.
+        preemptible_items: Items of this worker there that it may preempt for
+            the requests in the queue; other workers preempt the rest.
         is_cooling_down: Whether requests were queued there within the
             cool-down.
     """
@@ -121,18 +122,21 @@
 class ItemPriority:
     """Priority of a waiting item; items with lower values start first.
 
-    Items are ordered by due time (earliest deadline first). Items that can no
-    longer finish in time come last; if they ran first, they would make other
-    items late one after another.
+    Items are ordered by due time (earliest deadline first), and those of one
+    job by length, the longest first: it would otherwise be late by itself.
+    Items that can no longer finish in time come last; if they ran first, they
+    would make other items late one after another.
 
     Attributes:
         is_late: Whether it can no longer finish in time.
         due: Unix time in seconds at which its job is due.
+        negated_remaining_s: Estimated remaining run time in seconds, negated.
         is_urgent: Whether it must run from now on to finish in time.
     """
 
     is_late: bool
     due: float
+    negated_remaining_s: float
     is_urgent: bool = dataclasses.field(compare=False)
 
 
@@ -146,7 +150,8 @@
     """
     left_s = due - now
     is_late = left_s <= 0 or left_s < remaining_s * (1 - REMAINING_ERROR)
-    return ItemPriority(is_late, due, not is_late and left_s < URGENT_S)
+    is_urgent = not is_late and left_s < URGENT_S
+    return ItemPriority(is_late, due, -remaining_s, is_urgent)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,7 +171,7 @@
 
 def preemption_candidates(
     running: Sequence[RunningItem[T]], *, protects_urgent: bool
-) -> list[T]:
+) -> list[RunningItem[T]]:
     """Returns the items of an upstream that may be preempted, in order.
 
     The newest items come first, and urgent items after all others. The oldest
@@ -183,7 +188,7 @@
         protected = min(
             sum(item.is_urgent for item in running), PROTECTED_ITEMS
         )
-    return [item.run for item in ordered[: len(ordered) - protected]]
+    return ordered[: len(ordered) - protected]
 
 
 def plan_batch_items(
@@ -191,9 +196,10 @@
 ) -> Plan:
     """Decides where items start and where they are preempted.
 
-    One item is preempted for each request in the queue of an upstream. All
-    workers see the same loads, so each takes its share of the free slots; else
-    they would together start more items than there are slots. Urgent items
+    One item is preempted for each request in the queue of an upstream, by one
+    of the workers. All workers see the same loads, so each takes its share of
+    the free slots; else they would together start more items than there are
+    slots. Urgent items
     start in any free slot; other items leave `RESERVED_SLOTS` free and respect
     the cool-down.
 
--- a/plumvane/worker/feed.py
+++ b/plumvane/worker/feed.py
@@ -10,6 +10,9 @@
 from plumvane.peers.messages import Message
 from plumvane.peers.messages.loads import (
     FollowLoads,
+    RunningItems,
+    SilentUpstream,
+    SilentUpstreams,
     UpstreamLoad,
     UpstreamLoads,
 )
@@ -30,6 +33,7 @@
         """Creates a feed without subscribers."""
         self.snapshot: Callable[[], Iterable[Message]] = tuple
         self._calls: set[Call] = set()
+        self._worker_calls: set[Call] = set()
 
     def serve(self, server: PeerServer) -> None:
         """Registers the handler of subscriptions."""
@@ -62,17 +66,41 @@
         if new_loads:
             self.publish(UpstreamLoads(tuple(new_loads)))
 
+    def send_silent(self, upstreams: Collection[Upstream]) -> None:
+        """Sends which of the upstreams that this worker reads are silent.
+
+        If half of them are, it is rather this worker that is cut off.
+
+        Args:
+            upstreams: Upstreams whose loads this worker reads.
+        """
+        silent = [upstream for upstream in upstreams if upstream.is_silent()]
+        if silent and 2 * len(silent) < len(upstreams):
+            rows = [
+                SilentUpstream(u.upstream_id, u.listed.started_ms)
+                for u in silent
+            ]
+            self.publish(SilentUpstreams(tuple(rows)))
+
     def publish(self, message: Message) -> None:
         """Sends a message to all subscribers."""
         for call in self._calls:
             call.send_part(message)
 
+    def send_items(self, items: RunningItems) -> None:
+        """Sends the items that this worker runs to the other workers."""
+        for call in self._worker_calls:
+            call.send_part(items)
+
     async def _follow(self, call: Call, message: FollowLoads) -> Message:
         for first in self.snapshot():
             call.send_part(first)
         self._calls.add(call)
+        if message.is_worker:
+            self._worker_calls.add(call)
         try:
             await anyio.sleep_forever()
         finally:
             self._calls.discard(call)
+            self._worker_calls.discard(call)
         raise AssertionError("A subscription ends only by cancellation.")
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -120,7 +120,8 @@
     urgent = sum(item_priority(w.due, w.left_s, now).is_urgent for w in waiting)
     plan = plan_batch_items(states, urgent, len(waiting) - urgent, 1)
     for engine, count in plan.preemptions_by_id.items():
-        for work in candidates_by_engine[int(engine)][:count]:
+        candidates = candidates_by_engine[int(engine)]
+        for work in [item.run for item in candidates[:count]]:
             engines.queues[int(engine)].remove(work)
             work.started = None
             waiting.append(work)
@@ -168,7 +169,8 @@
         RunningItem("urgent new", True, 4.0),
         RunningItem("new", False, 3.0),
     ]
-    assert preemption_candidates(running, protects_urgent=True) == [
+    candidates = preemption_candidates(running, protects_urgent=True)
+    assert [item.run for item in candidates] == [
         "new",
         "old",
         "urgent new",
@@ -233,6 +235,13 @@
     assert urgent == {"tight"}
 
 
+def test_longest_of_the_items_that_are_due_together_comes_first() -> None:
+    lengths = [2.0, 5.0, 3.0]
+    ordered = sorted(lengths, key=lambda s: item_priority(118.0, s, 100.0))
+    assert ordered == [5.0, 3.0, 2.0]
+    assert item_priority(117.0, 1.0, 100.0) < item_priority(118.0, 5.0, 100.0)
+
+
 def test_overload_makes_the_items_late_that_cannot_be_in_time() -> None:
     """Ordering by due time alone would make a quarter of the items late."""
     engines = run(120.0, job_items=40, job_every_s=8.0)
