Announce no items of a worker that has no jobs

What callers would feel: requests that wait in an engine's queue although batch items run there, since the other workers leave their preemption to one that has none.

Change: each round renews the counts, with or without jobs.

Test: test_silent_workers.test_worker_without_jobs_announces_no_items; before the change TimeoutError (the counts never go), with it 6 of 6 passed.

--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -398,10 +398,9 @@
             own = await self._scheduler.read_loads(workers)
             self.feed.send(own, started)
             self.feed.send_silent(own)
-            if self._owned_by_id:
-                await self._scheduler.schedule(
-                    list(self._owned_by_id.values()), workers, group
-                )
+            await self._scheduler.schedule(
+                list(self._owned_by_id.values()), workers, group
+            )
             self.feed.send_items(
                 self._scheduler.running_items(self._incarnation)
             )
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -137,3 +137,25 @@
         assert sent == [RunningItems("w1", "")]
 
     run_with_timeout(steps)
+
+
+# Guards against requests that wait for the items of a worker that has none: the
+# others would leave preemptions to it.
+def test_worker_without_jobs_announces_no_items() -> None:
+    async def steps() -> None:
+        store, engine = MemoryStore(), FakeEngine(is_paused=True)
+        jobs = JobStore(store)
+        await jobs.accept("j", "h", items(ITEMS), JOB_ROUTE)
+        worker = make_worker("w1", store, engine)
+        async with anyio.create_task_group() as group:
+            group.start_soon(worker.run)
+            while not worker._scheduler.running_items("w1/a").counts:
+                await anyio.sleep(POLL_S)
+            await jobs.end("j")
+            while worker._owned_by_id:
+                await anyio.sleep(POLL_S)
+            while worker._scheduler.running_items("w1/a").counts:
+                await anyio.sleep(POLL_S)
+            group.cancel_scope.cancel()
+
+    run_with_timeout(steps)
