Log what identifies a request that comes again

Each attempt of a caller has an id of its own, and 4101 named neither path nor body, so that the logs of an incident could not say whether servers crashed under one request or under many: the path is only in the lines of those that failed. 4101 has a fingerprint of method, host, path, caller and body now. It decides nothing yet.

--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -70,6 +70,7 @@
         route: Route of the request.
         service: Service that was drawn for the request.
         body: Request body.
+        fingerprint: What repeats of the request have in common with it.
         deadline: Monotonic time in seconds by which the response must be
             complete.
         permit_deadline: Monotonic time in seconds until which the request may
@@ -89,6 +90,7 @@
     route: Route
     service: str
     body: bytes
+    fingerprint: str
     deadline: float
     permit_deadline: float
     last_event_id: int | None
@@ -154,6 +156,7 @@
             route=route,
             service=route.choose_service(self._rng),
             body=body,
+            fingerprint=request.fingerprint(body),
             deadline=received_at + timeout_s,
             permit_deadline=(
                 received_at + PERMIT_WAIT_SHARE * route.target_latency_s
@@ -486,6 +489,7 @@
             last_event=state.last_event_id,
             resumes=state.exchange.request.resumed_id,
             prompt=state.exchange.request.prompt,
+            fingerprint=state.fingerprint,
             load=upstream.estimated_load(now),
             load_age_s=round(
                 min(upstream.load_age(now), MAX_LOGGED_LOAD_AGE_S), 2
--- a/plumvane/hashing.py
+++ b/plumvane/hashing.py
@@ -1,17 +1,26 @@
-"""Stable hashing of keys to partitions and of partitions to instances."""
+"""Stable hashing: keys to partitions, partitions to instances, and requests."""
 
 from __future__ import annotations
 
+import hashlib
 import heapq
 from collections.abc import Callable, Iterable
 
 import xxhash
 
-__all__ = ["PARTITIONS", "partition_of", "rank", "top_ranked"]
+__all__ = [
+    "PARTITIONS",
+    "partition_of",
+    "rank",
+    "request_fingerprint",
+    "top_ranked",
+]
 
 # Stored keys are placed by this number, so it must not change during the
 # lifetime of a fleet's store.
 PARTITIONS = 16
+# Size of a request's fingerprint, in bytes.
+FINGERPRINT_BYTES = 12
 
 
 def partition_of(team: str, key: str, partitions: int = PARTITIONS) -> int:
@@ -49,3 +58,19 @@
 def _make_score_key(item: str) -> Callable[[str], int]:
     prefix = f"{item}\0".encode()
     return lambda name: xxhash.xxh3_64_intdigest(prefix + name.encode())
+
+
+def request_fingerprint(*fields: bytes) -> str:
+    """Returns what identifies a request that comes again.
+
+    The hash is cryptographic, so that no caller can make a request with the
+    fingerprint of another caller's.
+
+    Args:
+        fields: What both requests have in common.
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for field in fields:
+        digest.update(len(field).to_bytes(8, "big"))
+        digest.update(field)
+    return digest.hexdigest()
--- a/plumvane/platform/names.py
+++ b/plumvane/platform/names.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 __all__ = [
+    "CALLER_HEADERS",
     "CONFIGURATION_KEY",
     "DEADLINE_HEADER",
     "EXPECTED_UPSTREAM_HEADER",
@@ -35,6 +36,8 @@
 # Timeout of the sender in milliseconds, counted from when it sent the request.
 DEADLINE_HEADER = b"x-deadline-ms"
 LAST_EVENT_HEADER = b"last-event-id"
+# Credentials, which identify the caller of a request.
+CALLER_HEADERS = (b"api-key", b"authorization")
 # Request id of the caller's attempt that brought the first event of the stream
 # that it resumes.
 RESUMES_HEADER = b"resumes"
--- a/plumvane/platform/requests.py
+++ b/plumvane/platform/requests.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Iterable
 
+from plumvane.hashing import request_fingerprint
 from plumvane.platform import names
 from plumvane.platform.listing import decode_load
 from plumvane.serving.upstreams import Load
@@ -66,6 +67,7 @@
         prompt: Identifiers of the parts of its prompt, in order. Requests
             share parts, except the last, which belongs to the request or its
             session. Empty if it has no prompt.
+        credentials: What identifies the caller; empty if it sends nothing.
     """
 
     request_id: str
@@ -78,6 +80,24 @@
     last_event_id: int | None
     resumed_id: str
     prompt: tuple[str, ...] = ()
+    credentials: bytes = b""
+
+    def fingerprint(self, body: bytes) -> str:
+        """Returns what a repeat has in common with the request.
+
+        The attempts of a caller, and later repeats, differ in their request
+        ids, deadlines and the event after which they resume a stream.
+
+        Args:
+            body: Body of the request.
+        """
+        return request_fingerprint(
+            self.method.encode(),
+            self.host.encode("latin-1"),
+            self.target,
+            self.credentials,
+            body,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,6 +154,9 @@
         last_event_id=_parse_integer(found.get(names.LAST_EVENT_HEADER)),
         resumed_id=found.get(names.RESUMES_HEADER, b"").decode("latin-1"),
         prompt=_decode_prompt(found.get(names.PROMPT_HEADER, b"")),
+        credentials=b"\0".join(
+            found.get(name, b"") for name in names.CALLER_HEADERS
+        ),
     )
 
 
