Show that a request that comes again crashes server after server

A request crashes each server that runs it, and its caller sends the same path and body again, three times a second. The stand-in server crashes on a segment of the path.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -5,7 +5,8 @@
 what was executed. The events of each run have a tag of that run and the version
 of the server's software; a resumed run has its own tag. On SIGTERM it announces
 that it is draining, and exits shortly after. It crashes when it begins to
-answer a prompt with a part that is named by a flag.
+answer a prompt with a part that is named by a flag, and when it runs a request
+whose path has the segment `crashing`.
 
 `POST /limit` with `{"max_rate": RATE}` has it name a limit in its answers, in
 requests per second, or none for `null`. While it does, it prints a JSON line
@@ -32,7 +33,7 @@
 from standins.program import run_app
 from standins.server_events import ServerEvent
 
-__all__ = ["PlatformServerApp", "main"]
+__all__ = ["CRASHING_SEGMENT", "PlatformServerApp", "main"]
 
 _NAME = flags.DEFINE_string("name", "", "Name of the server.")
 _SERVICE = flags.DEFINE_string("service", "", "Service that it belongs to.")
@@ -54,6 +55,8 @@
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
 
+# Segment of the path of a request that crashes each server that runs it.
+CRASHING_SEGMENT = "/crashing/"
 HEARTBEAT_S = 0.5
 # The registration expires after three missed heartbeats of the platform, 1.2 s
 # each. A server that writes more often may miss some on a busy machine.
@@ -206,7 +209,10 @@
             "path": path,
             "after": last_event_id,
         }
-        crashes = _CRASHING_PART.value in item_prompt(headers)[:-1]
+        crashes = (
+            CRASHING_SEGMENT in path
+            or _CRASHING_PART.value in item_prompt(headers)[:-1]
+        )
         print(
             json.dumps({**record, "at": clock.wall(), "crashes": crashes}),
             flush=True,
@@ -226,6 +232,8 @@
             await self._stream(
                 writer, run, last_event_id, events, extra_headers, crashes
             )
+        elif crashes:
+            os.kill(os.getpid(), signal.SIGKILL)
         else:
             event = ServerEvent(writer.request_id, 0, run, _VERSION.value)
             await writer.respond(200, event.encode(), extra_headers)
