Refuse a request that crashes servers by itself when it comes again

Callers' requests to a service failed again and again: one request crashed each server that ran it, its caller sent it three times a second, and each gateway sent it on to the next server. Sound requests beside it were refused.

Cause: what each process had seen of the request was joined by parts of prompts only. A plain request has none, one with a prompt shares all but its last part with sound ones, and each attempt has an id of its own. Losses at plain services were not confirmed as crashes either, since nothing asks those for their load.

A worker opens a connection to a plain service to see whether it has ended. Crashes that a request explains speak against a part of its prompt only if two more do.

--- a/plumvane/discovery/quarantine.py
+++ b/plumvane/discovery/quarantine.py
@@ -1,8 +1,9 @@
-"""Parts of prompts that crash upstreams: reports to workers and their verdicts.
+"""Requests that crash upstreams: reports to workers and their verdicts.
 
 One instance sees few of the crashes, so all instances report requests that
-broke off to all workers, which attribute the crashes and stream the parts that
-they quarantine back beside the upstream loads.
+broke off to all workers, which attribute the crashes to parts of prompts, or to
+single requests that come again, and stream what they quarantine back beside the
+upstream loads. Requests are kept among the parts by their `request_key`.
 """
 
 from __future__ import annotations
@@ -22,17 +23,19 @@
 from plumvane.errors import (
     PlumvaneError,
     PromptQuarantinedError,
+    RequestQuarantinedError,
     StoreUnavailableError,
 )
 from plumvane.peers.messages import Message
 from plumvane.peers.messages.prompts import (
-    LostPrompt,
+    LostRequest,
     PartAge,
     PartsQuarantined,
     PartsReleased,
     PartsSuspected,
     QuarantinedPart,
     ReportPrompts,
+    request_key,
 )
 from plumvane.serving.crashes import AnswerState, Prompt
 from plumvane.serving.upstreams import Upstream
@@ -64,8 +67,10 @@
 MAX_PROMPT_PARTS = 32
 # Most observations that wait for a report; the oldest are dropped.
 MAX_UNREPORTED = 1024
-# Bounds of the parts that are remembered, the newest.
+# Bounds of the parts, and of the answered requests, that are remembered, the
+# newest.
 MAX_PARTS = 4096
+MAX_ANSWERED_REQUESTS = 1024
 MAX_QUARANTINED = 256
 
 T = TypeVar("T")
@@ -73,10 +78,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Quarantined:
-    """A part in quarantine.
+    """A part or a request in quarantine.
 
     Attributes:
-        part: Identifier of the part.
+        part: Identifier of the part, or key of the request.
         since: Monotonic time in seconds at which it was quarantined.
         until: Monotonic time in seconds at which it is released.
         upstreams: Upstreams that crashed on it, as evidence.
@@ -95,8 +100,29 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Loss:
+    """A request that broke off.
+
+    Attributes:
+        upstream: Upstream at which it did.
+        prompt: Its prompt.
+        fingerprint: What its repeats have in common; empty for an item.
+        state: How far its answer had come.
+        sent_at: Monotonic time in seconds at which it was sent.
+        at: Monotonic time in seconds at which it broke off.
+    """
+
+    upstream: Upstream
+    prompt: Prompt
+    fingerprint: str
+    state: AnswerState
+    sent_at: float
+    at: float
+
+
 class StoredQuarantine(msgspec.Struct, frozen=True):
-    """Value of the key of a part in quarantine.
+    """Value of the key of a part or a request in quarantine.
 
     Attributes:
         since: Unix time in seconds at which it was quarantined.
@@ -113,7 +139,7 @@
 
 
 class PromptQuarantine:
-    """The parts in quarantine, as this instance knows them."""
+    """The parts and requests in quarantine, as this instance knows them."""
 
     def __init__(self, name: str, peers: RelayedStore | None) -> None:
         """Creates an empty quarantine.
@@ -135,9 +161,13 @@
         self._answered_at_by_part: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._lost: collections.deque[
-            tuple[Upstream, Prompt, AnswerState, float]
-        ] = collections.deque(maxlen=MAX_UNREPORTED)
+        # The same for requests by their keys, most of which come once.
+        self._answered_at_by_request: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._lost: collections.deque[_Loss] = collections.deque(
+            maxlen=MAX_UNREPORTED
+        )
         self._cleared_at_by_part: dict[str, float] = {}
         self._answer_count = 0
         self._counts_until = 0.0
@@ -156,11 +186,16 @@
                 return found
         return None
 
-    def check(self, prompt: Prompt) -> None:
-        """Checks that a prompt may be sent to upstreams.
+    def check(self, prompt: Prompt, fingerprint: str) -> None:
+        """Checks that a request may be sent to upstreams.
+
+        Args:
+            prompt: Its prompt.
+            fingerprint: What its repeats have in common with it.
 
         Raises:
-            PromptQuarantinedError: One of its parts is in quarantine.
+            PromptQuarantinedError: A part of its prompt is in quarantine.
+            RequestQuarantinedError: The request itself is.
         """
         found = self.find(prompt)
         if found is not None:
@@ -169,6 +204,12 @@
                 f"{len(found.upstreams)} upstreams: "
                 f"{', '.join(found.upstreams)}."
             )
+        repeat = self._quarantined_by_part.get(request_key(fingerprint))
+        if repeat is not None and repeat.until > clock.monotonic():
+            raise RequestQuarantinedError(
+                f"The request, or one like it, crashed {len(repeat.upstreams)} "
+                f"upstreams: {', '.join(repeat.upstreams)}."
+            )
 
     def quarantined(self) -> list[Quarantined]:
         """Returns the parts in quarantine."""
@@ -235,7 +276,12 @@
     # Observations of this instance
 
     def record_loss(
-        self, upstream: Upstream, prompt: Prompt, events_received: int | None
+        self,
+        upstream: Upstream,
+        prompt: Prompt,
+        events_received: int | None,
+        fingerprint: str = "",
+        sent_at: float = 0.0,
     ) -> None:
         """Records that a request broke off at an upstream.
 
@@ -244,8 +290,12 @@
             prompt: Prompt of the request.
             events_received: Number of events that the upstream had sent; None
                 if it had not begun to answer.
+            fingerprint: What repeats of the request have in common with it;
+                empty for an item of a batch job, which comes once.
+            sent_at: Monotonic time in seconds at which a request that has a
+                fingerprint was sent.
         """
-        if len(prompt) < 2:
+        if len(prompt) < 2 and not fingerprint:
             return
         if len(prompt) > MAX_PROMPT_PARTS:
             prompt = (*prompt[: MAX_PROMPT_PARTS - 1], prompt[-1])
@@ -254,22 +304,43 @@
             state = AnswerState.WAITING
         elif events_received >= ANSWERING_EVENTS:
             state = AnswerState.ANSWERING
-        self._lost.append((upstream, prompt, state, clock.monotonic()))
+        now = clock.monotonic()
+        self._lost.append(
+            _Loss(upstream, prompt, fingerprint, state, sent_at, now)
+        )
         self._has_observations.set()
 
-    def record_answer(self, prompt: Prompt) -> None:
-        """Records that an upstream answers a prompt and has not crashed."""
+    def record_answer(self, prompt: Prompt, fingerprint: str = "") -> None:
+        """Records that an upstream answers a request and has not crashed.
+
+        Args:
+            prompt: Prompt of the request.
+            fingerprint: What repeats of the request have in common with it;
+                empty for an item of a batch job.
+        """
         now = clock.monotonic()
-        if now < self._counts_until:
+        if prompt and now < self._counts_until:
             self._answer_count += 1
             self._has_observations.set()
         for part in prompt[:-1]:
-            self._answered_at_by_part[part] = now
-            self._answered_at_by_part.move_to_end(part)
-            is_suspected = self._suspected_at_by_part.pop(part, None)
-            if is_suspected is not None or part in self._quarantined_by_part:
-                self._record_cleared(part, now)
+            self._record_answered(part, self._answered_at_by_part, now)
         _drop_oldest(self._answered_at_by_part, MAX_PARTS)
+        if fingerprint:
+            key = request_key(fingerprint)
+            self._record_answered(key, self._answered_at_by_request, now)
+            _drop_oldest(self._answered_at_by_request, MAX_ANSWERED_REQUESTS)
+
+    def _record_answered(
+        self,
+        part: str,
+        answered_at_by_part: collections.OrderedDict[str, float],
+        now: float,
+    ) -> None:
+        answered_at_by_part[part] = now
+        answered_at_by_part.move_to_end(part)
+        is_suspected = self._suspected_at_by_part.pop(part, None)
+        if is_suspected is not None or part in self._quarantined_by_part:
+            self._record_cleared(part, now)
 
     def _record_cleared(self, part: str, answered_at: float) -> None:
         self._cleared_at_by_part[part] = answered_at
@@ -308,7 +379,9 @@
                 against the part.
         """
         self._counts_until = clock.monotonic() + COUNTING_S
-        answered_at = self._answered_at_by_part.get(part, float("-inf"))
+        answered_at = self._answered_at_by_part.get(
+            part, self._answered_at_by_request.get(part, float("-inf"))
+        )
         if answered_at > crashed_at:
             self._record_cleared(part, answered_at)
             return
@@ -349,7 +422,7 @@
     async def _report(
         self,
         address: str,
-        lost: Collection[tuple[Upstream, Prompt, AnswerState, float]],
+        lost: Collection[_Loss],
         cleared_at_by_part: dict[str, float],
         answer_count: int,
     ) -> None:
@@ -400,21 +473,23 @@
 
 
 def _make_report(
-    lost: Collection[tuple[Upstream, Prompt, AnswerState, float]],
+    lost: Collection[_Loss],
     cleared_at_by_part: dict[str, float],
     answer_count: int,
 ) -> ReportPrompts:
     now = clock.monotonic()
     return ReportPrompts(
         tuple(
-            LostPrompt(
-                upstream.upstream_id,
-                upstream.listed.started_ms,
-                prompt,
-                int(state),
-                now - at,
+            LostRequest(
+                loss.upstream.upstream_id,
+                loss.upstream.listed.started_ms,
+                loss.prompt,
+                int(loss.state),
+                now - loss.at,
+                loss.fingerprint,
+                loss.at - loss.sent_at if loss.fingerprint else 0.0,
             )
-            for upstream, prompt, state, at in lost
+            for loss in lost
         ),
         tuple(
             PartAge(part, now - at) for part, at in cleared_at_by_part.items()
--- a/plumvane/errors.py
+++ b/plumvane/errors.py
@@ -26,6 +26,7 @@
     "OverloadedError",
     "PlumvaneError",
     "PromptQuarantinedError",
+    "RequestQuarantinedError",
     "ProtocolError",
     "RequestCancelledError",
     "SettingsError",
@@ -342,6 +343,14 @@
     default_remedy = "Change the named part; a repeat is refused as well."
 
 
+class RequestQuarantinedError(PlumvaneError):
+    """The request crashes upstreams by itself."""
+
+    code = "request_quarantined"
+    status = 400
+    default_remedy = "Change the request; a repeat is refused as well."
+
+
 class ConfigurationError(PlumvaneError):
     """The fleet document is invalid.
 
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -165,15 +165,17 @@
     )
     UPSTREAM_CRASHED = (
         7011,
-        "An upstream crashed under requests with the given prompts.",
+        "An upstream crashed under the given requests.",
     )
     PROMPT_QUARANTINED = (
         7012,
-        "A part of prompts crashes upstreams; requests with it are refused.",
+        "A part of prompts, or a request that comes again, crashes upstreams; "
+        "it is refused.",
     )
     PROMPT_RELEASED = (
         7013,
-        "A part of a prompt is no longer refused; an upstream answered it.",
+        "A part of a prompt, or a request, is no longer refused; an upstream "
+        "answered it.",
     )
     PROMPTS_UNREPORTED = (
         7014,
@@ -181,11 +183,11 @@
     )
     QUARANTINE_UNREADABLE = (
         7015,
-        "The stored entry of a refused part of prompts cannot be decoded.",
+        "The stored entry of a refused part or request cannot be decoded.",
     )
     QUARANTINE_DELAYED = (
         7016,
-        "A refused part of prompts could not be stored or deleted.",
+        "A refused part or request could not be stored or deleted.",
     )
     UPSTREAM_LIMITED = (
         7017,
--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -18,6 +18,7 @@
     OverloadedError,
     PlumvaneError,
     PromptQuarantinedError,
+    RequestQuarantinedError,
     StreamVersionUnknownError,
     UpstreamLostError,
     UpstreamUnavailableError,
@@ -44,6 +45,8 @@
 # Upper bound of the logged age of a load, in seconds; it stands for a load that
 # was never read, whose age is infinite.
 MAX_LOGGED_LOAD_AGE_S = 99.0
+# First status of responses that do not show that an upstream bore a request.
+FIRST_ERROR_STATUS = 500
 # Rejections by upstreams after which a request is rejected to its caller.
 MAX_REJECTIONS = 4
 # Retry-After of a rejected request, in seconds: about the time in which a busy
@@ -81,6 +84,7 @@
             event.
         attempt_events: Number of events that the last attempt has received;
             None before the head of its response.
+        sent_at: Monotonic time in seconds at which the last attempt was sent.
         sent_ids: Upstreams that may have run the request.
         rejected_ids: Upstreams that have certainly not run the request.
         error: Failure of the last attempt.
@@ -96,6 +100,7 @@
     last_event_id: int | None
     version: str | None = None
     attempt_events: int | None = None
+    sent_at: float = 0.0
     sent_ids: set[str] = dataclasses.field(default_factory=set)
     rejected_ids: set[str] = dataclasses.field(default_factory=set)
     error: PlumvaneError | None = None
@@ -119,7 +124,7 @@
             view: Current routes and upstreams.
             client: Sends requests to upstreams.
             origins: Versions that began streams.
-            quarantine: Parts of prompts that crash upstreams.
+            quarantine: Prompts and requests that crash upstreams.
             permits: Permits for upstreams that limit their rate.
             rng: Draws services and the jitter of Retry-After.
         """
@@ -199,16 +204,17 @@
 
     async def _run_attempts(self, state: _RequestState) -> None:
         while True:
-            self._check_prompt(state)
+            self._check_quarantine(state)
             upstream = await self._take_upstream(state)
-            # A part may have been quarantined while the request waited.
-            self._check_prompt(state)
+            # It may have been quarantined while it waited.
+            self._check_quarantine(state)
             self._log_routed(state, upstream)
             attempt = self._make_attempt(state)
             # Recorded before sending: if the deadline ends the attempt, the
             # upstream may have run the request.
             state.sent_ids.add(upstream.upstream_id)
             state.attempt_events = None
+            state.sent_at = clock.monotonic()
             try:
                 await self._run_attempt(state, upstream, attempt)
                 return
@@ -219,16 +225,19 @@
             ) as error:
                 self._handle_failure(state, upstream, error)
 
-    def _check_prompt(self, state: _RequestState) -> None:
-        """Checks that the prompt does not crash upstreams.
+    def _check_quarantine(self, state: _RequestState) -> None:
+        """Checks that the request does not crash upstreams.
 
         Raises:
             IncompleteResponseError: It does, and the response has started.
-            PromptQuarantinedError: It does.
+            PromptQuarantinedError: Its prompt does.
+            RequestQuarantinedError: It does by itself.
         """
         try:
-            self._quarantine.check(state.exchange.request.prompt)
-        except PromptQuarantinedError as error:
+            self._quarantine.check(
+                state.exchange.request.prompt, state.fingerprint
+            )
+        except (PromptQuarantinedError, RequestQuarantinedError) as error:
             if state.exchange.has_started:
                 raise IncompleteResponseError(error.detail) from error
             raise
@@ -354,6 +363,8 @@
                 )
             else:
                 await self._relay_response(state.exchange, response)
+                if response.status < FIRST_ERROR_STATUS:
+                    self._record_answer(state)
 
     async def _relay_stream(
         self,
@@ -380,13 +391,18 @@
             received += 1
             state.attempt_events = received
             if received == ANSWERING_EVENTS:
-                self._quarantine.record_answer(exchange.request.prompt)
+                self._record_answer(state)
         if 0 < received < ANSWERING_EVENTS:
-            self._quarantine.record_answer(exchange.request.prompt)
+            self._record_answer(state)
         if not exchange.has_started:
             await exchange.start(response.status, response.headers)
         await exchange.finish()
 
+    def _record_answer(self, state: _RequestState) -> None:
+        self._quarantine.record_answer(
+            state.exchange.request.prompt, state.fingerprint
+        )
+
     def _record_origin(self, state: _RequestState, upstream: Upstream) -> None:
         """Ties the stream to the version that sends its first event."""
         if not state.route.is_resumable:
@@ -444,7 +460,11 @@
         record_failure(self._view.upstreams, upstream, error)
         if isinstance(error, UpstreamLostError):
             self._quarantine.record_loss(
-                upstream, state.exchange.request.prompt, state.attempt_events
+                upstream,
+                state.exchange.request.prompt,
+                state.attempt_events,
+                state.fingerprint,
+                state.sent_at,
             )
         if error.not_run:
             state.sent_ids.discard(upstream.upstream_id)
--- a/plumvane/serving/crashes.py
+++ b/plumvane/serving/crashes.py
@@ -19,6 +19,9 @@
 MIN_MOMENTS_OF_ONE_REQUEST = 5
 # Crashes from which a part is blamed again whose earlier blame has expired.
 MIN_MOMENTS_AFTER_EXPIRY = 1
+# Crashes, by moments, that no request explains by itself, from which a part is
+# blamed whose other crashes such a request explains.
+MIN_UNEXPLAINED_MOMENTS = 2
 # Smallest share of all crashes, by moments since its first one, that a part
 # must explain.
 MIN_SHARE = 0.25
@@ -70,11 +73,14 @@
         at: Monotonic time in seconds of the crash.
         begun: Prompts that the upstream had just begun to answer.
         waiting: Prompts that it had not begun to answer.
+        is_explained: Whether a single request explains it, which may have the
+            part that crashes upstreams, or may do so by itself.
     """
 
     at: float
     begun: set[Prompt] = dataclasses.field(default_factory=set)
     waiting: set[Prompt] = dataclasses.field(default_factory=set)
+    is_explained: bool = False
 
     @property
     def prompts(self) -> set[Prompt]:
@@ -186,6 +192,12 @@
         """
         self._answers.append((at, count))
 
+    def explain(self, crash_id: str) -> None:
+        """Records that a request which comes again explains a crash."""
+        crash = self._crashes_by_id.get(crash_id)
+        if crash is not None:
+            crash.is_explained = True
+
     def blame(self, part: str) -> None:
         """Has a part explain the crashes in which it was involved."""
         self._blamed_parts.add(part)
@@ -297,6 +309,16 @@
         )
         if moments < max(needed, MIN_SHARE * all_moments):
             return False
+        unexplained = [
+            self._crashes_by_id[i].at
+            for i in suspicion.crash_ids
+            if not self._crashes_by_id[i].is_explained
+        ]
+        if (
+            len(unexplained) < len(times)
+            and _count_moments(unexplained) < MIN_UNEXPLAINED_MOMENTS
+        ):
+            return False
         lost = [
             prompt
             for crash_id in suspicion.crash_ids
--- a/plumvane/worker/attribution.py
+++ b/plumvane/worker/attribution.py
@@ -1,8 +1,9 @@
-"""Attributes crashes of upstreams to parts of prompts and quarantines them."""
+"""Attributes crashes of upstreams to prompts and requests; quarantines them."""
 
 from __future__ import annotations
 
 import collections
+import dataclasses
 from collections.abc import Iterable
 
 import anyio
@@ -19,21 +20,27 @@
 from plumvane.errors import PlumvaneError
 from plumvane.peers.messages import Done, Message
 from plumvane.peers.messages.prompts import (
+    REQUEST_KEY_PREFIX,
     PartAge,
     PartsQuarantined,
     PartsReleased,
     PartsSuspected,
     ReportPrompts,
+    request_key,
 )
 from plumvane.peers.server import Call, PeerServer
 from plumvane.serving.crashes import (
     AnswerState,
     CrashHistory,
-    Culprit,
     Prompt,
 )
-from plumvane.serving.upstreams import Upstream
+from plumvane.serving.repeats import RepeatHistory, RequestLoss
 from plumvane.store.base import TransactionalStore
+from plumvane.worker.confirmation import (
+    CONFIRMATION_S,
+    CrashConfirmation,
+    Incarnation,
+)
 from plumvane.worker.feed import LoadFeed
 
 __all__ = ["CrashAttribution"]
@@ -45,18 +52,33 @@
 JUDGEMENT_INTERVAL_S = 0.1
 # Interval between two writes of new verdicts to the store, in seconds.
 STORE_INTERVAL_S = 0.3
-# Time within which an upstream must turn out to have crashed after a request
-# broke off there, in seconds; it is silent after three missed load reports.
-CONFIRMATION_S = 2.0
 # Most losses that await the confirmation of a crash; the oldest are dropped.
 MAX_UNCONFIRMED = 4096
 
-# Identifier of an upstream and Unix time of its start in milliseconds.
-Incarnation = tuple[str, int]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Loss:
+    """A request that broke off at an upstream, as an instance reported it.
+
+    Attributes:
+        incarnation: The upstream.
+        at: Monotonic time in seconds.
+        prompt: Prompt of the request.
+        fingerprint: What its repeats have in common; empty for an item.
+        sent_at: Monotonic time in seconds at which it was sent.
+        state: How far its answer had come.
+    """
+
+    incarnation: Incarnation
+    at: float
+    prompt: Prompt
+    fingerprint: str
+    sent_at: float
+    state: AnswerState
 
 
 class CrashAttribution:
-    """Joins what all instances report about prompts and judges their parts.
+    """Joins what all instances report about requests, and judges them.
 
     Each worker gets all reports and judges on its own, so that the loss of some
     workers loses nothing.
@@ -82,10 +104,11 @@
         self._quarantine = quarantine
         self._feed = feed
         self._history = CrashHistory()
-        self._unconfirmed: collections.deque[
-            tuple[Incarnation, float, Prompt, AnswerState]
-        ] = collections.deque(maxlen=MAX_UNCONFIRMED)
-        self._confirmed_until_by_id: dict[Incarnation, float] = {}
+        self._repeats = RepeatHistory()
+        self._confirmation = CrashConfirmation(view)
+        self._unconfirmed: collections.deque[_Loss] = collections.deque(
+            maxlen=MAX_UNCONFIRMED
+        )
         self._announced_at_by_part: dict[str, float] = {}
         self._judged_parts: set[str] = set()
         # Whether answers were reported since the last judgement.
@@ -102,6 +125,7 @@
         """Judges the reports and stores the verdicts until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._store_verdicts)
+            group.start_soon(self._confirmation.run)
             while True:
                 await anyio.sleep(JUDGEMENT_INTERVAL_S)
                 self.judge()
@@ -122,17 +146,32 @@
             incarnation = (row.upstream_id, row.started_ms)
             state = AnswerState(min(row.state, max(AnswerState)))
             self._unconfirmed.append(
-                (incarnation, now - row.age_s, row.prompt, state)
+                _Loss(
+                    incarnation,
+                    now - row.age_s,
+                    row.prompt,
+                    row.fingerprint,
+                    now - row.age_s - row.ran_s,
+                    state,
+                )
             )
+            self._confirmation.request(incarnation)
         for answer in report.answered:
             answered_at = now - answer.age_s
-            self._history.clear(answer.part, answered_at)
+            if answer.part.startswith(REQUEST_KEY_PREFIX):
+                fingerprint = answer.part.removeprefix(REQUEST_KEY_PREFIX)
+                self._repeats.clear(fingerprint, answered_at)
+            else:
+                self._history.clear(answer.part, answered_at)
             self._has_answers = True
             if self._quarantine.release(answer.part, answered_at, "report"):
                 self._release(answer.part, answered_at)
 
     def _release(self, part: str, answered_at: float) -> None:
-        self._history.release(part)
+        if part.startswith(REQUEST_KEY_PREFIX):
+            self._repeats.release(part.removeprefix(REQUEST_KEY_PREFIX))
+        else:
+            self._history.release(part)
         self._unstored[part] = None
         age_s = clock.monotonic() - answered_at
         self._feed.publish(PartsReleased((PartAge(part, age_s),)))
@@ -140,7 +179,7 @@
     # Judgement
 
     def judge(self) -> None:
-        """Quarantines the parts that the confirmed crashes speak against."""
+        """Quarantines what the confirmed crashes speak against."""
         now = clock.monotonic()
         has_news = self._has_answers
         has_news |= self._adopt_quarantined()
@@ -148,8 +187,15 @@
         self._has_answers = False
         if not has_news:
             return
+        while (repeat := self._repeats.find_culprit(now)) is not None:
+            key = request_key(repeat.fingerprint)
+            self._blame(key, repeat.crash_ids, "crashes under its repeats")
         while (culprit := self._history.find_culprit(now)) is not None:
-            self._blame(culprit, now)
+            self._blame(
+                culprit.part,
+                culprit.crash_ids,
+                f"crashes under {culprit.requests} requests",
+            )
         self._announce_suspects(now)
 
     def _adopt_quarantined(self) -> bool:
@@ -160,9 +206,15 @@
         """
         parts = {q.part for q in self._quarantine.quarantined()}
         for part in parts - self._judged_parts:
-            self._history.blame(part)
+            if part.startswith(REQUEST_KEY_PREFIX):
+                self._repeats.blame(part.removeprefix(REQUEST_KEY_PREFIX))
+            else:
+                self._history.blame(part)
         for part in self._judged_parts - parts:
-            self._history.expire(part)
+            if part.startswith(REQUEST_KEY_PREFIX):
+                self._repeats.expire(part.removeprefix(REQUEST_KEY_PREFIX))
+            else:
+                self._history.expire(part)
         has_changed = parts != self._judged_parts
         self._judged_parts = parts
         return has_changed
@@ -177,78 +229,98 @@
             self._unconfirmed,
             collections.deque(maxlen=MAX_UNCONFIRMED),
         )
-        prompts_by_crash: dict[Incarnation, list[tuple[str, Prompt]]] = {}
-        for row in waiting:
-            incarnation, at, prompt, state = row
-            if self._has_crashed(incarnation, now):
-                self._history.add_loss(
-                    f"{incarnation[0]}/{incarnation[1]}",
-                    at,
-                    prompt,
-                    state,
+        losses_by_crash: dict[Incarnation, list[_Loss]] = {}
+        for loss in waiting:
+            if self._confirmation.has_crashed(loss.incarnation, now):
+                losses_by_crash.setdefault(loss.incarnation, []).append(loss)
+            elif (
+                now - loss.at < CONFIRMATION_S
+                and not self._confirmation.is_alive_after(
+                    loss.incarnation, loss.at
                 )
-                prompts_by_crash.setdefault(incarnation, []).append(
-                    (state.name.lower(), prompt)
-                )
-            elif now - at < CONFIRMATION_S:
-                self._unconfirmed.append(row)
-        for incarnation, prompts in prompts_by_crash.items():
+            ):
+                self._unconfirmed.append(loss)
+        for incarnation, losses in losses_by_crash.items():
+            self._add_crash(incarnation, losses)
             events.log(
                 events.Event.UPSTREAM_CRASHED,
                 upstream=incarnation[0],
                 started_ms=incarnation[1],
-                prompts=prompts,
+                prompts=[
+                    (
+                        loss.state.name.lower(),
+                        loss.prompt,
+                        loss.fingerprint,
+                        round(loss.at - loss.sent_at, 3),
+                    )
+                    for loss in losses
+                ],
             )
-        return bool(prompts_by_crash)
-
-    def _has_crashed(self, incarnation: Incarnation, now: float) -> bool:
-        """Returns whether an upstream ended without having announced it."""
-        if self._confirmed_until_by_id.get(incarnation, 0.0) > now:
-            return True
-        upstream_id, started_ms = incarnation
-        upstream = self._view.upstreams.upstreams_by_id.get(upstream_id)
-        if upstream is None:
-            return False
-        is_leaving = upstream.is_leaving or upstream.listed.is_draining
-        is_lost = upstream.is_silent() or self._is_replaced(upstream)
-        has_restarted = upstream.listed.started_ms > started_ms
-        if not has_restarted and (is_leaving or not is_lost):
-            return False
-        self._confirmed_until_by_id = {
-            known: until
-            for known, until in self._confirmed_until_by_id.items()
-            if until > now
-        }
-        self._confirmed_until_by_id[incarnation] = now + CONFIRMATION_S
-        return True
-
-    def _is_replaced(self, upstream: Upstream) -> bool:
-        """Returns whether a newer upstream is listed at the same address."""
-        listed = upstream.listed
-        return any(
-            (other.listed.host, other.listed.port) == (listed.host, listed.port)
-            and other.listed.started_ms > listed.started_ms
-            for other in self._view.upstreams.upstreams_by_id.values()
-        )
+        return bool(losses_by_crash)
 
-    def _blame(self, culprit: Culprit, now: float) -> None:
-        upstreams = tuple(
-            crash_id.rpartition("/")[0] for crash_id in culprit.crash_ids
-        )
-        quarantined = Quarantined(
-            culprit.part, now, now + QUARANTINE_S, upstreams
-        )
-        self._history.blame(culprit.part)
-        self._judged_parts.add(culprit.part)
-        if self._quarantine.put(
-            quarantined, f"crashes under {culprit.requests} requests"
-        ):
+    def _add_crash(
+        self, incarnation: Incarnation, losses: Iterable[_Loss]
+    ) -> None:
+        """Adds losses at an upstream that has crashed to the histories.
+
+        What is in quarantine explains the crash, so that it speaks less against
+        what else broke off there.
+        """
+        crash_id = f"{incarnation[0]}/{incarnation[1]}"
+        is_refusing = self._confirmation.refuses_connections(incarnation)
+        for loss in losses:
+            if len(loss.prompt) > 1:
+                self._history.add_loss(
+                    crash_id, loss.at, loss.prompt, loss.state
+                )
+            if loss.fingerprint:
+                has_begun = loss.state is AnswerState.BEGUN
+                self._repeats.add_loss(
+                    crash_id,
+                    RequestLoss(
+                        loss.fingerprint,
+                        loss.sent_at,
+                        loss.at,
+                        loss.state,
+                        was_received=has_begun or is_refusing,
+                    ),
+                )
+            if request_key(loss.fingerprint) in self._judged_parts:
+                self._history.explain(crash_id)
+            if not self._judged_parts.isdisjoint(loss.prompt[:-1]):
+                self._repeats.explain(crash_id)
+
+    def _blame(self, key: str, crash_ids: tuple[str, ...], source: str) -> None:
+        """Quarantines a part or a request.
+
+        Args:
+            key: Identifier of the part, or key of the request.
+            crash_ids: Crashes that it explains.
+            source: Evidence, for the log.
+        """
+        now = clock.monotonic()
+        upstreams = tuple(i.rpartition("/")[0] for i in crash_ids)
+        quarantined = Quarantined(key, now, now + QUARANTINE_S, upstreams)
+        is_request = key.startswith(REQUEST_KEY_PREFIX)
+        if is_request:
+            self._repeats.blame(key.removeprefix(REQUEST_KEY_PREFIX))
+        else:
+            self._history.blame(key)
+        for crash_id in crash_ids:
+            if is_request:
+                self._history.explain(crash_id)
+            else:
+                self._repeats.explain(crash_id)
+        self._judged_parts.add(key)
+        if self._quarantine.put(quarantined, source):
             self._feed.publish(PartsQuarantined((quarantined.encode(),)))
-            self._unstored[culprit.part] = quarantined
+            self._unstored[key] = quarantined
 
     def _announce_suspects(self, now: float) -> None:
         """Asks all instances to report answers to newly suspected parts."""
         suspected = self._history.suspected_at_by_part(now)
+        repeats = self._repeats.suspected_at_by_request(now)
+        suspected |= {request_key(f): at for f, at in repeats.items()}
         new = {
             part: at
             for part, at in suspected.items()
