Run items whose prompt shares a part with requests that crash servers

Items of a batch job waited without end where a part of their prompt was in quarantine, and were given up after their retention. The users have answered what becomes of them: items are never requests that crash servers by themselves, and one under which servers crashed is still owed.

--- a/plumvane/discovery/quarantine.py
+++ b/plumvane/discovery/quarantine.py
@@ -42,6 +42,7 @@
 
 __all__ = [
     "ANSWERING_EVENTS",
+    "MAX_QUARANTINED",
     "QUARANTINE_PREFIX",
     "PromptQuarantine",
     "Quarantined",
--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -8,6 +8,7 @@
 import anyio
 
 from plumvane.batch.jobstore import Commit
+from plumvane.discovery.quarantine import Quarantined
 from plumvane.platform.requests import item_prompt
 from plumvane.serving.crashes import Prompt
 from plumvane.serving.jobs import Item, ItemProgress, ItemResult, Job
@@ -34,7 +35,8 @@
         received_events: Number of events that the last run has received; None
             before the head of its response.
         saved_event_count: Number of events in the item's last checkpoint.
-        is_held: Whether it waits because its prompt crashes upstreams.
+        held_by: Part of its prompt that crashes upstreams, for which it waits,
+            or None.
     """
 
     item: Item
@@ -50,7 +52,7 @@
     retry_at: float = 0.0
     received_events: int | None = None
     saved_event_count: int = 0
-    is_held: bool = False
+    held_by: Quarantined | None = None
 
     def add_event(self, event_id: int, text: str, version: str) -> None:
         """Adds an event that an upstream of a version has sent."""
--- a/plumvane/worker/scheduler.py
+++ b/plumvane/worker/scheduler.py
@@ -30,6 +30,7 @@
 from plumvane.serving.upstreams import Upstream
 from plumvane.worker.items import ItemRunner
 from plumvane.worker.owned import ItemRun, OwnedJob
+from plumvane.worker.trials import ItemTrials
 
 __all__ = ["ItemScheduler"]
 
@@ -72,6 +73,7 @@
         self._reports = reports
         self._runner = runner
         self._quarantine = quarantine
+        self._trials = ItemTrials()
         self._speed = speed
         self._rng = rng
         self._cooldown_until_by_id: dict[str, float] = {}
@@ -254,6 +256,8 @@
                 group_items, plan.starts, strict=False
             ):
                 run.scope = anyio.CancelScope()
+                if run.held_by is not None:
+                    self._trials.record_start(run.held_by, now)
                 start = functools.partial(
                     self._runner.run, is_urgent=priority.is_urgent
                 )
@@ -335,21 +339,30 @@
         self, jobs: Iterable[OwnedJob], now: float
     ) -> list[WaitingItem]:
         """Returns the items that may start, by priority."""
-        rows = [
-            (self._priority(owned, run), owned, run)
-            for owned in jobs
-            for run in owned.startable(now)
-            if not self._is_held(owned, run)
-        ]
+        rows: list[WaitingItem] = []
+        tried_parts: set[str] = set()
+        for owned in jobs:
+            for run in owned.startable(now):
+                if self._is_held(owned, run, tried_parts, now):
+                    continue
+                rows.append((self._priority(owned, run), owned, run))
         return sorted(rows, key=lambda row: row[0])
 
-    def _is_held(self, owned: OwnedJob, run: ItemRun) -> bool:
+    def _is_held(
+        self, owned: OwnedJob, run: ItemRun, tried_parts: set[str], now: float
+    ) -> bool:
         """Returns whether an item waits because its prompt crashes upstreams.
 
         An accepted item may be given up only when its retention has passed.
+
+        Args:
+            owned: The item's job.
+            run: The item.
+            tried_parts: Parts of which an item is tried in this round; updated.
+            now: Monotonic time in seconds.
         """
         found = self._quarantine.find(run.prompt)
-        if found is not None and not run.is_held:
+        if found is not None and run.held_by is None:
             events.log(
                 events.Event.ITEM_HELD,
                 job=owned.job.job_id,
@@ -357,8 +370,13 @@
                 part=found.part,
                 upstreams=found.upstreams,
             )
-        run.is_held = found is not None
-        if run.is_held and clock.wall() * 1000 >= owned.job.retention_ms:
+        run.held_by = found
+        if found is None:
+            return False
+        if found.part not in tried_parts and self._trials.is_due(found, now):
+            tried_parts.add(found.part)
+            return False
+        if clock.wall() * 1000 >= owned.job.retention_ms:
             owned.give_up(run)
             events.log(
                 events.Event.ITEM_GIVEN_UP,
@@ -366,7 +384,7 @@
                 item=run.item.item_id,
                 failures=owned.failure_count(run.item.item_id),
             )
-        return run.is_held
+        return True
 
     def _running_by_upstream(
         self, jobs: Iterable[OwnedJob]
