Report crashes to workers that did not reply for a while

Requests that crash servers went on for as long as no worker could be reached, and for some crashes longer: a gateway gave a report up after three attempts, 1.9 s, so that workers that were back began with no evidence.

Observations are kept for each worker until it takes them, up to 10 s, and a worker that registers later gets those of the last 10 s. A worker accepts that an upstream crashed also if its entry expired more than a second after the loss; one that leaves unannounced ends its entry first.

--- a/plumvane/discovery/quarantine.py
+++ b/plumvane/discovery/quarantine.py
@@ -10,7 +10,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import TypeVar
 
 import anyio
@@ -18,18 +18,19 @@
 
 from plumvane import clock, events
 from plumvane.decoding import decode
-from plumvane.discovery.loads import WORKER_ROLE
+from plumvane.discovery.crash_reports import (
+    Loss,
+    Observations,
+    ReportSender,
+)
 from plumvane.discovery.relayed import RelayedStore
 from plumvane.errors import (
-    PlumvaneError,
     PromptQuarantinedError,
     RequestQuarantinedError,
     StoreUnavailableError,
 )
 from plumvane.peers.messages import Message
 from plumvane.peers.messages.prompts import (
-    LostRequest,
-    PartAge,
     PartsQuarantined,
     PartsReleased,
     PartsSuspected,
@@ -55,19 +56,12 @@
 ANSWERING_EVENTS = 3
 # Delay in which observations are collected for one report, in seconds.
 REPORT_DELAY_S = 0.1
-# Timeout of a report, attempts to deliver it, and delay between them, in
-# seconds. A report that comes later than the attempts allow is of no use.
-REPORT_TIMEOUT_S = 0.5
-REPORT_ATTEMPTS = 3
-REPORT_RETRY_S = 0.2
 # Time for which answers are counted after a part was suspected, in seconds.
 COUNTING_S = 10.0
 # Delay between attempts to read the stored parts, in seconds.
 STORE_RETRY_S = 0.5
 # Most parts of one prompt that are remembered: the first ones and the last.
 MAX_PROMPT_PARTS = 32
-# Most observations that wait for a report; the oldest are dropped.
-MAX_UNREPORTED = 1024
 # Bounds of the parts, and of the answered requests, that are remembered, the
 # newest.
 MAX_PARTS = 4096
@@ -101,27 +95,6 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Loss:
-    """A request that broke off.
-
-    Attributes:
-        upstream: Upstream at which it did.
-        prompt: Its prompt.
-        fingerprint: What its repeats have in common; empty for an item.
-        state: How far its answer had come.
-        sent_at: Monotonic time in seconds at which it was sent.
-        at: Monotonic time in seconds at which it broke off.
-    """
-
-    upstream: Upstream
-    prompt: Prompt
-    fingerprint: str
-    state: AnswerState
-    sent_at: float
-    at: float
-
-
 class StoredQuarantine(msgspec.Struct, frozen=True):
     """Value of the key of a part or a request in quarantine.
 
@@ -150,7 +123,6 @@
             peers: Finds and calls workers, and reads the store; None if there
                 are none.
         """
-        self._name = name
         self._peers = peers
         # Called with the reports of this instance; set by a worker.
         self.on_report: Callable[[ReportPrompts], None] = _ignore
@@ -166,11 +138,8 @@
         self._answered_at_by_request: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._lost: collections.deque[_Loss] = collections.deque(
-            maxlen=MAX_UNREPORTED
-        )
-        self._cleared_at_by_part: dict[str, float] = {}
-        self._answer_count = 0
+        self._unreported = Observations()
+        self._sender = ReportSender(name, peers) if peers is not None else None
         self._counts_until = 0.0
         self._has_observations = anyio.Event()
 
@@ -306,8 +275,8 @@
         elif events_received >= ANSWERING_EVENTS:
             state = AnswerState.ANSWERING
         now = clock.monotonic()
-        self._lost.append(
-            _Loss(upstream, prompt, fingerprint, state, sent_at, now)
+        self._unreported.losses.append(
+            Loss(upstream, prompt, fingerprint, state, sent_at, now)
         )
         self._has_observations.set()
 
@@ -321,7 +290,7 @@
         """
         now = clock.monotonic()
         if prompt and now < self._counts_until:
-            self._answer_count += 1
+            self._unreported.answer_count += 1
             self._has_observations.set()
         for part in prompt[:-1]:
             self._record_answered(part, self._answered_at_by_part, now)
@@ -344,8 +313,7 @@
             self._record_cleared(part, now)
 
     def _record_cleared(self, part: str, answered_at: float) -> None:
-        self._cleared_at_by_part[part] = answered_at
-        _drop_oldest(self._cleared_at_by_part, MAX_UNREPORTED)
+        self._unreported.add_cleared(part, answered_at)
         self._has_observations.set()
 
     # Messages of workers
@@ -399,51 +367,13 @@
                 await self._has_observations.wait()
                 await anyio.sleep(REPORT_DELAY_S)
                 self._has_observations = anyio.Event()
-                lost, self._lost = (
-                    self._lost,
-                    collections.deque(maxlen=MAX_UNREPORTED),
-                )
-                cleared, self._cleared_at_by_part = self._cleared_at_by_part, {}
-                count, self._answer_count = self._answer_count, 0
-                self.on_report(_make_report(lost, cleared, count))
-                for address in self._worker_addresses():
-                    group.start_soon(
-                        self._report, address, lost, cleared, count
-                    )
-
-    def _worker_addresses(self) -> list[str]:
-        if self._peers is None:
-            return []
-        return [
-            entry.address
-            for name, entry in self._peers.peers_by_name.items()
-            if entry.role == WORKER_ROLE and name != self._name
-        ]
-
-    async def _report(
-        self,
-        address: str,
-        lost: Collection[_Loss],
-        cleared_at_by_part: dict[str, float],
-        answer_count: int,
-    ) -> None:
-        if self._peers is None:
-            return
-        for attempt in range(REPORT_ATTEMPTS):
-            # The ages are those at the time of sending.
-            report = _make_report(lost, cleared_at_by_part, answer_count)
-            deadline = clock.monotonic() + REPORT_TIMEOUT_S
-            try:
-                await self._peers.links.call(address, report, deadline=deadline)
-                return
-            except PlumvaneError as error:
-                events.log(
-                    events.Event.PROMPTS_UNREPORTED,
-                    peer=address,
-                    attempt=attempt + 1,
-                    error=error.detail,
+                observations, self._unreported = (
+                    self._unreported,
+                    Observations(),
                 )
-            await anyio.sleep(REPORT_RETRY_S)
+                self.on_report(observations.encode())
+                if self._sender is not None:
+                    self._sender.send(observations, group)
 
     async def _read_stored(self) -> None:
         if self._peers is None:
@@ -473,32 +403,6 @@
             self.put(Quarantined(part, since, until, value.upstreams), "store")
 
 
-def _make_report(
-    lost: Collection[_Loss],
-    cleared_at_by_part: dict[str, float],
-    answer_count: int,
-) -> ReportPrompts:
-    now = clock.monotonic()
-    return ReportPrompts(
-        tuple(
-            LostRequest(
-                loss.upstream.upstream_id,
-                loss.upstream.listed.started_ms,
-                loss.prompt,
-                int(loss.state),
-                now - loss.at,
-                loss.fingerprint,
-                loss.at - loss.sent_at if loss.fingerprint else 0.0,
-            )
-            for loss in lost
-        ),
-        tuple(
-            PartAge(part, now - at) for part, at in cleared_at_by_part.items()
-        ),
-        answer_count,
-    )
-
-
 def _drop_oldest(rows_by_part: dict[str, T], limit: int) -> None:
     while len(rows_by_part) > limit:
         del rows_by_part[next(iter(rows_by_part))]
--- a/plumvane/serving/upstreams.py
+++ b/plumvane/serving/upstreams.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Iterable
 
+from plumvane import clock
+
 __all__ = ["ListedUpstream", "Load", "Upstream", "UpstreamTable"]
 
 # Time for which an upstream is ejected after a failed connection, in seconds;
@@ -86,6 +88,8 @@
         self.in_flight = 0
         self.batch_in_flight = 0
         self.missing_deadline: float | None = None
+        # Monotonic time in seconds at which its entry was removed.
+        self.removed_at: float | None = None
         # Whether it has announced its shutdown in an answer. Unlike the listed
         # state, this is never revoked.
         self.is_leaving = False
@@ -291,6 +295,7 @@
         changed = changed or known.missing_deadline is not None
         known.listed = listed
         known.missing_deadline = None
+        known.removed_at = None
         return changed
 
     def remove(self, upstream_id: str) -> Upstream | None:
@@ -301,11 +306,18 @@
         """
         removed = self.upstreams_by_id.pop(upstream_id, None)
         if removed is not None:
+            removed.removed_at = clock.monotonic()
             self._removed_by_id[upstream_id] = removed
             while len(self._removed_by_id) > MAX_REMOVED:
                 del self._removed_by_id[next(iter(self._removed_by_id))]
         return removed
 
+    def find(self, upstream_id: str) -> Upstream | None:
+        """Returns an upstream, also one that was removed lately."""
+        return self.upstreams_by_id.get(
+            upstream_id, self._removed_by_id.get(upstream_id)
+        )
+
     def keep_until(self, upstream_id: str, deadline: float) -> None:
         """Keeps an upstream that is missing from the listing for some time.
 
--- a/plumvane/worker/attribution.py
+++ b/plumvane/worker/attribution.py
@@ -67,6 +67,7 @@
         fingerprint: What its repeats have in common; empty for an item.
         sent_at: Monotonic time in seconds at which it was sent.
         state: How far its answer had come.
+        received_at: Monotonic time in seconds at which it was reported.
     """
 
     incarnation: Incarnation
@@ -75,6 +76,7 @@
     fingerprint: str
     sent_at: float
     state: AnswerState
+    received_at: float
 
 
 class CrashAttribution:
@@ -153,6 +155,7 @@
                     row.fingerprint,
                     now - row.age_s - row.ran_s,
                     state,
+                    now,
                 )
             )
             self._confirmation.request(incarnation)
@@ -231,10 +234,10 @@
         )
         losses_by_crash: dict[Incarnation, list[_Loss]] = {}
         for loss in waiting:
-            if self._confirmation.has_crashed(loss.incarnation, now):
+            if self._confirmation.has_crashed(loss.incarnation, loss.at, now):
                 losses_by_crash.setdefault(loss.incarnation, []).append(loss)
             elif (
-                now - loss.at < CONFIRMATION_S
+                now - loss.received_at < CONFIRMATION_S
                 and not self._confirmation.is_alive_after(
                     loss.incarnation, loss.at
                 )
--- a/plumvane/worker/confirmation.py
+++ b/plumvane/worker/confirmation.py
@@ -18,6 +18,9 @@
 # that must find it gone; an upstream may reset a single connection under load.
 CHECK_INTERVAL_S = 0.1
 MIN_CHECKS = 2
+# Least time between the end of an upstream and the expiry of its entry, in
+# seconds. One that leaves unannounced ends its entry first, and serves on.
+MIN_EXPIRY_S = 1.0
 # Most upstreams that are checked at a time.
 MAX_CHECKED = 64
 
@@ -117,21 +120,28 @@
         """
         return incarnation in self._refused_until_by_id
 
-    def has_crashed(self, incarnation: Incarnation, now: float) -> bool:
+    def has_crashed(
+        self, incarnation: Incarnation, lost_at: float, now: float
+    ) -> bool:
         """Returns whether an upstream ended without having announced it.
 
         Args:
             incarnation: The upstream.
+            lost_at: Monotonic time in seconds at which a request broke off
+                there.
             now: Monotonic time in seconds.
         """
         if self._confirmed_until_by_id.get(incarnation, 0.0) > now:
             return True
         upstream_id, started_ms = incarnation
-        upstream = self._view.upstreams.upstreams_by_id.get(upstream_id)
+        upstream = self._view.upstreams.find(upstream_id)
         if upstream is None:
             return False
         is_leaving = upstream.is_leaving or upstream.listed.is_draining
+        removed_at = upstream.removed_at
         is_lost = (
+            removed_at is not None and lost_at < removed_at - MIN_EXPIRY_S
+        ) or (
             upstream.is_silent()
             or self._gone_until_by_id.get(incarnation, 0.0) > now
             or self._is_replaced(upstream)
--- a/tests/test_crash_confirmation.py
+++ b/tests/test_crash_confirmation.py
@@ -11,7 +11,7 @@
 from plumvane.discovery.view import FleetView
 from plumvane.relay.liveness import Liveness, check_liveness
 from plumvane.store.memory import MemoryStore
-from plumvane.worker.confirmation import CrashConfirmation
+from plumvane.worker.confirmation import MIN_EXPIRY_S, CrashConfirmation
 from standins.launcher import free_port
 from tests.gateways import make_listed_upstream
 from tests.workers import POLL_S, run_with_timeout
@@ -38,6 +38,12 @@
     return CrashConfirmation(view)
 
 
+def has_crashed(confirmation: CrashConfirmation) -> bool:
+    """Returns whether the upstream has crashed, under a request lost now."""
+    now = clock.monotonic()
+    return confirmation.has_crashed(INCARNATION, now, now)
+
+
 def test_liveness_tells_open_closed_and_refused_connections_apart() -> None:
     async def steps() -> None:
         assert await check_liveness(HOST, free_port(HOST)) is Liveness.REFUSED
@@ -64,7 +70,7 @@
         confirmation.request(INCARNATION)
         async with anyio.create_task_group() as group:
             group.start_soon(confirmation.run)
-            while not confirmation.has_crashed(INCARNATION, clock.monotonic()):
+            while not has_crashed(confirmation):
                 await anyio.sleep(POLL_S)
             group.cancel_scope.cancel()
         assert confirmation.refuses_connections(INCARNATION)
@@ -88,7 +94,7 @@
                 await anyio.sleep(POLL_S)
             group.cancel_scope.cancel()
         await listener.aclose()
-        assert not confirmation.has_crashed(INCARNATION, clock.monotonic())
+        assert not has_crashed(confirmation)
 
     run_with_timeout(steps)
 
@@ -102,6 +108,26 @@
             while not confirmation.refuses_connections(INCARNATION):
                 await anyio.sleep(POLL_S)
             group.cancel_scope.cancel()
-        assert not confirmation.has_crashed(INCARNATION, clock.monotonic())
+        assert not has_crashed(confirmation)
 
     run_with_timeout(steps)
+
+
+def test_upstream_whose_entry_expired_after_a_loss_has_crashed() -> None:
+    view = FleetView(MemoryStore(), "a", random.Random(1))
+    view.add_upstream(make_listed_upstream("u"))
+    confirmation = CrashConfirmation(view)
+    view.upstreams.remove("u")
+    now = clock.monotonic()
+    assert confirmation.has_crashed(INCARNATION, now - 2 * MIN_EXPIRY_S, now)
+
+
+def test_upstream_that_serves_on_after_its_entry_ended_has_not_crashed() -> (
+    None
+):
+    view = FleetView(MemoryStore(), "a", random.Random(1))
+    view.add_upstream(make_listed_upstream("u"))
+    confirmation = CrashConfirmation(view)
+    view.upstreams.remove("u")
+    now = clock.monotonic()
+    assert not confirmation.has_crashed(INCARNATION, now, now)
