--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -363,3 +363,57 @@
             await steps()
 
     anyio.run(run)
+
+
+class DeafStore(MemoryStore):
+    """In-memory store whose watches hang once, beyond their deadline."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.hung_watches = 0
+
+    async def watch(
+        self, prefix: str, after_revision: int, *, deadline: float
+    ) -> WatchResult:
+        if prefix != names.UPSTREAM_PREFIX or self.hung_watches:
+            return await super().watch(
+                prefix, after_revision, deadline=deadline
+            )
+        self.hung_watches += 1
+        await anyio.sleep(clock.remaining(deadline))
+        raise StoreUnavailableError("The store did not respond.")
+
+
+# Guards against refused requests: a gateway used a list of upstreams that had
+# not changed for half a minute, since the connection of its watch was dead.
+def test_upstreams_are_followed_soon_after_a_watch_has_hung() -> None:
+    async def steps() -> None:
+        store = DeafStore()
+        fleet_view = FleetView(store, "a", random.Random(1))
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet_view.run)
+            while not store.hung_watches:
+                await anyio.sleep(POLL_S)
+            await store.put(
+                f"{names.UPSTREAM_PREFIX}u",
+                json.dumps(
+                    {
+                        "service": "s",
+                        "address": "127.0.0.1:1",
+                        "zone": "a",
+                        "version": "1",
+                        "slots": 1,
+                        "state": "ready",
+                        "warmup-left-ms": 0,
+                        "sequence": 1,
+                        "born": 1,
+                    }
+                ).encode(),
+                expected_revision=None,
+            )
+            with anyio.fail_after(2 * view.UPSTREAM_WATCH_S):
+                while "u" not in fleet_view.upstreams.upstreams_by_id:
+                    await anyio.sleep(POLL_S)
+            group.cancel_scope.cancel()
+
+    anyio.run(steps)
