Teach the soak a request that crashes servers and comes again

Clients send one path again and again, on which plain servers or engines crash; after three crashes and the contact time at most three more may reach one. The sound requests beside it may never be refused for good.

--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -24,8 +24,8 @@
 # Delay between two reads of changed upstream entries, in seconds: a quarter of
 # the shortest time in which the state `draining` has to take effect.
 UPSTREAM_PAUSE_S = 0.5
-# Longest wait of a watch of the upstreams' entries, in seconds: a few heartbeats,
-# the first of which ends it. Without one, its connection may be dead.
+# Longest wait of a watch of the upstreams' entries, in seconds. The first of a
+# few heartbeats ends it; without one, its connection may be dead.
 UPSTREAM_WATCH_S = 4.0
 # Time after an outage of the store in which an entry that expired during it may
 # be registered again, in seconds. The platform documents about two seconds.
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,6 +8,7 @@
 
 from soak.clients import Observations
 from soak.faults import FaultLog
+from standins.platform_server import CRASHING_SEGMENT
 
 __all__ = ["find_violations"]
 
@@ -20,9 +21,11 @@
 # last fault.
 MIN_SUCCESS_RATE = 0.95
 RECOVERY_S = 6.0
-# Crashes of engines under one part of prompts, time after them, in seconds, and
-# the most requests with that part that may then still reach an engine.
+# Crashes of engines under one part of prompts, or of servers under one request,
+# time after them, in seconds, and the most requests of that kind that may then
+# still reach one.
 FIRST_CRASHES = 5
+FIRST_CRASHES_OF_REQUEST = 3
 CONTACT_S = 3.0
 MAX_LATE_CRASHES = 3
 # Length in seconds of the windows in which requests to a server with a limit
@@ -82,18 +85,26 @@
 def _crashes_too_many(
     rows: list[dict[str, Any]], faults_ended_at: float
 ) -> list[str]:
-    """Returns whether a known part of prompts went on to crash engines."""
-    crashes_at = [row["at"] for row in rows if row.get("crashes")]
-    if len(crashes_at) < FIRST_CRASHES:
-        return []
-    bound_from = max(crashes_at[FIRST_CRASHES - 1], faults_ended_at) + CONTACT_S
-    late = sum(at > bound_from for at in crashes_at)
-    if late <= MAX_LATE_CRASHES:
-        return []
-    return [
-        f"BUDGET: {late} requests on which engines crash reached them after "
-        f"{len(crashes_at) - late} others"
-    ]
+    """Returns whether a known part or request went on to crash servers."""
+    times_by_path = collections.defaultdict(list)
+    for row in rows:
+        if row.get("crashes"):
+            path = row.get("path", "")
+            is_request = CRASHING_SEGMENT in path
+            times_by_path[path if is_request else ""].append(row["at"])
+    errors = []
+    for path, crashes_at in times_by_path.items():
+        first = FIRST_CRASHES_OF_REQUEST if path else FIRST_CRASHES
+        if len(crashes_at) < first:
+            continue
+        bound_from = max(crashes_at[first - 1], faults_ended_at) + CONTACT_S
+        late = sum(at > bound_from for at in crashes_at)
+        if late > MAX_LATE_CRASHES:
+            errors.append(
+                f"BUDGET: {late} requests on which engines crash reached them "
+                f"after {len(crashes_at) - late} others{path and ' at ' + path}"
+            )
+    return errors
 
 
 def _limits_exceeded(
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -17,6 +17,7 @@
 from soak.jobs import SubmittedJob
 from soak.streams import StreamReading
 from standins.launcher import Process
+from standins.platform_server import CRASHING_SEGMENT
 from standins.server_events import ServerEvent
 
 __all__ = [
@@ -50,6 +51,8 @@
 # such requests are sent; and numbers of the parts that requests share.
 CRASH_PROBABILITY = 0.1
 SHARED_PARTS = (1, 5)
+# Kind of the requests that crash servers by themselves, and come again.
+CRASHING_REQUEST = "crashing"
 # Status of requests that the fleet refuses for good.
 REFUSED_STATUS = 400
 # Probability with which a client goes to another gateway after a response.
@@ -78,7 +81,7 @@
     Attributes:
         errors: Violated guarantees.
         kind_by_request: Path prefix of each request or item; for requests on
-            which engines crash, `CRASHING_PART`.
+            which servers crash, `CRASHING_PART` or `CRASHING_REQUEST`.
         refused_ids: Requests whose final response reports no execution.
         cancelled_at_by_job: Unix time in seconds of the acknowledged
             cancellation of each cancelled job.
@@ -183,6 +186,10 @@
             ):
                 await self._send_crashing_part()
                 continue
+            routes = sorted(self.fleet.crashing_routes)
+            if routes and self.rng.random() < CRASH_PROBABILITY:
+                await self._repeat_crashing_request(self.rng.choice(routes))
+                continue
             kind = self.rng.choice(("note", "quote", "slip", "pay"))
             if kind in ("note", "quote"):
                 is_served = await self._read_stream(kind)
@@ -209,21 +216,32 @@
     async def _send_crashing_part(self) -> None:
         """Sends a request on which engines crash; its outcome is not missed."""
         request_id = self._new_request(CRASHING_PART)
-        status, _ = await self.send(
-            "POST",
-            f"/note/{request_id}",
-            request_id,
-            b"x",
-            {
-                **_deadline(),
-                names.TOKEN_USAGE_HEADER: "100,120",
-                **self._prompt(CRASHING_PART),
-            },
+        headers = {
+            names.TOKEN_USAGE_HEADER: "100,120",
+            **self._prompt(CRASHING_PART),
+        }
+        await self._send_crashing(
+            CRASHING_PART, request_id, f"/note/{request_id}", headers
         )
+
+    async def _repeat_crashing_request(self, route: str) -> None:
+        """Sends the request of a route that crashes servers by itself."""
+        request_id = self._new_request(CRASHING_REQUEST)
+        headers = {}
+        if route == "note":
+            headers = {names.TOKEN_USAGE_HEADER: "100,120", **self._prompt()}
+        path = f"/{route}{CRASHING_SEGMENT}again"
+        await self._send_crashing(CRASHING_REQUEST, request_id, path, headers)
+
+    async def _send_crashing(
+        self, kind: str, request_id: str, path: str, headers: dict[str, str]
+    ) -> None:
+        headers = {**_deadline(), **headers}
+        status, _ = await self.send("POST", path, request_id, b"x", headers)
         if status == REFUSED_STATUS:
-            self.observations.count_response(CRASHING_PART, status)
+            self.observations.count_response(kind, status)
         else:
-            self._record(CRASHING_PART, request_id, status)
+            self._record(kind, request_id, status)
 
     def _prompt(self, *parts: str) -> dict[str, str]:
         """Returns the header of a prompt that shares its first parts."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -451,6 +451,14 @@
     return "engines"
 
 
+@fault
+async def repeat_crashing_request(context: FaultContext) -> str:
+    """Has clients repeat a request that crashes each server, to the end."""
+    route = context.rng.choice(("note", "slip"))
+    context.fleet.crashing_routes.add(route)
+    return route
+
+
 @fault
 async def limit_engines(context: FaultContext) -> str:
     """Has up to half of the model engines limit their rate, to the end."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -80,6 +80,8 @@
         self.extra_routes: list[str] = []
         # Whether clients send requests on which the model engines crash.
         self.sends_crashing_part = False
+        # Routes on which clients repeat a request that crashes each server.
+        self.crashing_routes: set[str] = set()
         self.routes_by_process: dict[str, list[str]] = {}
         self.fleet.start_standin("store", "platform_store")
         self.fleet.start_proxy()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -54,6 +54,7 @@
         "change_configuration",
         "crash_engines",
         "limit_engines",
+        "repeat_crashing_request",
     } == set(FAULTS_BY_NAME)
 
 
@@ -85,6 +86,11 @@
     assert find_violations(known, FaultLog(), crashes, FAULTS_ENDED_AT) == [
         "BUDGET: 5 requests on which engines crash reached them after 8 others"
     ]
+    repeats = [{**c, "path": "/slip/crashing/again"} for c in crashes]
+    assert find_violations(known, FaultLog(), repeats, FAULTS_ENDED_AT) == [
+        "BUDGET: 5 requests on which engines crash reached them after 8 others "
+        "at /slip/crashing/again"
+    ]
     arrivals = [
         {"arrival": "e", "max_rate": 1.0, "at": FAULTS_ENDED_AT + 5 + n / 4}
         for n in range(12)
