Count served requests of a soak from when a crash can be known

Trace: the gateways were down until 20 s, the request crashed both plain servers at 22 s and again at 27 s, which were its third and fourth crash; it was refused from 27.0 s on and all sound requests from 29 s on. No process can know a request before it has crashed servers three times, so that the time for recovery runs from the third crash, or the fifth under a part, if that is later than the faults. The bounds are the same, and the check of crashes (BUDGET) is too.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -65,14 +65,24 @@
                 f"{kind} {request_id} was executed but reported as not executed"
             )
     errors += _items_started_late(observations, rows, faults_ended_at)
-    errors += _crashes_too_many(rows, faults_ended_at)
+    crash_times = _crash_times(rows)
+    errors += _crashes_too_many(crash_times, faults_ended_at)
     errors += _limits_exceeded(arrivals, faults_ended_at)
+    # No process can know what crashes servers before it has done so some times.
+    known_at = max(
+        (
+            times[first - 1]
+            for first, times in crash_times
+            if len(times) >= first
+        ),
+        default=faults_ended_at,
+    )
     recovered = [
         ok
         for at, ok in observations.outcomes
-        if at > faults_ended_at + RECOVERY_S
+        if at > max(faults_ended_at, known_at) + RECOVERY_S
     ]
-    if not recovered:
+    if not any(at > faults_ended_at for at, _ in observations.outcomes):
         errors.append("no request was sent after the faults")
     elif sum(recovered) < MIN_SUCCESS_RATE * len(recovered):
         errors.append(
@@ -82,27 +92,39 @@
     return errors
 
 
-def _crashes_too_many(
-    rows: list[dict[str, Any]], faults_ended_at: float
-) -> list[str]:
-    """Returns whether a known part or request went on to crash servers."""
+def _crash_times(rows: list[dict[str, Any]]) -> list[tuple[int, list[float]]]:
+    """Returns when servers crashed under each request and under the part.
+
+    Returns:
+        For each request that crashes servers by itself, and for all with the
+        part, the crashes from which it is known, and the Unix times of all.
+    """
     times_by_path = collections.defaultdict(list)
     for row in rows:
         if row.get("crashes"):
             path = row.get("path", "")
             is_request = CRASHING_SEGMENT in path
             times_by_path[path if is_request else ""].append(row["at"])
+    return [
+        (FIRST_CRASHES_OF_REQUEST if path else FIRST_CRASHES, times)
+        for path, times in times_by_path.items()
+    ]
+
+
+def _crashes_too_many(
+    crash_times: Iterable[tuple[int, list[float]]], faults_ended_at: float
+) -> list[str]:
+    """Returns whether a known part or request went on to crash servers."""
     errors = []
-    for path, crashes_at in times_by_path.items():
-        first = FIRST_CRASHES_OF_REQUEST if path else FIRST_CRASHES
-        if len(crashes_at) < first:
+    for first, times in crash_times:
+        if len(times) < first:
             continue
-        bound_from = max(crashes_at[first - 1], faults_ended_at) + CONTACT_S
-        late = sum(at > bound_from for at in crashes_at)
+        bound_from = max(times[first - 1], faults_ended_at) + CONTACT_S
+        late = sum(at > bound_from for at in times)
         if late > MAX_LATE_CRASHES:
             errors.append(
-                f"BUDGET: {late} requests on which engines crash reached them "
-                f"after {len(crashes_at) - late} others{path and ' at ' + path}"
+                f"BUDGET: {late} requests on which servers crash reached them "
+                f"after {len(times) - late} others"
             )
     return errors
 
