--- a/soak/checks.py
+++ b/soak/checks.py
@@ -69,20 +69,13 @@
     errors += _crashes_too_many(crash_times, faults_ended_at)
     errors += _limits_exceeded(arrivals, faults_ended_at)
     # No process can know what crashes servers before it has done so some times.
-    known_at = max(
-        (
-            times[first - 1]
-            for first, times in crash_times
-            if len(times) >= first
-        ),
-        default=faults_ended_at,
-    )
-    recovered = [
-        ok
-        for at, ok in observations.outcomes
-        if at > max(faults_ended_at, known_at) + RECOVERY_S
+    known_at = [
+        times[first - 1] for first, times in crash_times if len(times) >= first
     ]
-    if not any(at > faults_ended_at for at, _ in observations.outcomes):
+    served_from = max([faults_ended_at, *known_at]) + RECOVERY_S
+    recovered = [ok for at, ok in observations.outcomes if at > served_from]
+    sent_until = max((at for at, _ in observations.outcomes), default=0.0)
+    if sent_until <= faults_ended_at + RECOVERY_S:
         errors.append("no request was sent after the faults")
     elif sum(recovered) < MIN_SUCCESS_RATE * len(recovered):
         errors.append(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,7 @@
 
 # Seconds with faults; one seed takes about half a minute in all.
 SECONDS = 8.0
+CRASHING = "/slip/crashing/again"
 FAULTS_ENDED_AT = 100.0
 
 
@@ -86,7 +87,7 @@
     assert find_violations(known, FaultLog(), crashes, FAULTS_ENDED_AT) == [
         "BUDGET: 5 requests on which servers crash reached them after 8 others"
     ]
-    repeats = [{**c, "path": "/slip/crashing/again"} for c in crashes]
+    repeats = [{**c, "path": CRASHING} for c in crashes]
     assert find_violations(known, FaultLog(), repeats, FAULTS_ENDED_AT) == [
         "BUDGET: 5 requests on which servers crash reached them after 8 others"
     ]
@@ -110,6 +111,22 @@
         outcomes=[(after_recovery, True), (after_recovery, False)]
     )
     assert check(degraded) == ["1 of 2 requests were served after the faults"]
+    # Servers crash under a request for the third time after the faults.
+    late = [
+        {
+            "run": "r",
+            "at": after_recovery + n,
+            "crashes": True,
+            "path": CRASHING,
+        }
+        for n in range(-2, 1)
+    ]
+    degraded.kind_by_request["r"] = "crashing"
+    assert find_violations(degraded, FaultLog(), late, FAULTS_ENDED_AT) == []
+    degraded.outcomes += [(after_recovery + RECOVERY_S + 1.0, False)]
+    assert find_violations(degraded, FaultLog(), late, FAULTS_ENDED_AT) == [
+        "0 of 1 requests were served after the faults"
+    ]
     cancelled = Observations(
         kind_by_request={"i": "plan"},
         cancelled_at_by_job={"j": FAULTS_ENDED_AT},
