Keep requests under their keys in the history of repeats

Parts of prompts and keys of requests take the same way through reports, verdicts and the store. Both histories have the same methods, so that the attribution chooses one by the key in a single place. No change of behaviour.

--- a/plumvane/serving/repeats.py
+++ b/plumvane/serving/repeats.py
@@ -40,14 +40,14 @@
     """A request that broke off when an upstream crashed.
 
     Attributes:
-        fingerprint: What repeats of the request have in common with it.
+        request: Key of the request, the same for its repeats.
         sent_at: Monotonic time in seconds at which it was sent.
         lost_at: Monotonic time in seconds at which it broke off.
         state: How far its answer had come.
         was_received: Whether the upstream certainly lived when it was sent.
     """
 
-    fingerprint: str
+    request: str
     sent_at: float
     lost_at: float
     state: AnswerState
@@ -60,7 +60,7 @@
 
     Attributes:
         at: Monotonic time in seconds of the first loss.
-        losses_by_request: First loss of each request, by fingerprint.
+        losses_by_request: First loss of each request, by its key.
         is_explained: Whether a part of a prompt explains it.
     """
 
@@ -73,10 +73,10 @@
     def add(self, loss: RequestLoss) -> None:
         """Adds a loss, unless too many are known."""
         self.at = min(self.at, loss.lost_at)
-        known = self.losses_by_request.get(loss.fingerprint)
+        known = self.losses_by_request.get(loss.request)
         has_room = len(self.losses_by_request) < MAX_REQUESTS_OF_CRASH
         if known.lost_at > loss.lost_at if known is not None else has_room:
-            self.losses_by_request[loss.fingerprint] = loss
+            self.losses_by_request[loss.request] = loss
 
     def suspects(self) -> list[RequestLoss]:
         """Returns the requests that may have caused it.
@@ -99,19 +99,19 @@
     """A request that is blamed for crashes.
 
     Attributes:
-        fingerprint: What its repeats have in common.
+        request: Key of the request, the same for its repeats.
         crash_ids: Crashes that it explains, the oldest first.
     """
 
-    fingerprint: str
+    request: str
     crash_ids: tuple[str, ...]
 
 
 class RepeatHistory:
     """Recent crashes and the requests that may have caused them by themselves.
 
-    A request is identified by its fingerprint, which it shares with its
-    repeats. An answer to it clears it of the crashes before.
+    A request is identified by a key that it shares with its repeats. An answer
+    to it clears it of the crashes before.
     """
 
     def __init__(self) -> None:
@@ -133,21 +133,21 @@
         """
         crash = self._crashes_by_id.setdefault(crash_id, _Crash(loss.lost_at))
         if loss.state is AnswerState.ANSWERING:
-            self.clear(loss.fingerprint, loss.lost_at)
+            self.clear(loss.request, loss.lost_at)
         else:
             crash.add(loss)
         while len(self._crashes_by_id) > MAX_CRASHES:
             self._crashes_by_id.popitem(last=False)
 
-    def clear(self, fingerprint: str, at: float) -> None:
+    def clear(self, request: str, at: float) -> None:
         """Records that an upstream answered a request.
 
         Args:
-            fingerprint: What repeats of the request have in common with it.
+            request: Key of the request, the same for its repeats.
             at: Monotonic time in seconds of the answer.
         """
-        known = self._answered_at_by_request.pop(fingerprint, at)
-        self._answered_at_by_request[fingerprint] = max(at, known)
+        known = self._answered_at_by_request.pop(request, at)
+        self._answered_at_by_request[request] = max(at, known)
         if len(self._answered_at_by_request) > MAX_REQUESTS:
             del self._answered_at_by_request[
                 next(iter(self._answered_at_by_request))
@@ -159,24 +159,24 @@
         if crash is not None:
             crash.is_explained = True
 
-    def blame(self, fingerprint: str) -> None:
+    def blame(self, request: str) -> None:
         """Has a request explain the crashes in which it was involved."""
-        self._blamed.add(fingerprint)
+        self._blamed.add(request)
 
-    def expire(self, fingerprint: str) -> None:
+    def expire(self, request: str) -> None:
         """Releases a request that is blamed again at its next crash."""
-        if fingerprint in self._blamed:
-            self.release(fingerprint)
-            self._expired[fingerprint] = None
+        if request in self._blamed:
+            self.release(request)
+            self._expired[request] = None
             if len(self._expired) > MAX_REQUESTS:
                 del self._expired[next(iter(self._expired))]
 
-    def release(self, fingerprint: str) -> None:
+    def release(self, request: str) -> None:
         """Blames a request no longer and forgets the crashes it explained."""
-        self._blamed.discard(fingerprint)
-        self._expired.pop(fingerprint, None)
+        self._blamed.discard(request)
+        self._expired.pop(request, None)
         for crash_id, crash in list(self._crashes_by_id.items()):
-            if fingerprint in crash.losses_by_request:
+            if request in crash.losses_by_request:
                 del self._crashes_by_id[crash_id]
 
     def suspected_at_by_request(self, now: float) -> dict[str, float]:
@@ -186,10 +186,8 @@
             now: Monotonic time in seconds.
         """
         return {
-            fingerprint: self._crashes_by_id[crash_ids[-1]].at
-            for fingerprint, crash_ids in self._crash_ids_by_request(
-                now
-            ).items()
+            request: self._crashes_by_id[crash_ids[-1]].at
+            for request, crash_ids in self._crash_ids_by_request(now).items()
         }
 
     def find_culprit(self, now: float) -> RepeatCulprit | None:
@@ -204,16 +202,16 @@
             caller blames it before it asks for the next one.
         """
         ids_by_request = self._crash_ids_by_request(now)
-        for fingerprint in sorted(
+        for request in sorted(
             ids_by_request, key=lambda f: -len(ids_by_request[f])
         ):
-            crash_ids = ids_by_request[fingerprint]
-            if self._is_conclusive(fingerprint, crash_ids) and not any(
+            crash_ids = ids_by_request[request]
+            if self._is_conclusive(request, crash_ids) and not any(
                 set(crash_ids) <= set(other_ids)
                 for other, other_ids in ids_by_request.items()
-                if other != fingerprint
+                if other != request
             ):
-                return RepeatCulprit(fingerprint, tuple(crash_ids))
+                return RepeatCulprit(request, tuple(crash_ids))
         return None
 
     def _crash_ids_by_request(self, now: float) -> dict[str, list[str]]:
@@ -223,7 +221,7 @@
             now: Monotonic time in seconds.
 
         Returns:
-            The crashes by fingerprint, the oldest first.
+            The crashes by the key of the request, the oldest first.
         """
         for crash_id, crash in list(self._crashes_by_id.items()):
             if now - crash.at > CRASH_LIFETIME_S:
@@ -236,12 +234,10 @@
                 continue
             for loss in crash.suspects():
                 answered_at = self._answered_at_by_request.get(
-                    loss.fingerprint, float("-inf")
+                    loss.request, float("-inf")
                 )
                 if answered_at < crash.at:
-                    ids_by_request.setdefault(loss.fingerprint, []).append(
-                        crash_id
-                    )
+                    ids_by_request.setdefault(loss.request, []).append(crash_id)
         return ids_by_request
 
     def _is_explained(self, crash: _Crash) -> bool:
@@ -249,13 +245,13 @@
             crash.losses_by_request
         )
 
-    def _is_conclusive(self, fingerprint: str, crash_ids: list[str]) -> bool:
-        if fingerprint in self._expired:
+    def _is_conclusive(self, request: str, crash_ids: list[str]) -> bool:
+        if request in self._expired:
             return len(crash_ids) >= MIN_CRASHES_AFTER_EXPIRY
         if len(crash_ids) < MIN_CRASHES:
             return False
         crashes = [self._crashes_by_id[crash_id] for crash_id in crash_ids]
-        losses = [crash.losses_by_request[fingerprint] for crash in crashes]
+        losses = [crash.losses_by_request[request] for crash in crashes]
         received = [loss for loss in losses if loss.was_received]
         outages = _count_in_succession(losses, OUTAGE_S)
         if _count_in_succession(received) < MIN_CRASHES and (
--- a/plumvane/worker/attribution.py
+++ b/plumvane/worker/attribution.py
@@ -161,24 +161,22 @@
             self._confirmation.request(incarnation)
         for answer in report.answered:
             answered_at = now - answer.age_s
-            if answer.part.startswith(REQUEST_KEY_PREFIX):
-                fingerprint = answer.part.removeprefix(REQUEST_KEY_PREFIX)
-                self._repeats.clear(fingerprint, answered_at)
-            else:
-                self._history.clear(answer.part, answered_at)
+            self._history_of(answer.part).clear(answer.part, answered_at)
             self._has_answers = True
             if self._quarantine.release(answer.part, answered_at, "report"):
                 self._release(answer.part, answered_at)
 
     def _release(self, part: str, answered_at: float) -> None:
-        if part.startswith(REQUEST_KEY_PREFIX):
-            self._repeats.release(part.removeprefix(REQUEST_KEY_PREFIX))
-        else:
-            self._history.release(part)
+        self._history_of(part).release(part)
         self._unstored[part] = None
         age_s = clock.monotonic() - answered_at
         self._feed.publish(PartsReleased((PartAge(part, age_s),)))
 
+    def _history_of(self, key: str) -> CrashHistory | RepeatHistory:
+        """Returns the history that has a part, or the key of a request."""
+        is_request = key.startswith(REQUEST_KEY_PREFIX)
+        return self._repeats if is_request else self._history
+
     # Judgement
 
     def judge(self) -> None:
@@ -191,8 +189,9 @@
         if not has_news:
             return
         while (repeat := self._repeats.find_culprit(now)) is not None:
-            key = request_key(repeat.fingerprint)
-            self._blame(key, repeat.crash_ids, "crashes under its repeats")
+            self._blame(
+                repeat.request, repeat.crash_ids, "crashes under its repeats"
+            )
         while (culprit := self._history.find_culprit(now)) is not None:
             self._blame(
                 culprit.part,
@@ -209,15 +208,9 @@
         """
         parts = {q.part for q in self._quarantine.quarantined()}
         for part in parts - self._judged_parts:
-            if part.startswith(REQUEST_KEY_PREFIX):
-                self._repeats.blame(part.removeprefix(REQUEST_KEY_PREFIX))
-            else:
-                self._history.blame(part)
+            self._history_of(part).blame(part)
         for part in self._judged_parts - parts:
-            if part.startswith(REQUEST_KEY_PREFIX):
-                self._repeats.expire(part.removeprefix(REQUEST_KEY_PREFIX))
-            else:
-                self._history.expire(part)
+            self._history_of(part).expire(part)
         has_changed = parts != self._judged_parts
         self._judged_parts = parts
         return has_changed
@@ -272,6 +265,7 @@
         crash_id = f"{incarnation[0]}/{incarnation[1]}"
         is_refusing = self._confirmation.refuses_connections(incarnation)
         for loss in losses:
+            request = request_key(loss.fingerprint)
             if len(loss.prompt) > 1:
                 self._history.add_loss(
                     crash_id, loss.at, loss.prompt, loss.state
@@ -281,14 +275,14 @@
                 self._repeats.add_loss(
                     crash_id,
                     RequestLoss(
-                        loss.fingerprint,
+                        request,
                         loss.sent_at,
                         loss.at,
                         loss.state,
                         was_received=has_begun or is_refusing,
                     ),
                 )
-            if request_key(loss.fingerprint) in self._judged_parts:
+            if request in self._judged_parts:
                 self._history.explain(crash_id)
             if not self._judged_parts.isdisjoint(loss.prompt[:-1]):
                 self._repeats.explain(crash_id)
@@ -304,16 +298,11 @@
         now = clock.monotonic()
         upstreams = tuple(i.rpartition("/")[0] for i in crash_ids)
         quarantined = Quarantined(key, now, now + QUARANTINE_S, upstreams)
-        is_request = key.startswith(REQUEST_KEY_PREFIX)
-        if is_request:
-            self._repeats.blame(key.removeprefix(REQUEST_KEY_PREFIX))
-        else:
-            self._history.blame(key)
+        blamed = self._history_of(key)
+        blamed.blame(key)
+        other = self._history if blamed is self._repeats else self._repeats
         for crash_id in crash_ids:
-            if is_request:
-                self._history.explain(crash_id)
-            else:
-                self._repeats.explain(crash_id)
+            other.explain(crash_id)
         self._judged_parts.add(key)
         if self._quarantine.put(quarantined, source):
             self._feed.publish(PartsQuarantined((quarantined.encode(),)))
@@ -322,8 +311,7 @@
     def _announce_suspects(self, now: float) -> None:
         """Asks all instances to report answers to newly suspected parts."""
         suspected = self._history.suspected_at_by_part(now)
-        repeats = self._repeats.suspected_at_by_request(now)
-        suspected |= {request_key(f): at for f, at in repeats.items()}
+        suspected |= self._repeats.suspected_at_by_request(now)
         new = {
             part: at
             for part, at in suspected.items()
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -8,6 +8,7 @@
     AnswerState,
 )
 from plumvane.serving.repeats import (
+    LOSS_SPREAD_S,
     MAX_REQUESTS_OF_CRASH,
     OUTAGE_S,
     RepeatHistory,
@@ -43,8 +44,8 @@
     """Returns the requests that are blamed, one after the other."""
     found = []
     while (culprit := history.find_culprit(now)) is not None:
-        history.blame(culprit.fingerprint)
-        found.append(culprit.fingerprint)
+        history.blame(culprit.request)
+        found.append(culprit.request)
     return found
 
 
@@ -128,6 +129,17 @@
     assert blamed(history) == ["bad"]
 
 
+def test_request_that_breaks_off_long_after_the_crash_is_not_suspected() -> (
+    None
+):
+    history = RepeatHistory()
+    for number in range(4):
+        add_crash(history, number, "bad")
+        late = number * GAP_S + 2 * LOSS_SPREAD_S
+        add_crash(history, number, "timed out", at=late, ran_s=GAP_S + RUN_S)
+    assert blamed(history) == ["bad"]
+
+
 def test_two_requests_that_crash_upstreams_are_both_blamed() -> None:
     history = RepeatHistory()
     for number in range(6):
