Count a call whose head arrived as begun when it breaks off

A call that broke off after its head was reported as one that had waited, so that behind a proxy its crash counted only by outages, and requests that waited beside it were suspected as much. Streams were told apart already.

tests.test_attribution: with the change taken out the new test fails (17 passed, 1 failed), with it 18 passed.

--- a/plumvane/gateway/forwarder.py
+++ b/plumvane/gateway/forwarder.py
@@ -45,7 +45,7 @@
 # Upper bound of the logged age of a load, in seconds; it stands for a load that
 # was never read, whose age is infinite.
 MAX_LOGGED_LOAD_AGE_S = 99.0
-# First status of responses that do not show that an upstream bore a request.
+# First status of responses that do not show that a request crashes no upstream.
 FIRST_ERROR_STATUS = 500
 # Rejections by upstreams after which a request is rejected to its caller.
 MAX_REJECTIONS = 4
@@ -357,6 +357,7 @@
     ) -> None:
         async with self._client.send(upstream, attempt) as response:
             record_success(upstream)
+            state.attempt_events = 0
             if state.route.kind is RouteKind.STREAM and response.status == 200:
                 await self._relay_stream(
                     state, upstream, response, attempt.read_timeout_s
@@ -375,7 +376,7 @@
     ) -> None:
         """Relays whole events only, so that the stream can be resumed."""
         exchange = state.exchange
-        received = state.attempt_events = 0
+        received = 0
         parser = EventStreamParser(state.last_event_id)
         async for event in read_events(
             response.iter_body(),
--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -400,6 +400,27 @@
     run_with_timeout(lambda: steps(500, []))
 
 
+def test_call_that_breaks_off_after_its_head_had_begun() -> None:
+    async def steps() -> None:
+        gateway = make_gateway([Script(body_error=LOST)])
+        reports: list[ReportPrompts] = []
+        gateway.quarantine.on_report = reports.append
+        caller = FakeCaller()
+        route = make_route(RouteKind.CALL, max_attempts=1)
+        with contextlib.suppress(UpstreamLostError):
+            await gateway.forwarder.forward(
+                caller.exchange, route, b"", clock.monotonic()
+            )
+        async with anyio.create_task_group() as group:
+            group.start_soon(gateway.quarantine.run)
+            while not reports:
+                await anyio.sleep(POLL_S)
+            group.cancel_scope.cancel()
+        assert [row.state for row in reports[0].lost] == [AnswerState.BEGUN]
+
+    run_with_timeout(steps)
+
+
 def test_refused_request_reaches_no_upstream() -> None:
     async def steps() -> None:
         gateway = make_gateway([])
