--- a/soak/checks.py
+++ b/soak/checks.py
@@ -70,7 +70,9 @@
     errors += _limits_exceeded(arrivals, faults_ended_at)
     # No process can know what crashes servers before it has done so some times.
     known_at = [
-        times[first - 1] for first, times in crash_times if len(times) >= first
+        times[first - 1]
+        for first, times in crash_times
+        if first == FIRST_CRASHES_OF_REQUEST and len(times) >= first
     ]
     served_from = max([faults_ended_at, *known_at]) + RECOVERY_S
     recovered = [ok for at, ok in observations.outcomes if at > served_from]
--- a/tests/crash_traffic.py
+++ b/tests/crash_traffic.py
@@ -148,7 +148,8 @@
             if len(crashes) >= count:
                 return crashes[count - 1]
             await anyio.sleep(REQUEST_INTERVAL_S)
-        return clock.wall()
+        crashes = self.crashes_at()
+        return crashes[count - 1] if len(crashes) >= count else clock.wall()
 
     async def wait_refused(self) -> None:
         """Waits until all new crashing requests are refused."""
