--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -872,6 +872,8 @@
         has_teams: Whether the deployment has tenants with quotas.
     """
     record = Record(folder)
+    # So that the processes are ended too if the script is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
 
     async def play() -> bool:
         async with _opened(record, has_teams) as rig, asyncio.timeout(110):
