--- a/review/1/case.py
+++ b/review/1/case.py
@@ -62,11 +62,13 @@
         counts.append(len(results) if results is not None else -1)
     at_servers = jobs.items_at_servers(rig, "feed1", now - 5.0)
     ended = jobs.ended_since(rig, now - 3.0)
+    runs = jobs.runs_since(rig, now - 5.0)
     rig.record.say(
         f"feed1: {counts} of {ITEMS} listed; at servers in the last 5 s: "
-        f"{at_servers}; ended in the last 3 s: {ended}"
+        f"{at_servers}, of all jobs: {runs}; ended in the last 3 s: {ended}"
     )
-    return 0 <= max(counts) < ITEMS and not at_servers and not ended
+    is_calm = not at_servers and not runs and not ended
+    return 0 <= max(counts) < ITEMS and is_calm
 
 
 if __name__ == "__main__":
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -72,12 +72,16 @@
         if counts and max(counts) < ITEMS and not at_servers:
             unlisted.append(job_id)
     ended = jobs.ended_since(rig, checked_at - 3.0)
-    record.say(f"items that ended in the last 3 s: {ended}")
+    runs = jobs.runs_since(rig, checked_at - 5.0)
+    record.say(
+        f"items that ended in the last 3 s: {ended}; "
+        f"at servers in the last 5 s: {runs}"
+    )
     if unlisted:
         for job_id in unlisted:
             await jobs.wait_listed(rig, "gateway-1", job_id, ITEMS, 12.0)
         record.say("the record ends with when they ran after all, if they did")
-    return bool(unlisted) and not ended
+    return bool(unlisted) and not ended and not runs
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -63,7 +63,7 @@
     rig.store.write("op/config", jobs.configuration(3, [_slip("app")]))
     await rig.add_server("app-1", "app")
     await rig.add_server("lm-1", "lm")
-    for name in (*GATEWAYS, "worker-1"):
+    for name in (*GATEWAYS, "worker-1", "worker-2"):
         rig.start(await rig.add_program(name, name.partition("-")[0]))
     await rig.wait_ready()
     await asyncio.sleep(3.0)
--- a/review/lib/jobs.py
+++ b/review/lib/jobs.py
@@ -115,3 +115,11 @@
     return sum(
         run.ended_at is not None and run.ended_at > since for run in rig.runs
     )
+
+
+def runs_since(rig: lib.Rig, since: float) -> int:
+    """Returns the number of runs, of whatever, at servers after a time.
+
+    If there are none, all servers are under half full.
+    """
+    return sum(run.ended_at is None or run.ended_at > since for run in rig.runs)
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -63,7 +63,7 @@
 
 def is_troubled() -> bool:
     """Returns whether the script is to bring the disruption about."""
-    return os.environ.get("TROUBLE", "1") != "0"
+    return "--calm" not in sys.argv[1:]
 
 
 class Record:
