Log the configuration that a request without a route goes by

Callers get 404 from a gateway with an old configuration, and the logs could not say why: 4104 has neither the version nor how old it is, and nothing says whether a watch waits at the store or at a peer.

--- a/plumvane/discovery/mirror.py
+++ b/plumvane/discovery/mirror.py
@@ -57,6 +57,8 @@
         self.recovered_at = float("-inf")
         # Monotonic time up to which the copy includes all changes.
         self.current_at = float("-inf")
+        # Monotonic time at which the watch that waits was begun, or None.
+        self.waiting_since: float | None = None
         self._failing_since = clock.monotonic()
         self._store = store
         self._prefix = prefix
@@ -66,6 +68,11 @@
         self._watch_s = watch_s
         self._revision: int | None = None
 
+    @property
+    def revision(self) -> int | None:
+        """The store's revision up to which changes are known, or None."""
+        return self._revision
+
     async def run(self) -> None:
         """Watches the prefix until cancelled."""
         while True:
@@ -107,9 +114,13 @@
         # reveal that the store responds only when a key changes.
         wait_s = 0.0 if self.is_failing else self._watch_s()
         sent_at = clock.monotonic()
-        result = await self._store.watch(
-            self._prefix, revision, deadline=sent_at + wait_s
-        )
+        self.waiting_since = sent_at
+        try:
+            result = await self._store.watch(
+                self._prefix, revision, deadline=sent_at + wait_s
+            )
+        finally:
+            self.waiting_since = None
         self._record_success()
         for record in result.records:
             self._apply(record)
--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -153,6 +153,8 @@
         self._outage_ended_at = float("-inf")
         self._last_responding_address = ""
         self._silent_until_by_address: dict[str, float] = {}
+        # Prefixes that were last watched through peers.
+        self._relayed_prefixes: set[str] = set()
         register_handlers(self.server, store, self._is_unreachable)
 
     def _is_unreachable(self) -> bool:
@@ -236,17 +238,32 @@
     ) -> WatchResult:
         """See base class; returns early if it is relayed by a peer."""
 
+        async def direct() -> WatchResult:
+            self._record_watch_source(prefix, is_relayed=False)
+            return await self._store.watch(
+                prefix, after_revision, deadline=deadline
+            )
+
         async def relay() -> WatchResult:
+            self._record_watch_source(prefix, is_relayed=True)
             wait_s = min(clock.remaining(deadline), PEER_WATCH_S)
             message = WatchStore(prefix, after_revision, clock.wall() + wait_s)
             reply = await self._call_peer(message, StoreRecords, wait_s)
             return WatchResult(reply.records, reply.revision)
 
-        return await self._call(
-            lambda: self._store.watch(
-                prefix, after_revision, deadline=deadline
-            ),
-            relay,
+        return await self._call(direct, relay)
+
+    def _record_watch_source(self, prefix: str, *, is_relayed: bool) -> None:
+        if is_relayed == (prefix in self._relayed_prefixes):
+            return
+        if is_relayed:
+            self._relayed_prefixes.add(prefix)
+        else:
+            self._relayed_prefixes.discard(prefix)
+        events.log(
+            events.Event.WATCH_SOURCE,
+            prefix=prefix,
+            source="peers" if is_relayed else "store",
         )
 
     async def transact(
@@ -358,16 +375,24 @@
         """
         is_not_run = True
         for address in self._peers_by_preference()[:MAX_PEERS_TRIED]:
-            deadline = clock.monotonic() + wait_s + PEER_TIMEOUT_S
+            sent_at = clock.monotonic()
+            deadline = sent_at + wait_s + PEER_TIMEOUT_S
             try:
                 reply = await self.links.call(
                     address, message, deadline=deadline
                 )
             except StoreUnavailableError as error:
                 is_not_run = is_not_run and error.not_run
-            except (DeadlineExceededError, LinkLostError):
+            except (DeadlineExceededError, LinkLostError) as error:
                 is_not_run = False
                 self._record_silence(address)
+                events.log(
+                    events.Event.STORE_PEER_SILENT,
+                    peer=address,
+                    call=type(message).__name__,
+                    after_s=round(clock.monotonic() - sent_at, 2),
+                    error=error.detail,
+                )
             else:
                 if not isinstance(reply, kind):
                     raise ProtocolError(
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -109,6 +109,22 @@
         """
         return max(self.operator_keys.current_at, self._configuration_read_at)
 
+    def describe_configuration(self) -> dict[str, object]:
+        """Returns fields for the log of decisions by the configuration.
+
+        `age_s` is the time since it was known to have all changes, and
+        `wait_s` the time for which the watch for changes has waited, in
+        seconds; None if it does not apply.
+        """
+        now = clock.monotonic()
+        waiting_since = self.operator_keys.waiting_since
+        return {
+            "version": self.routes.version if self.routes else None,
+            "revision": self.operator_keys.revision,
+            "age_s": _age_s(self.configuration_current_at(), now),
+            "wait_s": _age_s(waiting_since, now),
+        }
+
     async def read_configuration(self) -> None:
         """Reads the configuration once, without waiting for its watch.
 
@@ -177,6 +193,9 @@
             version=routes.version,
             before=current_routes.version if current_routes else None,
             revision=record.revision,
+            before_age_s=_age_s(
+                self.configuration_current_at(), clock.monotonic()
+            ),
         )
 
     def _apply_entry(self, record: Record) -> None:
@@ -246,5 +265,12 @@
             )
 
 
+def _age_s(time: float | None, now: float) -> float | None:
+    """Returns the seconds since a monotonic time, or None if there is none."""
+    if time is None or math.isinf(time):
+        return None
+    return round(now - time, 2)
+
+
 def _ignore(record: Record) -> None:
     """Ignores a change of an operators' key."""
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -50,6 +50,15 @@
         2009,
         "The instance's registration cannot be written or deleted.",
     )
+    WATCH_SOURCE = (
+        2010,
+        "The keys with a prefix are watched at another place: the store, or "
+        "peers that relay the watch.",
+    )
+    STORE_PEER_SILENT = (
+        2011,
+        "A peer did not reply to a relayed call to the store.",
+    )
     LEASE_LOST = (2003, "The instance's lease expired or was rejected.")
     PARTITION_TAKEN = (3001, "The instance became the owner of the partition.")
     PARTITION_RELEASED = (3002, "The instance released the partition.")
@@ -140,6 +149,10 @@
         4120,
         "A request was refused for its key; no upstream got it.",
     )
+    ROUTE_UNKNOWN = (
+        4131,
+        "No route matches a request; the configuration that this goes by.",
+    )
     REQUEST_FAILED = (4104, "A request failed; it may have run.")
     REQUEST_ANSWERED = (4105, "A request's response was forwarded.")
     REQUEST_CANCELLED = (
--- a/plumvane/gateway/app.py
+++ b/plumvane/gateway/app.py
@@ -228,6 +228,13 @@
         route = self._current_routes().match(request.host, request.path)
         if route is not None:
             return route
+        events.log(
+            events.Event.ROUTE_UNKNOWN,
+            request=request.request_id,
+            host=request.host,
+            path=request.path,
+            **self._view.describe_configuration(),
+        )
         if self._view.operator_keys.is_failing:
             raise StoreUnavailableError(
                 "No route matches the host and path, but the configuration "
