--- a/tests/test_gateway_app.py
+++ b/tests/test_gateway_app.py
@@ -179,6 +179,56 @@
     run_steps(steps)
 
 
+class CountingStore(MemoryStore):
+    """In-memory store that counts reads of keys, and may not respond."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads = 0
+        self.is_silent = False
+
+    async def get(self, key: str) -> Record | None:
+        self.reads += 1
+        if self.is_silent:
+            raise StoreUnavailableError("The store did not respond.")
+        return await super().get(key)
+
+
+# Guards against 404 for a route of a version that was acknowledged: the watch
+# for it waits, but its response was lost.
+def test_route_that_the_store_has_is_not_refused_as_unknown() -> None:
+    async def steps() -> None:
+        store = CountingStore()
+        app = App(store)
+        app.configure()
+        app.view.routes_confirmed_within_s = 0.2
+        route = {
+            "name": "new",
+            "host": "h",
+            "path-prefix": "/new/",
+            "kind": "streaming",
+            "timeout-ms": 5000,
+            "max-attempts": 2,
+            "service": SERVICE,
+        }
+        value = json.dumps({"version": 2, "routes": [route]}).encode()
+        await store.put("op/config", value, expected_revision=None)
+        disconnected = anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(app.call, "POST", "/new/x", b"", disconnected)
+            await app.client.started.wait()
+            disconnected.set()
+        store.reads = 0
+        for _ in range(5):
+            assert (await app.call("POST", "/none/x"))[0] == 404
+        assert store.reads <= 1, "one read is enough for some time"
+        await anyio.sleep(0.3)
+        store.is_silent = True
+        assert (await app.call("POST", "/none/x"))[0] == 503
+
+    run_steps(steps)
+
+
 def test_disconnect_of_the_caller_cancels_its_request_at_the_upstream() -> None:
     async def steps() -> None:
         app = App()
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -10,6 +10,7 @@
 import anyio
 
 from plumvane import clock
+from plumvane.discovery.peer_calls import PEER_WATCH_S
 from plumvane.discovery.relayed import PEER_PREFIX, PeerEntry, RelayedStore
 from plumvane.errors import ConflictError, StoreUnavailableError
 from plumvane.store.base import ABSENT, Record, Write
@@ -18,6 +19,8 @@
 
 OUTER_DEADLINE_S = 30.0
 POLL_S = 0.02
+# Time limit of a call to a silent store, in seconds.
+CALL_TIMEOUT_S = 0.1
 
 
 class StoreConnection:
@@ -26,6 +29,9 @@
     def __init__(self, store: MemoryStore) -> None:
         self.is_unreachable = False
         self.loses_responses = False
+        # While the store is silent, calls fail after a time limit, and watches
+        # get no response.
+        self.is_silent = False
         self.calls = 0
         self._store = store
 
@@ -38,7 +44,12 @@
                 raise StoreUnavailableError(
                     "The store is unreachable.", not_run=True
                 )
+            if self.is_silent and name != "watch":
+                await anyio.sleep(CALL_TIMEOUT_S)
+                raise StoreUnavailableError("The store did not respond.")
             result = await call(*values, **named)
+            if self.is_silent:
+                await anyio.sleep_forever()
             if self.loses_responses and name == "transact":
                 self.is_unreachable = True
                 raise StoreUnavailableError("The response was lost.")
@@ -248,3 +259,60 @@
             store._peers._apply(record)
         assert count / store._peers.pause_s <= most_calls_per_s
         assert store._peers.pause_s <= 3.0, "peers are found in bounded time"
+
+
+# Guards against requests that are handled as an older configuration says: the
+# watch waited for a store that other calls had found silent.
+def test_watch_at_a_silent_store_goes_on_at_a_peer() -> None:
+    async def steps(
+        stores: list[RelayedStore], connections: list[StoreConnection]
+    ) -> None:
+        revision = await stores[1].put("a", b"one", expected_revision=None)
+        found: list[Record] = []
+
+        async def watch() -> None:
+            deadline = clock.monotonic() + 2 * OUTER_DEADLINE_S
+            result = await stores[0].watch("a", revision, deadline=deadline)
+            found.extend(result.records)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            await anyio.sleep(POLL_S)
+            connections[0].is_silent = True
+            # Another call finds the store silent, and is relayed.
+            assert await stores[0].get("a") is not None
+            await stores[1].put("a", b"two", expected_revision=None)
+            while not found:
+                await anyio.sleep(POLL_S)
+        assert [record.value for record in found] == [b"two"]
+
+    run_with_peers(steps)
+
+
+# Guards against the same once the store responds again: the watch still waited
+# for a peer that had been cut off.
+def test_watch_at_a_silent_peer_goes_on_at_the_store_that_responds() -> None:
+    async def steps(
+        stores: list[RelayedStore], connections: list[StoreConnection]
+    ) -> None:
+        revision = await stores[1].put("a", b"one", expected_revision=None)
+        connections[0].is_unreachable = True
+        connections[1].is_silent = True
+        found: list[Record] = []
+
+        async def watch() -> None:
+            deadline = clock.monotonic() + OUTER_DEADLINE_S
+            result = await stores[0].watch("a", revision, deadline=deadline)
+            found.extend(result.records)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            await anyio.sleep(PEER_WATCH_S / 4)
+            connections[0].is_unreachable = False
+            await connections[0].put("a", b"two", expected_revision=None)
+            with anyio.fail_after(PEER_WATCH_S / 2):
+                while not found:
+                    await anyio.sleep(POLL_S)
+        assert [record.value for record in found] == [b"two"]
+
+    run_with_peers(steps)
