--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -10,29 +10,12 @@
 import msgspec
 
 from plumvane import clock, events
-from plumvane.decoding import decode
 from plumvane.discovery.mirror import OUTAGE_S, Mirror
-from plumvane.discovery.peer_calls import PEER_WATCH_S, register_handlers
+from plumvane.discovery.peer_calls import register_handlers
+from plumvane.discovery.peer_store import PeerEntry, PeerStore
 from plumvane.discovery.registration import Registration
-from plumvane.errors import (
-    DeadlineExceededError,
-    LinkLostError,
-    ProtocolError,
-    StoreUnavailableError,
-)
+from plumvane.errors import StoreUnavailableError
 from plumvane.peers.link import LinkPool
-from plumvane.peers.messages import Done, Message
-from plumvane.peers.messages.stores import (
-    GrantStoreLease,
-    ReadStore,
-    RenewStoreLease,
-    RevokeStoreLease,
-    StoreLease,
-    StoreRecords,
-    StoreWritten,
-    WatchStore,
-    WriteStore,
-)
 from plumvane.peers.server import PeerServer
 from plumvane.store.base import (
     Lease,
@@ -55,50 +38,13 @@
 # outages. A stale entry costs one failed call.
 PEER_TTL_S = 10.0
 PEER_RENEW_S = 3.0
-# Timeout of a peer's reply in addition to the wait of its watch, in seconds.
-PEER_TIMEOUT_S = 1.0
-# Time for which a peer that did not reply is tried last, in seconds; network
-# partitions last several seconds.
-SILENCE_S = 5.0
-# Maximum number of peers tried for one call. It is more than one because a
-# network partition may affect several instances.
-MAX_PEERS_TRIED = 2
 # Interval of the direct probes of an unreachable store, in seconds.
 PROBE_INTERVAL_S = 0.5
 # Nonexistent key that is read to probe the store.
 PROBE_KEY = "plumvane/probe"
 
 
-class PeerEntry(msgspec.Struct, frozen=True):
-    """Entry that an instance registers for its peers.
-
-    Attributes:
-        address: Address for peers.
-        role: Role of the instance.
-    """
-
-    address: str
-    role: str
-
-    def encode(self) -> bytes:
-        """Encodes the entry as a store value."""
-        return msgspec.msgpack.encode(self)
-
-    @classmethod
-    def decode(cls, value: bytes) -> PeerEntry:
-        """Decodes an entry from a store value.
-
-        Raises:
-            msgspec.MsgspecError: The value is not a valid entry.
-        """
-        return decode(_peer_decoder, value)
-
-
-_peer_decoder = msgspec.msgpack.Decoder(PeerEntry)
-
 T = TypeVar("T")
-R = TypeVar("R", bound=Message)
-AddressList = list[str]
 
 
 class RelayedStore(TransactionalStore):
@@ -132,10 +78,12 @@
         self.links = LinkPool(name)
         self.server = PeerServer(listen_address or address)
         self._store = store
-        self._own_name = name
-        self._rng = rng
         # Registered instances, including this one.
         self.peers_by_name: dict[str, PeerEntry] = {}
+        # The store as peers reach it.
+        self.through_peers = PeerStore(
+            self.links, name, self.peers_by_name, rng
+        )
         self._peers = Mirror(
             self, PEER_PREFIX, self._apply_peer, pause_s=MIN_PEER_PAUSE_S
         )
@@ -151,8 +99,6 @@
         self._unreachable = anyio.Event()
         self._unreachable_since = float("-inf")
         self._outage_ended_at = float("-inf")
-        self._last_responding_address = ""
-        self._silent_until_by_address: dict[str, float] = {}
         # Prefixes that were last watched through peers.
         self._relayed_prefixes: set[str] = set()
         register_handlers(self.server, store, self._is_unreachable)
@@ -210,27 +156,14 @@
 
     async def get(self, key: str) -> Record | None:
         """See base class."""
-        message = ReadStore(key)
-
-        async def relay() -> Record | None:
-            reply = await self._call_peer(message, StoreRecords)
-            return reply.records[0] if reply.records else None
-
-        return await self._call(lambda: self._store.get(key), relay)
+        return await self._call(lambda store: store.get(key))
 
     async def list(
         self, prefix: str, *, after_key: str = "", limit: int | None = None
     ) -> WatchResult:
         """See base class."""
-        message = ReadStore(prefix, True, after_key, limit)
-
-        async def relay() -> WatchResult:
-            reply = await self._call_peer(message, StoreRecords)
-            return WatchResult(reply.records, reply.revision)
-
         return await self._call(
-            lambda: self._store.list(prefix, after_key=after_key, limit=limit),
-            relay,
+            lambda store: store.list(prefix, after_key=after_key, limit=limit)
         )
 
     async def watch(
@@ -238,22 +171,16 @@
     ) -> WatchResult:
         """See base class; returns early if it is relayed by a peer."""
 
-        async def direct() -> WatchResult:
-            self._record_watch_source(prefix, is_relayed=False)
-            return await self._store.watch(
-                prefix, after_revision, deadline=deadline
-            )
+        def watch(store: TransactionalStore) -> Awaitable[WatchResult]:
+            self._record_watch_source(prefix, store)
+            return store.watch(prefix, after_revision, deadline=deadline)
 
-        async def relay() -> WatchResult:
-            self._record_watch_source(prefix, is_relayed=True)
-            wait_s = min(clock.remaining(deadline), PEER_WATCH_S)
-            message = WatchStore(prefix, after_revision, clock.wall() + wait_s)
-            reply = await self._call_peer(message, StoreRecords, wait_s)
-            return WatchResult(reply.records, reply.revision)
+        return await self._call(watch)
 
-        return await self._call(direct, relay)
-
-    def _record_watch_source(self, prefix: str, *, is_relayed: bool) -> None:
+    def _record_watch_source(
+        self, prefix: str, store: TransactionalStore
+    ) -> None:
+        is_relayed = store is self.through_peers
         if is_relayed == (prefix in self._relayed_prefixes):
             return
         if is_relayed:
@@ -270,73 +197,48 @@
         self, writes: Sequence[Write], *, expected_by_key: Mapping[str, int]
     ) -> int:
         """See base class."""
-        message = WriteStore(tuple(writes), dict(expected_by_key))
-
-        async def relay() -> int:
-            return (await self._call_peer(message, StoreWritten)).revision
-
         return await self._call(
-            lambda: self._store.transact(
+            lambda store: store.transact(
                 writes, expected_by_key=expected_by_key
             ),
-            relay,
             is_repeatable=False,
         )
 
     async def grant_lease(self, ttl_s: float) -> Lease:
         """See base class."""
-
-        async def relay() -> Lease:
-            return _lease(
-                await self._call_peer(GrantStoreLease(ttl_s), StoreLease)
-            )
-
-        return await self._call(lambda: self._store.grant_lease(ttl_s), relay)
+        return await self._call(lambda store: store.grant_lease(ttl_s))
 
     async def renew_lease(self, lease_id: str) -> Lease:
         """See base class."""
-
-        async def relay() -> Lease:
-            message = RenewStoreLease(lease_id)
-            return _lease(await self._call_peer(message, StoreLease))
-
-        return await self._call(
-            lambda: self._store.renew_lease(lease_id), relay
-        )
+        return await self._call(lambda store: store.renew_lease(lease_id))
 
     async def revoke_lease(self, lease_id: str) -> None:
         """See base class."""
-
-        async def relay() -> None:
-            await self._call_peer(RevokeStoreLease(lease_id), Done)
-
-        await self._call(lambda: self._store.revoke_lease(lease_id), relay)
+        await self._call(lambda store: store.revoke_lease(lease_id))
 
     # Direct and relayed calls
 
     async def _call(
         self,
-        direct: Callable[[], Awaitable[T]],
-        relay: Callable[[], Awaitable[T]],
+        call: Callable[[TransactionalStore], Awaitable[T]],
         *,
         is_repeatable: bool = True,
     ) -> T:
         """Calls the store, or a peer if the store is unreachable.
 
         Args:
-            direct: Calls the store directly.
-            relay: Relays the call through a peer.
+            call: Makes the call at the given store.
             is_repeatable: Whether the call may be repeated if it may already
                 have been executed.
         """
         if not self._is_unreachable():
             try:
-                return await direct()
+                return await call(self._store)
             except StoreUnavailableError as error:
                 self._record_unreachable(error)
                 if not (is_repeatable or error.not_run):
                     raise
-        return await relay()
+        return await call(self.through_peers)
 
     def _record_unreachable(self, error: StoreUnavailableError) -> None:
         if not self._unreachable.is_set():
@@ -363,79 +265,3 @@
         except StoreUnavailableError:
             return False
         return True
-
-    async def _call_peer(
-        self, message: Message, kind: type[R], wait_s: float = 0.0
-    ) -> R:
-        """Relays a call through a peer.
-
-        Raises:
-            StoreUnavailableError: No peer can reach the store; unless
-                `not_run` is set, a peer may have executed the call.
-        """
-        is_not_run = True
-        for address in self._peers_by_preference()[:MAX_PEERS_TRIED]:
-            sent_at = clock.monotonic()
-            deadline = sent_at + wait_s + PEER_TIMEOUT_S
-            try:
-                reply = await self.links.call(
-                    address, message, deadline=deadline
-                )
-            except StoreUnavailableError as error:
-                is_not_run = is_not_run and error.not_run
-            except (DeadlineExceededError, LinkLostError) as error:
-                is_not_run = False
-                self._record_silence(address)
-                events.log(
-                    events.Event.STORE_PEER_SILENT,
-                    peer=address,
-                    call=type(message).__name__,
-                    after_s=round(clock.monotonic() - sent_at, 2),
-                    error=error.detail,
-                )
-            else:
-                if not isinstance(reply, kind):
-                    raise ProtocolError(
-                        f"Unexpected reply {type(reply).__name__} from a peer."
-                    )
-                self._last_responding_address = address
-                return reply
-            if isinstance(message, WriteStore) and not is_not_run:
-                break
-        raise StoreUnavailableError(
-            "Neither the store nor any peer responds.", not_run=is_not_run
-        )
-
-    def _record_silence(self, address: str) -> None:
-        now = clock.monotonic()
-        self._silent_until_by_address = {
-            other: until
-            for other, until in self._silent_until_by_address.items()
-            if until > now
-        }
-        self._silent_until_by_address[address] = now + SILENCE_S
-
-    def _peers_by_preference(self) -> AddressList:
-        """Returns the addresses of peers in the order in which to try them.
-
-        The last one that replied comes first, silent ones last.
-        """
-        addresses = [
-            entry.address
-            for name, entry in self.peers_by_name.items()
-            if name != self._own_name
-        ]
-        self._rng.shuffle(addresses)
-        now = clock.monotonic()
-        addresses.sort(
-            key=lambda address: (
-                self._silent_until_by_address.get(address, 0.0) > now,
-                address != self._last_responding_address,
-            )
-        )
-        return addresses
-
-
-def _lease(reply: StoreLease) -> Lease:
-    wait_s = reply.deadline - clock.wall()
-    return Lease(reply.lease_id, clock.monotonic() + wait_s)
