End waiting watches when the store falls silent or responds again

Callers got 404 for a route of an acknowledged configuration, and were served by routes that it had removed, at a gateway that the store did not answer.

Cause: a watch that waits is not ended when other calls of the process find the store silent, so that the prefix is followed nowhere for up to 26.5 s while these calls go through peers; and a watch that waits at a peer is not ended when the store responds again.

Change: RelayedStore ends waiting watches when a call gets no response, and once an outage of a second or more is over, and makes the call again without waiting. A store that refuses calls also refuses those that wait, so that refusals end none.

--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -14,7 +14,7 @@
 from plumvane.discovery.peer_calls import register_handlers
 from plumvane.discovery.peer_store import PeerEntry, PeerStore
 from plumvane.discovery.registration import Registration
-from plumvane.errors import StoreUnavailableError
+from plumvane.errors import PlumvaneError, StoreUnavailableError
 from plumvane.peers.link import LinkPool
 from plumvane.peers.server import PeerServer
 from plumvane.store.base import (
@@ -99,6 +99,8 @@
         self._unreachable = anyio.Event()
         self._unreachable_since = float("-inf")
         self._outage_ended_at = float("-inf")
+        # Set when the store is found silent or responds again, then replaced.
+        self._path_changed = anyio.Event()
         # Prefixes that were last watched through peers.
         self._relayed_prefixes: set[str] = set()
         register_handlers(self.server, store, self._is_unreachable)
@@ -169,12 +171,24 @@
     async def watch(
         self, prefix: str, after_revision: int, *, deadline: float
     ) -> WatchResult:
-        """See base class; returns early if it is relayed by a peer."""
+        """See base class; returns early if it is relayed by a peer.
+
+        It also returns early if the store is found silent, or responds again,
+        while it waits: the response may be lost although its connection lives.
+        """
+        ends_at = deadline
 
         def watch(store: TransactionalStore) -> Awaitable[WatchResult]:
             self._record_watch_source(prefix, store)
-            return store.watch(prefix, after_revision, deadline=deadline)
+            return store.watch(prefix, after_revision, deadline=ends_at)
 
+        if clock.remaining(deadline) > 0:
+            result = await _unless(
+                self._path_changed, lambda: self._call(watch)
+            )
+            if result is not None:
+                return result
+            ends_at = clock.monotonic()
         return await self._call(watch)
 
     def _record_watch_source(
@@ -245,6 +259,13 @@
             self._unreachable.set()
             self._unreachable_since = clock.monotonic()
             events.log(events.Event.STORE_CUT, error=error.detail)
+            # A store that refuses calls also ends those that wait.
+            if not error.not_run:
+                self._end_waits()
+
+    def _end_waits(self) -> None:
+        self._path_changed.set()
+        self._path_changed = anyio.Event()
 
     async def _probe(self) -> None:
         while True:
@@ -252,10 +273,12 @@
             # The first probe is immediate: the store may close waiting watches
             # and still serve other calls.
             if await self._can_reach_store():
-                if self._is_outage():
-                    self._outage_ended_at = clock.monotonic()
+                was_outage = self._is_outage()
                 self._unreachable = anyio.Event()
                 events.log(events.Event.STORE_REACHED)
+                if was_outage:
+                    self._outage_ended_at = clock.monotonic()
+                    self._end_waits()
             else:
                 await anyio.sleep(PROBE_INTERVAL_S)
 
@@ -265,3 +288,29 @@
         except StoreUnavailableError:
             return False
         return True
+
+
+async def _unless(
+    event: anyio.Event, call: Callable[[], Awaitable[T]]
+) -> T | None:
+    """Returns the result of a call, or None if the event is set before.
+
+    A call that sets the event itself is ended as well.
+    """
+    result: T | None = None
+    failure: PlumvaneError | None = None
+
+    async def end_call() -> None:
+        await event.wait()
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(end_call)
+        try:
+            result = await call()
+        except PlumvaneError as error:
+            failure = error
+        group.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    return result
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -19,7 +19,8 @@
 # The platform's bound on the time from the acknowledgement of a configuration
 # until it is in force, in seconds.
 APPLY_S = 2.0
-# Time for which the gateways run undisturbed before, so that their watches wait.
+# Time for which the gateways run undisturbed before, in seconds; their watches
+# wait then.
 SETTLING_S = 2.0
 PAUSE_S = 0.1
 CALL_TIMEOUT_S = 3.0
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -10,8 +10,15 @@
 import anyio
 
 from plumvane import clock
+from plumvane.discovery import mirror
+from plumvane.discovery.mirror import OUTAGE_S, Mirror
 from plumvane.discovery.peer_calls import PEER_WATCH_S
-from plumvane.discovery.relayed import PEER_PREFIX, PeerEntry, RelayedStore
+from plumvane.discovery.relayed import (
+    PEER_PREFIX,
+    PROBE_INTERVAL_S,
+    PeerEntry,
+    RelayedStore,
+)
 from plumvane.errors import ConflictError, StoreUnavailableError
 from plumvane.store.base import ABSENT, Record, Write
 from plumvane.store.memory import MemoryStore
@@ -261,30 +268,49 @@
         assert store._peers.pause_s <= 3.0, "peers are found in bounded time"
 
 
+async def run_with_mirror(
+    store: RelayedStore, steps: Callable[[list[bytes]], Awaitable[None]]
+) -> None:
+    """Runs steps while a mirror follows the key `a`.
+
+    Its first watch is short, the others are long.
+    """
+    values: list[bytes] = []
+    waits_s = iter([2 * POLL_S])
+    copy = Mirror(
+        store,
+        "a",
+        lambda record: values.append(record.value),
+        watch_s=lambda: next(waits_s, mirror.WATCH_S),
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(copy.run)
+        await copy.loaded.wait()
+        await steps(values)
+        group.cancel_scope.cancel()
+
+
+async def wait_for(values: list[bytes], value: bytes) -> None:
+    while value not in values:
+        await anyio.sleep(POLL_S)
+
+
 # Guards against requests that are handled as an older configuration says: the
 # watch waited for a store that other calls had found silent.
 def test_watch_at_a_silent_store_goes_on_at_a_peer() -> None:
     async def steps(
         stores: list[RelayedStore], connections: list[StoreConnection]
     ) -> None:
-        revision = await stores[1].put("a", b"one", expected_revision=None)
-        found: list[Record] = []
-
-        async def watch() -> None:
-            deadline = clock.monotonic() + 2 * OUTER_DEADLINE_S
-            result = await stores[0].watch("a", revision, deadline=deadline)
-            found.extend(result.records)
-
-        async with anyio.create_task_group() as group:
-            group.start_soon(watch)
-            await anyio.sleep(POLL_S)
+        async def change_in_silence(values: list[bytes]) -> None:
+            await anyio.sleep(10 * POLL_S)
             connections[0].is_silent = True
             # Another call finds the store silent, and is relayed.
-            assert await stores[0].get("a") is not None
-            await stores[1].put("a", b"two", expected_revision=None)
-            while not found:
-                await anyio.sleep(POLL_S)
-        assert [record.value for record in found] == [b"two"]
+            assert await stores[0].get("a") is None
+            await stores[1].put("a", b"one", expected_revision=None)
+            with anyio.fail_after(mirror.WATCH_S / 2):
+                await wait_for(values, b"one")
+
+        await run_with_mirror(stores[0], change_in_silence)
 
     run_with_peers(steps)
 
@@ -295,24 +321,19 @@
     async def steps(
         stores: list[RelayedStore], connections: list[StoreConnection]
     ) -> None:
-        revision = await stores[1].put("a", b"one", expected_revision=None)
-        connections[0].is_unreachable = True
-        connections[1].is_silent = True
-        found: list[Record] = []
-
-        async def watch() -> None:
-            deadline = clock.monotonic() + OUTER_DEADLINE_S
-            result = await stores[0].watch("a", revision, deadline=deadline)
-            found.extend(result.records)
-
-        async with anyio.create_task_group() as group:
-            group.start_soon(watch)
-            await anyio.sleep(PEER_WATCH_S / 4)
+        async def change_after_outage(values: list[bytes]) -> None:
+            connections[0].is_unreachable = True
+            await anyio.sleep(OUTAGE_S)
+            calls = connections[1].calls
+            while connections[1].calls == calls:
+                await anyio.sleep(POLL_S)
+            # The peer that has just begun to relay the watch gets no response.
+            connections[1].is_silent = True
             connections[0].is_unreachable = False
-            await connections[0].put("a", b"two", expected_revision=None)
-            with anyio.fail_after(PEER_WATCH_S / 2):
-                while not found:
-                    await anyio.sleep(POLL_S)
-        assert [record.value for record in found] == [b"two"]
+            await connections[0].put("a", b"one", expected_revision=None)
+            with anyio.fail_after(PEER_WATCH_S / 2 + PROBE_INTERVAL_S):
+                await wait_for(values, b"one")
+
+        await run_with_mirror(stores[0], change_after_outage)
 
     run_with_peers(steps)
