Refuse a request without a route only by a confirmed configuration

Callers got 404 for routes of a configuration that the store had acknowledged 2 s to 22 s before.

Cause: a gateway took its configuration for current while nothing had failed, but a watch whose response is lost does not fail. 404 says that no configuration in force has the route, and the gateway did not know that.

Change: a gateway without a route for a request reads the configuration, unless it has within the time in which changes take effect. Requests share the reads, 0.3 s apart at least, as those with unknown keys do already; the code for that moves from Access to ConfigurationCheck. If the read fails, the answer is 503, not run. A read that finds a newer configuration also ends the watch that has not reported it.

--- a/plumvane/discovery/mirror.py
+++ b/plumvane/discovery/mirror.py
@@ -8,7 +8,7 @@
 
 from plumvane import clock, events
 from plumvane.errors import HistoryLostError, PlumvaneError
-from plumvane.store.base import Record, Store
+from plumvane.store.base import Record, Store, WatchResult
 
 __all__ = ["OUTAGE_S", "WATCH_S", "Mirror"]
 
@@ -67,6 +67,7 @@
         self.pause_s = pause_s
         self._watch_s = watch_s
         self._revision: int | None = None
+        self._waiting: anyio.CancelScope | None = None
 
     @property
     def revision(self) -> int | None:
@@ -114,13 +115,17 @@
         # reveal that the store responds only when a key changes.
         wait_s = 0.0 if self.is_failing else self._watch_s()
         sent_at = clock.monotonic()
-        self.waiting_since = sent_at
-        try:
-            result = await self._store.watch(
-                self._prefix, revision, deadline=sent_at + wait_s
-            )
-        finally:
-            self.waiting_since = None
+        result: WatchResult | None = None
+        with anyio.CancelScope() as self._waiting:
+            self.waiting_since = sent_at
+            try:
+                result = await self._store.watch(
+                    self._prefix, revision, deadline=sent_at + wait_s
+                )
+            finally:
+                self.waiting_since = None
+        if result is None:
+            return
         self._record_success()
         for record in result.records:
             self._apply(record)
@@ -129,6 +134,15 @@
         if result.records:
             await anyio.sleep(self.pause_s)
 
+    def end_wait(self) -> None:
+        """Begins a new watch in place of one that waits.
+
+        The response to a watch that has not reported a change that is known
+        otherwise may be lost.
+        """
+        if self.waiting_since is not None and self._waiting is not None:
+            self._waiting.cancel()
+
     def _apply(self, record: Record) -> None:
         known = self.records_by_key.get(record.key)
         if known is not None and known.revision >= record.revision:
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -134,6 +134,9 @@
         sent_at = clock.monotonic()
         record = await self._store.get(names.CONFIGURATION_KEY)
         if record is not None:
+            known = self.operator_keys.records_by_key.get(record.key)
+            if known is None or known.revision < record.revision:
+                self.operator_keys.end_wait()
             self._apply_configuration(record)
         self._configuration_read_at = sent_at
 
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -143,7 +143,7 @@
     REQUEST_REFUSED = (4103, "A request was rejected; it has not run.")
     CONFIGURATION_UNCONFIRMED = (
         4121,
-        "The configuration could not be read to judge an unknown key.",
+        "The configuration could not be read for a request that needs it current.",
     )
     ACCESS_REFUSED = (
         4120,
--- a/plumvane/gateway/access.py
+++ b/plumvane/gateway/access.py
@@ -6,15 +6,10 @@
 import math
 import secrets
 
-import anyio
-
 from plumvane import clock, events, metrics
 from plumvane.discovery.view import FleetView
-from plumvane.errors import (
-    PlumvaneError,
-    StoreUnavailableError,
-    UnauthorizedError,
-)
+from plumvane.errors import StoreUnavailableError, UnauthorizedError
+from plumvane.gateway.confirmation import ConfigurationCheck
 from plumvane.metrics import Metric
 from plumvane.platform.requests import CallerRequest
 from plumvane.serving.routes import Route
@@ -25,12 +20,6 @@
 # Retry-After of requests whose key cannot be judged, in seconds; another
 # instance may know it at once.
 RETRY_AFTER_S = 0.5
-# Shortest interval of the looks at the store for unknown keys, in seconds: all
-# requests that wait share the next one.
-LOOK_INTERVAL_S = 0.3
-# Time limit of a look at the store, in seconds; one that is slow answers in
-# less. Callers wait longer for an answer.
-LOOK_TIMEOUT_S = 1.0
 # Size of what stands for a key in the log, in bytes.
 LOGGED_BYTES = 4
 
@@ -42,22 +31,26 @@
     so an instance looks there once more before it calls a key unknown.
     """
 
-    def __init__(self, view: FleetView, max_age_s: float = math.inf) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        max_age_s: float = math.inf,
+        check: ConfigurationCheck | None = None,
+    ) -> None:
         """Creates the access check.
 
         Args:
             view: Current routes and teams.
             max_age_s: Greatest age in seconds of a configuration whose keys are
                 accepted; infinite if the last one known stays in force.
+            check: Reads the configuration when that is needed; a new one by
+                default.
         """
         self._view = view
+        self._check = check or ConfigurationCheck(view)
         self._max_age_s = max_age_s
         # Makes the logged hashes of keys useless outside this process.
         self._log_secret = secrets.token_bytes(16)
-        self._looking = anyio.Lock()
-        self._next_look_at = float("-inf")
-        # Monotonic time at which the last look that failed was begun.
-        self._failed_at = float("-inf")
 
     async def identify(
         self, request: CallerRequest, route: Route | None
@@ -120,11 +113,7 @@
         Raises:
             StoreUnavailableError: Whether it has them is not known.
         """
-        asked_at = clock.monotonic()
-        if not self._view.operator_keys.is_failing:
-            async with self._looking:
-                await self._look(since, asked_at)
-        if self._view.configuration_current_at() >= since:
+        if await self._check.confirm_since(since):
             return
         self._log_refusal(request, "unconfirmed")
         raise StoreUnavailableError(
@@ -134,27 +123,6 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
-    async def _look(self, since: float, asked_at: float) -> None:
-        """Reads the configuration, unless another request's look did.
-
-        Args:
-            since: Monotonic time in seconds from which on a look suffices.
-            asked_at: The same for one that failed: when the request came.
-        """
-        if self._view.configuration_current_at() >= since:
-            return
-        if self._failed_at >= asked_at:
-            return
-        await anyio.sleep(max(0.0, clock.remaining(self._next_look_at)))
-        began_at = clock.monotonic()
-        self._next_look_at = began_at + LOOK_INTERVAL_S
-        try:
-            with anyio.fail_after(LOOK_TIMEOUT_S):
-                await self._view.read_configuration()
-        except (PlumvaneError, TimeoutError) as error:
-            self._failed_at = began_at
-            events.log(events.Event.CONFIGURATION_UNCONFIRMED, error=str(error))
-
     def _log_refusal(self, request: CallerRequest, outcome: str) -> None:
         metrics.add(Metric.ACCESS, outcome=outcome)
         routes = self._view.routes
--- a/plumvane/gateway/app.py
+++ b/plumvane/gateway/app.py
@@ -14,6 +14,7 @@
     StoreUnavailableError,
 )
 from plumvane.gateway.access import Access
+from plumvane.gateway.confirmation import ConfigurationCheck
 from plumvane.gateway.exchange import (
     CallerDisconnectedError,
     Exchange,
@@ -31,6 +32,8 @@
 
 __all__ = ["GatewayApp", "ReadinessApp"]
 
+# Default of the time in seconds within which a configuration takes effect.
+APPLY_S = 2.0
 # Retry-After of requests rejected for want of a current configuration, in
 # seconds; the start of an instance takes about one.
 RETRY_AFTER_S = 0.5
@@ -54,6 +57,8 @@
         quotas: Quotas | None = None,
         access: Access | None = None,
         memory: MemoryBound | None = None,
+        check: ConfigurationCheck | None = None,
+        apply_s: float = APPLY_S,
     ) -> None:
         """Creates the application.
 
@@ -64,9 +69,15 @@
             quotas: Quotas of teams; None if none is limited.
             access: Identifies teams; None for one with the defaults.
             memory: Bound of what is held for callers; None for none.
+            check: Reads the configuration when that is needed; a new one by
+                default.
+            apply_s: Time in seconds within which a configuration that the store
+                has acknowledged takes effect.
         """
         self.is_draining = False
         self._view = view
+        self._check = check or ConfigurationCheck(view)
+        self._apply_s = apply_s
         self._forwarder = forwarder
         self._jobs = jobs
         self._access = access or Access(view)
@@ -161,7 +172,7 @@
                 await self._jobs.serve(exchange, call, team)
                 return
             raise IncompleteResponseError("the caller does not read it")
-        route = self._match_route(exchange)
+        route = await self._match_route(exchange, received_at)
         exchange.kind = route.kind.value
         team = await self._identify(exchange, route)
         if route.kind is RouteKind.BATCH:
@@ -223,9 +234,24 @@
             )
         return self._view.routes
 
-    def _match_route(self, exchange: Exchange) -> Route:
+    async def _match_route(
+        self, exchange: Exchange, received_at: float
+    ) -> Route:
+        """Returns the route of a request.
+
+        Raises:
+            NotFoundError: No configuration that has been in effect at the time
+                of the request has one.
+            StoreUnavailableError: Whether a newer one has is not known.
+        """
         request = exchange.request
         route = self._current_routes().match(request.host, request.path)
+        if route is not None:
+            return route
+        is_current = await self._check.confirm_since(
+            received_at - self._apply_s
+        )
+        route = self._current_routes().match(request.host, request.path)
         if route is not None:
             return route
         events.log(
@@ -235,7 +261,7 @@
             path=request.path,
             **self._view.describe_configuration(),
         )
-        if self._view.operator_keys.is_failing:
+        if not is_current or self._view.operator_keys.is_failing:
             raise StoreUnavailableError(
                 "No route matches the host and path, but the configuration "
                 "may be out of date.",
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -19,6 +19,7 @@
 from plumvane.gateway.access import Access
 from plumvane.gateway.admission import Admission, InTimeAdmission
 from plumvane.gateway.app import GatewayApp, ReadinessApp
+from plumvane.gateway.confirmation import ConfigurationCheck
 from plumvane.gateway.forwarder import Forwarder
 from plumvane.gateway.jobs import BatchJobHandler
 from plumvane.gateway.memory import MemoryBound
@@ -85,13 +86,16 @@
     memory = None
     if terms.has_scarce_places and settings.memory.limit_mb:
         memory = MemoryBound(settings.memory.limit_mb)
+    check = ConfigurationCheck(view)
     app = GatewayApp(
         view,
         forwarder,
         job_handler,
         quotas=quotas,
-        access=Access(view, max_age_s),
+        access=Access(view, max_age_s, check),
         memory=memory,
+        check=check,
+        apply_s=settings.routes.apply_ms / 1000,
     )
     readiness_app = ReadinessApp(view)
     callers, balancer = settings.callers, settings.balancer
--- a/tests/test_gateway_app.py
+++ b/tests/test_gateway_app.py
@@ -31,6 +31,8 @@
 from tests.gateways import SERVICE, make_listed_upstream, make_route
 
 OUTER_DEADLINE_S = 15.0
+# Time within which a configuration takes effect, in seconds.
+APPLY_S = 0.2
 JOB = {
     "items": [
         {"id": f"i{n}", "path": "/b/x", "headers": {}, "body": "Ym9keQ=="}
@@ -80,6 +82,7 @@
                 rng,
             ),
             BatchJobHandler(jobs, JobReader(jobs, None)),
+            apply_s=APPLY_S,
         )
 
     def configure(self) -> None:
@@ -201,7 +204,6 @@
         store = CountingStore()
         app = App(store)
         app.configure()
-        app.view.routes_confirmed_within_s = 0.2
         route = {
             "name": "new",
             "host": "h",
@@ -222,7 +224,7 @@
         for _ in range(5):
             assert (await app.call("POST", "/none/x"))[0] == 404
         assert store.reads <= 1, "one read is enough for some time"
-        await anyio.sleep(0.3)
+        await anyio.sleep(2 * APPLY_S)
         store.is_silent = True
         assert (await app.call("POST", "/none/x"))[0] == 503
 
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -25,6 +25,7 @@
     UnauthorizedError,
 )
 from plumvane.gateway import access as access_module
+from plumvane.gateway import confirmation
 from plumvane.gateway.access import Access
 from plumvane.platform.configuration import decode_configuration
 from plumvane.platform.requests import (
@@ -261,7 +262,7 @@
                 )
                 await anyio.sleep(0.001)
         took_s = clock.monotonic() - began_at
-        assert checker.store.gets <= 2 + took_s / access_module.LOOK_INTERVAL_S
+        assert checker.store.gets <= 2 + took_s / confirmation.READ_INTERVAL_S
 
     run_steps(steps)
 
@@ -292,7 +293,7 @@
                 )
         # A look that fails counts for all that waited for it.
         assert checker.store.gets == 1
-        assert clock.monotonic() - began_at < access_module.LOOK_TIMEOUT_S
+        assert clock.monotonic() - began_at < confirmation.READ_TIMEOUT_S
 
     run_steps(steps)
 
@@ -340,7 +341,7 @@
         assert await checker.team("", PUBLIC) is None
         checker.store.is_silent = False
         await checker.store.configure(2, BLUE)
-        await anyio.sleep(access_module.LOOK_INTERVAL_S)
+        await anyio.sleep(confirmation.READ_INTERVAL_S)
         await raised(UnauthorizedError, checker.team(KEY))
         assert await checker.team(OTHER_KEY) == "blue"
 
