Tell gateways which configuration the workers know

Callers were served by a route that the configuration had removed 2 s to 4.5 s before, at a gateway that the store did not answer: a lost response to a watch has no sign until another call fails, and requests with a route read nothing.

Change: each worker tells the store's revision of the newest configuration that it knows with the loads that it streams to all instances, at the start and after each change. An instance that does not have it 0.35 s later reads it through a peer, or from the store if no peer responds, and ends the watch that has not reported it. No call of the store is made where the watch works. An instance of the build before ignores the new field.

--- a/plumvane/discovery/connect.py
+++ b/plumvane/discovery/connect.py
@@ -64,6 +64,7 @@
         operator_watch_s=operator_watch_s,
         outage_ended_at=store.outage_ended_at,
         crossing=_crossing(settings.data_centres),
+        through_peers=store.through_peers,
     )
     return store, view
 
--- a/plumvane/discovery/loads.py
+++ b/plumvane/discovery/loads.py
@@ -40,6 +40,7 @@
         on_message: Callable[[Message], None],
         *,
         is_worker: bool = False,
+        on_configuration: Callable[[int], None] = lambda revision: None,
     ) -> None:
         """Creates the follower.
 
@@ -51,12 +52,15 @@
                 loads.
             is_worker: Whether this instance is a worker, which also gets the
                 items that other workers run.
+            on_configuration: Called with the store's revision of the newest
+                configuration that a worker knows.
         """
         self._name = name
         self._is_worker = is_worker
         self._peers = peers
         self._upstreams = upstreams
         self._on_message = on_message
+        self._on_configuration = on_configuration
         self._followed_addresses: set[str] = set()
 
     async def run(self) -> None:
@@ -99,6 +103,8 @@
         if not isinstance(part, UpstreamLoads):
             self._on_message(part)
             return
+        if part.configuration_revision:
+            self._on_configuration(part.configuration_revision)
         now = clock.monotonic()
         for row in part.loads:
             upstream = self._upstreams.upstreams_by_id.get(row.upstream_id)
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -10,7 +10,11 @@
 
 from plumvane import clock, events
 from plumvane.discovery.mirror import WATCH_S, Mirror
-from plumvane.errors import ConfigurationError, ProtocolError
+from plumvane.errors import (
+    ConfigurationError,
+    PlumvaneError,
+    ProtocolError,
+)
 from plumvane.platform import names
 from plumvane.platform.configuration import decode_configuration
 from plumvane.platform.listing import decode_upstream
@@ -31,6 +35,11 @@
 # Time after an outage of the store in which an entry that expired during it may
 # be registered again, in seconds. The platform documents about two seconds.
 REREGISTRATION_TIMEOUT_S = 2.3
+# Time after which a configuration that a worker has told is read if its watch
+# has not reported it, in seconds, besides the delay between two reads; delay
+# after a failed read.
+TOLD_MARGIN_S = 0.1
+TOLD_RETRY_S = 0.25
 # Interval of the check for upstreams that were not registered again in time,
 # in seconds.
 CHECK_INTERVAL_S = 0.25
@@ -50,6 +59,7 @@
         operator_watch_s: float = WATCH_S,
         outage_ended_at: Callable[[], float] = lambda: float("-inf"),
         crossing: Crossing | None = None,
+        through_peers: Store | None = None,
     ) -> None:
         """Creates an empty view.
 
@@ -66,15 +76,25 @@
                 last outage of the store ended, infinite while it lasts.
             crossing: What it costs to leave the data centre; None if that is
                 only left between equals.
+            through_peers: The store as peers reach it; None if there are none.
         """
         self._store = store
+        self._through_peers = through_peers
         self._outage_ended_at = outage_ended_at
         self._configuration_read_at = float("-inf")
+        # The store's revisions of the newest configuration that was received,
+        # and of the newest that a worker has told.
+        self._received_revision = 0
+        self._told_revision = 0
+        self._told = anyio.Event()
+        self._told_delay_s = operator_pause_s + TOLD_MARGIN_S
         self.routes: RouteTable | None = None
         self.upstreams = UpstreamTable(data_centre, rng, crossing)
         self.versions = VersionHistory()
         # Called when the listed versions of a service change.
         self.on_versions_change: Callable[[], None] = lambda: None
+        # Called with the store's revision of each configuration received.
+        self.on_configuration: Callable[[int], None] = lambda revision: None
         # Called with each change of an operators' key other than the
         # configuration.
         self.on_operator_change: Callable[[Record], None] = _ignore
@@ -125,27 +145,67 @@
             "wait_s": _age_s(waiting_since, now),
         }
 
-    async def read_configuration(self) -> None:
+    async def read_configuration(self, store: Store | None = None) -> None:
         """Reads the configuration once, without waiting for its watch.
 
+        Args:
+            store: Where to read it; by default the store, or a peer if the
+                store does not respond.
+
         Raises:
             PlumvaneError: Neither the store nor a peer responds.
         """
         sent_at = clock.monotonic()
-        record = await self._store.get(names.CONFIGURATION_KEY)
+        record = await (store or self._store).get(names.CONFIGURATION_KEY)
         if record is not None:
-            known = self.operator_keys.records_by_key.get(record.key)
-            if known is None or known.revision < record.revision:
+            if record.revision > self._received_revision:
                 self.operator_keys.end_wait()
             self._apply_configuration(record)
         self._configuration_read_at = sent_at
 
+    def record_told_configuration(self, revision: int) -> None:
+        """Records that a worker knows a configuration.
+
+        It is read if the watch for it does not report it soon.
+
+        Args:
+            revision: The store's revision of the configuration.
+        """
+        if revision > max(self._told_revision, self._received_revision):
+            self._told_revision = revision
+            self._told.set()
+
+    async def _read_told(self) -> None:
+        while True:
+            await self._told.wait()
+            self._told = anyio.Event()
+            await anyio.sleep(self._told_delay_s)
+            # A worker that has it reaches the store; this process may not.
+            store = self._through_peers
+            while self._received_revision < self._told_revision:
+                events.log(
+                    events.Event.CONFIGURATION_BEHIND,
+                    told=self._told_revision,
+                    received=self._received_revision,
+                    **self.describe_configuration(),
+                )
+                try:
+                    await self.read_configuration(store)
+                    self._told_revision = self._received_revision
+                except PlumvaneError as error:
+                    events.log(
+                        events.Event.CONFIGURATION_UNCONFIRMED, error=str(error)
+                    )
+                    store = None
+                    await anyio.sleep(TOLD_RETRY_S)
+
     async def run(self) -> None:
         """Follows the store until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self.operator_keys.run)
             group.start_soon(self._entries.run)
             group.start_soon(self._remove_missing)
+            group.start_soon(self._read_told)
 
     async def _remove_missing(self) -> None:
         while True:
@@ -173,8 +233,10 @@
             self.on_operator_change(record)
 
     def _apply_configuration(self, record: Record) -> None:
-        if record.deleted:
+        if record.deleted or record.revision <= self._received_revision:
             return
+        self._received_revision = record.revision
+        self.on_configuration(record.revision)
         try:
             routes = decode_configuration(record.value)
         except ConfigurationError as error:
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -143,7 +143,8 @@
     REQUEST_REFUSED = (4103, "A request was rejected; it has not run.")
     CONFIGURATION_UNCONFIRMED = (
         4121,
-        "The configuration could not be read for a request that needs it current.",
+        "The configuration could not be read for a request that depends on "
+        "its age.",
     )
     ACCESS_REFUSED = (
         4120,
@@ -252,6 +253,11 @@
     CONFIGURATION_CHANGED = (8002, "An operator's change is accepted.")
     CONFIGURATION_REFUSED = (8003, "An operator's change is rejected.")
     CONFIGURATION_UNREADABLE = (8004, "This instance cannot decode a revision.")
+    CONFIGURATION_BEHIND = (
+        8006,
+        "A worker knows a newer configuration than this instance, which reads "
+        "it.",
+    )
     AUDIT_RECORD_DROPPED = (
         8005,
         "A refusal's audit record was dropped; too many wait for the store.",
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -106,7 +106,11 @@
         readiness_app, web.bind(balancer.address.host, balancer.address.port)
     )
     loads = LoadFollower(
-        settings.process.name, store, view.upstreams, quarantine.apply
+        settings.process.name,
+        store,
+        view.upstreams,
+        quarantine.apply,
+        on_configuration=view.record_told_configuration,
     )
     async with anyio.create_task_group() as group:
         for task in (
--- a/plumvane/peers/messages/loads.py
+++ b/plumvane/peers/messages/loads.py
@@ -21,7 +21,8 @@
     """Subscribes to the loads that a worker reads.
 
     The reply consists of `UpstreamLoads` parts, until the call is cancelled;
-    workers get `RunningItems` as well.
+    workers get `RunningItems` as well. The first part, and one after each
+    change, tells the configuration.
 
     Attributes:
         is_worker: Whether the subscriber is a worker.
@@ -66,9 +67,12 @@
 
     Attributes:
         loads: Loads of some upstreams.
+        configuration_revision: The store's revision of the newest configuration
+            that the worker knows; 0 if it is as last told.
     """
 
     loads: tuple[UpstreamLoad, ...]
+    configuration_revision: int = 0
 
 
 class ItemCount(msgspec.Struct, frozen=True, array_like=True):
--- a/plumvane/worker/feed.py
+++ b/plumvane/worker/feed.py
@@ -38,6 +38,7 @@
     def __init__(self) -> None:
         """Creates a feed without subscribers."""
         self.snapshot: Callable[[], Iterable[Message]] = tuple
+        self._configuration_revision = 0
         self._calls: set[Call] = set()
         self._worker_calls: set[Call] = set()
         # Paces that were told last, by upstream that this worker reads.
@@ -112,6 +113,15 @@
             ]
             self.publish(SilentUpstreams(tuple(rows)))
 
+    def send_configuration(self, revision: int) -> None:
+        """Tells all subscribers which configuration this worker knows.
+
+        Args:
+            revision: The store's revision of the configuration.
+        """
+        self._configuration_revision = revision
+        self.publish(UpstreamLoads((), revision))
+
     def publish(self, message: Message) -> None:
         """Sends a message to all subscribers."""
         for call in self._calls:
@@ -123,6 +133,7 @@
             call.send_part(items)
 
     async def _follow(self, call: Call, message: FollowLoads) -> Message:
+        call.send_part(UpstreamLoads((), self._configuration_revision))
         for first in self.snapshot():
             call.send_part(first)
         self._calls.add(call)
--- a/plumvane/worker/main.py
+++ b/plumvane/worker/main.py
@@ -58,6 +58,7 @@
     )
     worker.results.serve(store.server)
     worker.feed.serve(store.server)
+    view.on_configuration = worker.feed.send_configuration
     worker.attribution.serve(store.server)
     # Keeps copies of the gateways' records.
     StreamOrigins(settings.process.name, store, view).serve(store.server)
@@ -67,6 +68,7 @@
         view.upstreams,
         worker.apply_message,
         is_worker=True,
+        on_configuration=view.record_told_configuration,
     )
     retirement = Retirement(settings.process.name, store, worker.drain)
     view.on_operator_change = retirement.handle_operator_change
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -58,6 +58,15 @@
         await anyio.sleep(PAUSE_S)
 
 
+async def start_with_route(fleet: SoakFleet, name: str) -> None:
+    """Waits until all gateways serve a route and have settled."""
+    fleet.extra_routes.append(name)
+    await fleet.write_configuration()
+    for gateway in fleet.gateways:
+        await wait_served(gateway, f"/{name}/0")
+    await anyio.sleep(SETTLING_S)
+
+
 def check_in_force(disturb: Disturb) -> None:
     """Checks a gateway that is disturbed while the configuration changes.
 
@@ -69,11 +78,7 @@
     """
 
     async def steps(fleet: SoakFleet) -> None:
-        fleet.extra_routes.append("removed")
-        await fleet.write_configuration()
-        for gateway in fleet.gateways:
-            await wait_served(gateway, "/removed/0")
-        await anyio.sleep(SETTLING_S)
+        await start_with_route(fleet, "removed")
         await disturb(fleet)
         fleet.extra_routes[:] = ["added"]
         await fleet.write_configuration()
@@ -108,3 +113,21 @@
         fleet.set_faults("gateway-0-store", mode="freeze", new_pass=True)
 
     check_in_force(disturb)
+
+
+# Guards against requests that are run by a route that was removed, while no
+# other request leads the gateway to read the configuration.
+def test_removed_route_is_not_served_while_the_store_is_silent() -> None:
+    async def steps(fleet: SoakFleet) -> None:
+        await start_with_route(fleet, "removed")
+        fleet.set_faults("gateway-0-store", mode="freeze")
+        fleet.extra_routes.clear()
+        await fleet.write_configuration()
+        await anyio.sleep(APPLY_S)
+        gateway = fleet.gateways[0]
+        statuses = [
+            await call(gateway, "/removed/0", number) for number in range(CALLS)
+        ]
+        assert 200 not in statuses, statuses
+
+    run_on_fleet(SIZE, steps)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -365,6 +365,58 @@
     anyio.run(run)
 
 
+class LosingStore(MemoryStore):
+    """In-memory store that loses the responses to watches, and counts reads."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reads = 0
+
+    async def watch(
+        self, prefix: str, after_revision: int, *, deadline: float
+    ) -> WatchResult:
+        del prefix, after_revision, deadline
+        await anyio.sleep_forever()
+        raise AssertionError
+
+    async def get(self, key: str) -> Record | None:
+        self.reads += 1
+        return await super().get(key)
+
+
+# Guards against requests that are handled as an older configuration says: the
+# response to the watch was lost, and only workers know the newer one.
+def test_configuration_that_a_worker_tells_is_read() -> None:
+    async def run() -> None:
+        store = LosingStore()
+        await put(store, names.CONFIGURATION_KEY, configuration(1))
+        followed = FleetView(store, "a", random.Random(1))
+        async with anyio.create_task_group() as group:
+            group.start_soon(followed.run)
+            await wait_until(lambda: followed.routes is not None)
+            await put(store, names.CONFIGURATION_KEY, configuration(2))
+            changed = await store.get(names.CONFIGURATION_KEY)
+            assert changed is not None
+            store.reads = 0
+            followed.record_told_configuration(changed.revision)
+            await wait_until(
+                lambda: (
+                    followed.routes is not None and followed.routes.version == 2
+                )
+            )
+            # A revision that the store does not have is read for once.
+            followed.record_told_configuration(changed.revision + 1)
+            await anyio.sleep(5 * view.TOLD_MARGIN_S)
+            group.cancel_scope.cancel()
+        assert store.reads == 2
+
+    async def run_in_time() -> None:
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            await run()
+
+    anyio.run(run_in_time)
+
+
 class DeafStore(MemoryStore):
     """In-memory store whose watches hang once, beyond their deadline."""
 
