Bound how long a watch of the configuration waits

Callers could be handled by an old configuration for up to 26.5 s if the responses to a gateway's watch and to those of all workers are lost while other calls are answered; a lost response alone has no sign.

Change: a watch of op/ waits five times the time in which changes take effect at most, 10 s here; a relayed watch 1 s.

--- a/plumvane/discovery/connect.py
+++ b/plumvane/discovery/connect.py
@@ -21,6 +21,10 @@
 MAX_UPSTREAM_PAUSE_S = 1.0
 OPERATOR_PAUSE_SHARE = 0.125
 MAX_OPERATOR_PAUSE_S = 0.5
+# Longest wait of a watch of the operators' keys, as a multiple of the time in
+# which changes must take effect: its response may be lost without a sign, also
+# at the workers, which tell all instances of changes.
+OPERATOR_WATCH_FACTOR = 5.0
 
 
 def connect(
@@ -38,9 +42,10 @@
         rng: Random source for the choice of peers and upstreams.
         role: Role of the process, published to its peers.
         operator_watch_s: Longest wait of a watch of the operators' keys, in
-            seconds.
+            seconds; it may be shorter.
     """
     process = settings.process
+    apply_s = settings.routes.apply_ms / 1000
     store = RelayedStore(
         PlatformStore(settings.store.url),
         process.name,
@@ -58,10 +63,10 @@
             MAX_UPSTREAM_PAUSE_S,
         ),
         operator_pause_s=min(
-            OPERATOR_PAUSE_SHARE * settings.routes.apply_ms / 1000,
+            OPERATOR_PAUSE_SHARE * apply_s,
             MAX_OPERATOR_PAUSE_S,
         ),
-        operator_watch_s=operator_watch_s,
+        operator_watch_s=min(operator_watch_s, OPERATOR_WATCH_FACTOR * apply_s),
         outage_ended_at=store.outage_ended_at,
         crossing=_crossing(settings.data_centres),
         through_peers=store.through_peers,
--- a/plumvane/discovery/peer_calls.py
+++ b/plumvane/discovery/peer_calls.py
@@ -25,8 +25,9 @@
 __all__ = ["PEER_WATCH_S", "register_handlers"]
 
 # Longest wait of a watch relayed for a peer, in seconds. It is short so that
-# the peer soon tries another instance if this one is lost.
-PEER_WATCH_S = 2.0
+# the peer soon tries another instance if this one is lost, and learns soon that
+# the store has dropped the history that its watch needs.
+PEER_WATCH_S = 1.0
 
 M = TypeVar("M", bound=Message)
 Handler = Callable[[TransactionalStore, M], Awaitable[Message]]
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -311,11 +311,11 @@
 
     Each change costs each process a call, but at most one in a delay.
     """
-    for bound_ms, upstream_pause_s, operator_pause_s in (
-        (2_000, 0.5, 0.25),
-        (3_000, 0.75, 0.375),
-        (4_000, 1.0, 0.5),
-        (60_000, 1.0, 0.5),
+    for bound_ms, upstream_pause_s, operator_pause_s, operator_watch_s in (
+        (2_000, 0.5, 0.25, 10.0),
+        (3_000, 0.75, 0.375, 15.0),
+        (4_000, 1.0, 0.5, 20.0),
+        (60_000, 1.0, 0.5, mirror.WATCH_S),
     ):
         loaded = settings.WorkerSettings(
             process=settings.InstanceSection(name="w", data_centre="a"),
@@ -329,6 +329,8 @@
         _, fleet = connect(loaded, random.Random(1), "worker")
         assert fleet._entries.pause_s == upstream_pause_s
         assert fleet.operator_keys.pause_s == operator_pause_s
+        # The response to a watch may be lost; it then waits to its end.
+        assert fleet.operator_keys._watch_s() == operator_watch_s
 
 
 def test_configurations_in_quick_succession_share_a_read() -> None:
