Take a stream up only by a listing that is known to be current

Callers could get a stream of two software versions (ORDER): a gateway that was cut off or suspended for some seconds takes up a stream that began, through another gateway, at an upstream whose version it has not heard of, and goes on at the one that it knows.

Cause: while a service has one version, no record of a stream is shared, and each instance tells the version from its listing as long as its watch has not failed. The watch of an instance that is out of step has not failed yet; nor does a peer that is out of step know that it is.

Evidence: the two tests fail on the code before with Origin 1 in place of None: the gateway is out of step, and confirmed by another one that is; and a gateway that has just started goes by a peer whose listing is 4 s old.

Change: a listing tells the version only once it has all changes up to the request, which one call of the store that does not wait makes sure of (Mirror.confirm); a version is listed before a stream begins at it. What was listed before this instance started, a peer tells, with the age of its listing (StreamFound.listing_age_s); an instance of the build before sends none and does not count. If the listing cannot be confirmed, the stream is refused as not run (4132 says why). Where the version is sure, peers are no longer asked.

test_gateway_with_an_old_view cuts its gateway off from the store, which it did by setting a flag of the copy; it checks the same. test_responsive_peer_is_preferred_to_silent_ones failed 5 of 5 with the change: it relied on a call through a peer that the start of the mirror made by chance, without which the first call tries two silent peers and fails. It makes that call itself now, and checks the same ten calls.

--- a/plumvane/discovery/mirror.py
+++ b/plumvane/discovery/mirror.py
@@ -68,6 +68,8 @@
         self._watch_s = watch_s
         self._revision: int | None = None
         self._waiting: anyio.CancelScope | None = None
+        # Held while keys are read without waiting.
+        self._reading = anyio.Lock()
 
     @property
     def revision(self) -> int | None:
@@ -92,10 +94,39 @@
 
     async def _step(self) -> None:
         if self._revision is None:
-            await self._load()
+            async with self._reading:
+                await self._load()
         else:
             await self._watch(self._revision)
 
+    async def confirm(self) -> None:
+        """Makes sure that the copy includes all changes up to the call.
+
+        Raises:
+            PlumvaneError: The store does not respond.
+        """
+        asked_at = clock.monotonic()
+        async with self._reading:
+            if self.current_at < asked_at:
+                await self._read_changes()
+
+    async def _read_changes(self) -> None:
+        if self._revision is None:
+            await self._load()
+            return
+        sent_at = clock.monotonic()
+        try:
+            result = await self._store.watch(
+                self._prefix, self._revision, deadline=sent_at
+            )
+        except HistoryLostError:
+            await self._load()
+            self.end_wait()
+            return
+        self._apply_changes(result, sent_at)
+        if result.records:
+            self.end_wait()
+
     async def _load(self) -> None:
         sent_at = clock.monotonic()
         result = await self._store.list(self._prefix)
@@ -107,7 +138,7 @@
         for record in result.records:
             self._apply(record)
         self._revision = result.revision
-        self.current_at = sent_at
+        self.current_at = max(self.current_at, sent_at)
         self.loaded.set()
 
     async def _watch(self, revision: int) -> None:
@@ -126,14 +157,26 @@
                 self.waiting_since = None
         if result is None:
             return
-        self._record_success()
-        for record in result.records:
-            self._apply(record)
-        self._revision = max(revision, result.revision)
-        self.current_at = sent_at
+        self._apply_changes(result, sent_at)
         if result.records:
             await anyio.sleep(self.pause_s)
 
+    def _apply_changes(self, result: WatchResult, sent_at: float) -> None:
+        """Applies the changes that a watch has reported.
+
+        Args:
+            result: Response to the watch.
+            sent_at: Monotonic time in seconds at which it was sent.
+        """
+        self._record_success()
+        # Another call may have reported some of them meanwhile.
+        known_revision = self._revision or 0
+        for record in result.records:
+            if record.revision > known_revision:
+                self._apply(record)
+        self._revision = max(known_revision, result.revision)
+        self.current_at = max(self.current_at, sent_at)
+
     def end_wait(self) -> None:
         """Begins a new watch in place of one that waits.
 
--- a/plumvane/discovery/origins.py
+++ b/plumvane/discovery/origins.py
@@ -39,6 +39,12 @@
 PEERS_ASKED = 3
 # Time limit for the peers' answers, in seconds.
 PEER_TIMEOUT_S = 0.25
+# Time limit for the confirmation of the own listing, in seconds; a slow store
+# responds in less.
+CONFIRMATION_TIMEOUT_S = 1.0
+# Shortest time for which an upstream is listed, in seconds: it is drained for
+# longer before it leaves.
+MIN_LISTED_S = 1.0
 # Time for which a peer that did not answer is called last, in seconds.
 SILENCE_S = 2.0
 # Delay in which records for the same peer are collected, in seconds.
@@ -66,13 +72,25 @@
 
     Attributes:
         found: The record, if a peer has it.
-        only_versions: Versions that peers listed alone.
-        count: Number of answers.
+        current_at_by_version: Versions that peers listed alone, with the latest
+            monotonic time in seconds up to which one of these listings has all
+            changes.
     """
 
     found: StreamRecord | None = None
-    only_versions: set[str] = dataclasses.field(default_factory=set)
-    count: int = 0
+    current_at_by_version: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def add_listing(self, reply: StreamFound) -> None:
+        """Adds what a peer has listed."""
+        version, age_s = reply.only_version, reply.listing_age_s
+        if version is None or age_s is None:
+            return
+        self.current_at_by_version[version] = max(
+            self.current_at_by_version.get(version, float("-inf")),
+            clock.monotonic() - age_s,
+        )
 
 
 class StreamOrigins:
@@ -252,6 +270,7 @@
         return StreamFound(
             self._records_by_id.get(message.request_id),
             self._only_version(message.service),
+            clock.monotonic() - self._view.upstreams_current_at(),
         )
 
     # Streams that callers take up
@@ -280,41 +299,73 @@
         if record is not None:
             return Origin(record.service, record.version), "own record"
         service = route.only_service() or ""
-        own_version = self._only_version(service)
+        asked_at = clock.monotonic()
+        lasts_longer = 2 * route.timeout_s > STREAM_LIFETIME_S
+        if (
+            not lasts_longer
+            and self._only_version(service) is not None
+            and await self._confirm_listing(asked_at)
+        ):
+            version = self._only_version(service)
+            if version is not None:
+                return Origin(service, version), "listing"
         peers = self._ranked_peers(request_id, PEERS_ASKED)
-        answers = await self._ask(
-            peers, FindStream(request_id, service), own_version
-        )
+        answers = await self._ask(peers, FindStream(request_id, service))
         if answers.found is not None:
             origin = Origin(answers.found.service, answers.found.version)
             return origin, "record of a peer"
-        versions = set(answers.only_versions)
-        if own_version is not None:
-            versions.add(own_version)
-        lasts_longer = 2 * route.timeout_s > STREAM_LIFETIME_S
-        is_alone = bool(peers) and not answers.count
-        if len(versions) != 1 or lasts_longer or is_alone:
-            return None, "none"
-        return Origin(service, versions.pop()), "listing"
-
-    async def _ask(
-        self, peers: list[str], message: FindStream, own_version: str | None
-    ) -> _Answers:
-        """Asks peers until one has the record or confirms the own version."""
+        if not lasts_longer and await self._confirm_listing(asked_at):
+            version = self._listed_version(service, answers)
+            if version is not None:
+                return Origin(service, version), "listings"
+        return None, "none"
+
+    async def _confirm_listing(self, since: float) -> bool:
+        """Returns whether the own listing has all changes up to a time.
+
+        A version is listed before a stream begins at it. This instance may have
+        been cut off or suspended then.
+
+        Args:
+            since: The monotonic time in seconds.
+        """
+        if self._view.upstreams_current_at() >= since:
+            return True
+        try:
+            with anyio.fail_after(CONFIRMATION_TIMEOUT_S):
+                await self._view.confirm_upstreams()
+        except (PlumvaneError, TimeoutError) as error:
+            events.log(events.Event.LISTING_UNCONFIRMED, error=str(error))
+            return False
+        return True
+
+    def _listed_version(self, service: str, answers: _Answers) -> str | None:
+        """Returns the only version that can have begun a stream, or None.
+
+        The own listing tells it from the start of this instance on, and one of
+        a peer before, if it has all changes up to then.
+        """
+        versions, since = self._view.versions.listed_since(service)
+        if (
+            len(versions) != 1
+            or answers.current_at_by_version.keys() != versions
+        ):
+            return None
+        version = next(iter(versions))
+        known_until = answers.current_at_by_version[version]
+        return version if known_until >= since - MIN_LISTED_S else None
+
+    async def _ask(self, peers: list[str], message: FindStream) -> _Answers:
+        """Asks peers until one has the record or all have answered."""
         answers = _Answers()
 
         async def ask(name: str) -> None:
             reply = await self._call(name, message)
             if not isinstance(reply, StreamFound):
                 return
-            answers.count += 1
             answers.found = reply.record or answers.found
-            if reply.only_version is not None:
-                answers.only_versions.add(reply.only_version)
-            is_confirmed = own_version is not None and (
-                answers.only_versions == {own_version}
-            )
-            if answers.found is not None or is_confirmed:
+            answers.add_listing(reply)
+            if answers.found is not None:
                 group.cancel_scope.cancel()
 
         async with anyio.create_task_group() as group:
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -122,6 +122,21 @@
         """Returns whether the listing of upstreams is being followed."""
         return not self._entries.is_failing
 
+    def upstreams_current_at(self) -> float:
+        """Returns up to when the listing of upstreams has all changes.
+
+        The time is a monotonic one in seconds.
+        """
+        return self._entries.current_at
+
+    async def confirm_upstreams(self) -> None:
+        """Makes sure that the listing of upstreams has all changes until now.
+
+        Raises:
+            PlumvaneError: Neither the store nor a peer responds.
+        """
+        await self._entries.confirm()
+
     def configuration_current_at(self) -> float:
         """Returns up to when the configuration in force has all changes.
 
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -168,6 +168,11 @@
         4107,
         "A caller takes up a stream; the version that began it is determined.",
     )
+    LISTING_UNCONFIRMED = (
+        4132,
+        "The listing of upstreams could not be read to tell the version of a "
+        "stream.",
+    )
     OVERLOAD_REFUSED = (
         4125,
         "A request was refused at once; it cannot be served in time.",
--- a/plumvane/peers/messages/streams.py
+++ b/plumvane/peers/messages/streams.py
@@ -54,7 +54,10 @@
         record: Where it began; None if unknown.
         only_version: The only version that the service has had for as long as
             a stream lasts; None if there were others.
+        listing_age_s: Seconds before the reply up to which the listing that
+            this goes by has all changes; None if unknown.
     """
 
     record: StreamRecord | None
     only_version: str | None
+    listing_age_s: float | None = None
--- a/plumvane/serving/versions.py
+++ b/plumvane/serving/versions.py
@@ -35,6 +35,20 @@
         self._changed_at_by_service[service] = now
         return True
 
+    def listed_since(self, service: str) -> tuple[frozenset[str], float]:
+        """Returns the listed versions, and since when they are the same.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            The versions, and a monotonic time in seconds.
+        """
+        return (
+            self._versions_by_service.get(service, frozenset()),
+            self._changed_at_by_service.get(service, float("inf")),
+        )
+
     def only_version(self, service: str, since: float) -> str | None:
         """Returns the only version listed since a time, or None.
 
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -231,6 +231,8 @@
         stores: list[RelayedStore], connections: list[StoreConnection]
     ) -> None:
         connections[0].is_unreachable = True
+        # Without it the first call may try two silent peers, and fail.
+        await stores[0].get("a")
         # Calls to an address without a listener get no reply.
         for number in range(6):
             address = f"127.0.0.1:{free_port('127.0.0.1')}"
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -12,10 +13,12 @@
 from plumvane.discovery.origins import STREAM_LIFETIME_S, Origin, StreamOrigins
 from plumvane.discovery.relayed import PeerEntry
 from plumvane.discovery.view import FleetView
-from plumvane.errors import LinkLostError
+from plumvane.errors import LinkLostError, StoreUnavailableError
 from plumvane.peers.messages import Message
 from plumvane.peers.messages.streams import FindStream, RecordStreams
+from plumvane.platform import names
 from plumvane.serving.routes import Route, RouteKind, WeightedService
+from plumvane.store.base import WatchResult
 from plumvane.store.memory import MemoryStore
 from tests.gateways import SERVICE, make_listed_upstream, make_route
 
@@ -31,10 +34,33 @@
 Steps = Callable[["Fleet"], Awaitable[None]]
 
 
+class CuttableStore(MemoryStore):
+    """In-memory store from which a gateway may be cut off."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_cut = False
+
+    async def list(self, prefix: str, **page: Any) -> WatchResult:
+        self._raise_if_cut()
+        return await super().list(prefix, **page)
+
+    async def watch(
+        self, prefix: str, after_revision: int, *, deadline: float
+    ) -> WatchResult:
+        self._raise_if_cut()
+        return await super().watch(prefix, after_revision, deadline=deadline)
+
+    def _raise_if_cut(self) -> None:
+        if self.is_cut:
+            raise StoreUnavailableError("The store did not respond.")
+
+
 class Fleet:
     """Gateways that call each other without a network.
 
     Attributes:
+        stores_by_name: The store as each gateway reaches it.
         views_by_name: Each gateway's view.
         origins_by_name: Each gateway's records of streams.
         lost_names: Gateways that do not answer.
@@ -46,11 +72,13 @@
         self.peers_by_name = {n: PeerEntry(n, "gateway") for n in NAMES}
         self.lost_names: set[str] = set()
         self.calls: list[Message] = []
+        self.stores_by_name = {n: CuttableStore() for n in NAMES}
         self.views_by_name: dict[str, FleetView] = {}
         self.origins_by_name: dict[str, StreamOrigins] = {}
         peers: Any = self
         for name in NAMES:
-            view = FleetView(MemoryStore(), "a", random.Random(1))
+            store = self.stores_by_name[name]
+            view = FleetView(store, "a", random.Random(1))
             view._entries.is_failing = False
             self.views_by_name[name] = view
             self.origins_by_name[name] = StreamOrigins(name, peers, view)
@@ -63,10 +91,29 @@
                 view.upstreams.put(
                     make_listed_upstream(f"u{version}", version=version)
                 )
+            view._entries.current_at = clock.monotonic()
             listed_at = clock.monotonic() - age_s
             view.versions.update(SERVICE, frozenset(versions), listed_at)
             view.on_versions_change()
 
+    async def list_in_store(self, name: str, *versions: str) -> None:
+        """Lists one upstream of each version in the store of a gateway."""
+        for version in versions:
+            entry = {
+                "service": SERVICE,
+                "address": "127.0.0.1:1",
+                "zone": "a",
+                "version": version,
+                "slots": 8,
+                "state": "ready",
+                "sequence": 1,
+            }
+            await self.stores_by_name[name].put(
+                f"{names.UPSTREAM_PREFIX}u{version}",
+                json.dumps(entry).encode(),
+                expected_revision=None,
+            )
+
     async def call(
         self, address: str, message: Message, *, deadline: float
     ) -> Message:
@@ -190,6 +237,7 @@
     async def steps(fleet: Fleet) -> None:
         fleet.list_versions("1", age_s=2 * STREAM_LIFETIME_S)
         # Cut off from the store and from all peers.
+        fleet.stores_by_name["g1"].is_cut = True
         fleet.lost_names.update(NAMES)
         origins = fleet.origins_by_name["g1"]
         assert await origins.find("s", ROUTE) is None
@@ -206,6 +254,48 @@
     run_fleet(steps)
 
 
+# Guards against a stream of two software versions: a gateway that was suspended
+# takes it up, and has not heard of the version that began it.
+def test_gateway_out_of_step_does_not_take_a_stream_up_at_an_old_version() -> (
+    None
+):
+    async def steps(fleet: Fleet) -> None:
+        fleet.list_versions("1", age_s=2 * STREAM_LIFETIME_S)
+        for name in NAMES[2:]:
+            view = fleet.views_by_name[name]
+            view.versions.update(
+                SERVICE, frozenset({"1", "2"}), clock.monotonic()
+            )
+            view.on_versions_change()
+        # The gateway that began it and its copies do not answer.
+        fleet.begin("g3", "2")
+        await fleet.wait_for_copies(3)
+        for name in NAMES[:2]:
+            fleet.origins_by_name[name]._records_by_id.clear()
+        fleet.lost_names.update(NAMES[2:])
+        # The listing has the version; the gateway's watch has not told it yet.
+        await fleet.list_in_store("g2", "1", "2")
+        assert await fleet.origins_by_name["g2"].find("s", ROUTE) is None
+
+    run_fleet(steps)
+
+
+# The same if it has just started, and asks a peer that is out of step.
+def test_peer_out_of_step_does_not_tell_the_version_of_a_stream() -> None:
+    async def steps(fleet: Fleet) -> None:
+        fleet.list_versions("1", age_s=2 * STREAM_LIFETIME_S)
+        for view in fleet.views_by_name.values():
+            view._entries.current_at -= 4.0
+        view = fleet.views_by_name["g2"]
+        for versions in ({"1", "2"}, {"1"}):
+            view.versions.update(
+                SERVICE, frozenset(versions), clock.monotonic()
+            )
+            assert await fleet.origins_by_name["g2"].find("s", ROUTE) is None
+
+    run_fleet(steps)
+
+
 def test_service_of_a_split_route_comes_from_a_record_only() -> None:
     async def steps(fleet: Fleet) -> None:
         fleet.list_versions("1", age_s=2 * STREAM_LIFETIME_S)
