Keep logging after a line that JSON cannot hold

Operators would see no line of a process any more: a value that JSON cannot hold, such as a lone surrogate, ends the thread that writes the log.

Change: the values of such a line are written as text. tests.test_events.test_line_that_cannot_be_encoded_does_not_end_the_log fails before: UnicodeEncodeError, and no line after it.

--- a/plumvane/logsink.py
+++ b/plumvane/logsink.py
@@ -14,6 +14,8 @@
 
 # Maximum number of queued lines; about 1 MB at 0.3 KB a line.
 MAX_QUEUED_LINES = 4096
+# Fields that each message has, and that are always encodable.
+IDENTIFYING_FIELDS = frozenset({"event", "message_type", "timestamp"})
 # Time that `close` waits for queued lines to be written, in seconds.
 CLOSE_TIMEOUT_S = 0.5
 
@@ -90,5 +92,19 @@
             self._write({**drop_message, "timestamp": time.time()})
 
     def _write(self, message: dict[str, Any]) -> None:
-        line = msgspec.json.encode(message, enc_hook=str)
+        try:
+            line = msgspec.json.encode(message, enc_hook=str)
+        except (OverflowError, RecursionError, TypeError, ValueError):
+            line = msgspec.json.encode(_as_text(message))
         self._stream.write(line.decode() + "\n")
+
+
+def _as_text(message: dict[str, Any]) -> dict[str, Any]:
+    """Returns a message whose values JSON can hold.
+
+    Fields may contain what others have written, such as large numbers.
+    """
+    return {
+        name: value if name in IDENTIFYING_FIELDS else ascii(value)
+        for name, value in message.items()
+    }
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -40,6 +40,21 @@
     assert line["partition"] == 3
 
 
+# Guards against a process that logs no more after one line that JSON cannot
+# hold: what others have written is logged too.
+def test_line_that_cannot_be_encoded_does_not_end_the_log() -> None:
+    stream = io.StringIO()
+    sink = LogSink(stream, lambda count: {"dropped": count})
+    odd_values = (10**30, "\ud800", {1: float("nan"), "x": b"\xff"})
+    for value in odd_values:
+        sink({"event": 7004, "message_type": "odd", "value": value})
+    sink({"event": 7005})
+    sink.close()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert [line["event"] for line in lines] == [7004, 7004, 7004, 7005]
+    assert "1" + 30 * "0" in str(lines[0])
+
+
 def test_pipe_that_nobody_reads_blocks_no_caller_and_drops_are_counted() -> (
     None
 ):
