Refuse entries of upstreams whose values cannot be passed on

Callers of batch jobs waited: a worker's scheduling ended and began again every half second while one odd entry was among those of the upstreams. A report of other operators (very deeply nested, a number too large, a port out of range).

Cause: an integer of any size was read from an entry, and the start time goes into messages to peers, which hold 64 bits. Deep nesting and ports out of range were refused already. Beyond the report: slots without bound, which attract all requests; identifiers that no header can carry, so that each request sent there fails; ports with spaces or underscores; the unspecified address; loads of any size in the header of a response.

Change: counts up to a million, integers up to 63 bits, decimal ports, addresses of hosts, identifiers of visible ASCII characters.

--- a/plumvane/platform/listing.py
+++ b/plumvane/platform/listing.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import math
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -15,9 +16,16 @@
 __all__ = ["decode_load", "decode_report", "decode_upstream"]
 
 
-# Loads and slots are counts; a negative one would attract all requests.
-_Count = Annotated[int, msgspec.Meta(ge=0)]
+# Loads and slots are counts; a negative load, or slots without end, would
+# attract all requests.
+MAX_COUNT = 1_000_000
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+# Largest integer that peer messages and logs can hold.
+MAX_INTEGER = 2**63 - 1
+_Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 MAX_PORT = 65_535
+# Characters of an upstream's identifier, which its requests carry in a header.
+_ID_PATTERN = re.compile(r"[!-~]+")
 
 
 class _Registration(msgspec.Struct, rename="kebab"):
@@ -39,9 +47,9 @@
     zone: str
     slots: _Count
     state: Literal["ready", "draining"]
-    sequence: int
+    sequence: _Integer
     version: str = ""
-    born: int = 0
+    born: _Integer = 0
 
 
 class _Report(msgspec.Struct, rename="kebab"):
@@ -73,15 +81,14 @@
     """
     try:
         registration = decode(_registration_decoder, value)
-        host, _, port = registration.address.rpartition(":")
-        ipaddress.ip_address(host)
-        if not 0 < int(port) <= MAX_PORT:
-            raise ValueError(f"{port} is not a port")
+        if not _ID_PATTERN.fullmatch(upstream_id):
+            raise ValueError("no header can carry its identifier")
+        host, port = _decode_address(registration.address)
         return ListedUpstream(
             upstream_id=upstream_id,
             service=registration.service,
             host=host,
-            port=int(port),
+            port=port,
             data_centre=registration.zone,
             slots=registration.slots,
             is_draining=registration.state == "draining",
@@ -96,6 +103,21 @@
         ) from error
 
 
+def _decode_address(address: str) -> tuple[str, int]:
+    """Returns the host and the port of an address.
+
+    Raises:
+        ValueError: Nothing can be reached there.
+    """
+    host, _, port = address.rpartition(":")
+    if ipaddress.ip_address(host).is_unspecified:
+        raise ValueError(f"{host} is no address of a host")
+    is_decimal = port.isascii() and port.isdecimal()
+    if not is_decimal or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{port} is not a port")
+    return host, int(port)
+
+
 def decode_load(text: bytes) -> Load | None:
     """Decodes the load header of a response; returns None if it is invalid.
 
@@ -107,7 +129,7 @@
         running, waiting, slots = (int(figure) for figure in figures[:3])
     except ValueError:
         return None
-    if min(running, waiting, slots) < 0:
+    if not all(0 <= count <= MAX_COUNT for count in (running, waiting, slots)):
         return None
     pace = _decode_pace(figures[3]) if len(figures) > 3 else None
     return Load(running, waiting, slots, pace)
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -224,7 +224,16 @@
     for field, value in (
         ("address", "127.0.0.1:99999"),
         ("address", "127.0.0.1:-5"),
+        ("address", "127.0.0.1:8_0"),
+        ("address", "127.0.0.1: 80"),
+        ("address", "127.0.0.1:\u0663"),
+        ("address", "0.0.0.0:80"),
         ("slots", -1),
+        ("slots", 10**9),
+        ("sequence", 2**64),
+        ("born", 2**64),
+        ("born", 10**30),
+        ("born", -1),
     ):
         damaged = json.dumps(REGISTRATION | {field: value}).encode()
         try:
@@ -232,7 +241,15 @@
         except ProtocolError:
             continue
         raise AssertionError(f"{field} {value} was accepted")
+    for upstream_id in ("", "a b", "a\r\n", "\u0142"):
+        try:
+            decode_upstream(upstream_id, json.dumps(REGISTRATION).encode())
+        except ProtocolError:
+            continue
+        raise AssertionError(f"the id {upstream_id!r} was accepted")
     assert decode_load(b"-9,0,7") is None
+    assert decode_load(b"9" * 30 + b",0,7") is None
+    assert decode_load(b"1,0," + b"9" * 400) is None
     try:
         decode_report(b'{"queue-depth":-9,"active-requests":0}')
     except ProtocolError:
