Follow the other keys of a prefix after a fault in one of them

A fault of ours in applying one record ended the task that follows its prefix. It was started again with the record counted as seen, so that a configuration would have been passed over without a trace but 1004 (hypothesis 3 of docs/incidents/config.md; no such fault is known).

Change: the fault is logged with its key (2012), and the other records are applied. tests.test_discovery.test_fault_in_one_record_does_not_end_a_mirror fails before: ValueError.

--- a/plumvane/discovery/mirror.py
+++ b/plumvane/discovery/mirror.py
@@ -195,7 +195,16 @@
                 return
         else:
             self.records_by_key[record.key] = record
-        self._on_change(record)
+        try:
+            self._on_change(record)
+        except Exception as error:
+            # A fault in one record must not end the following of all others.
+            events.log(
+                events.Event.RECORD_FAULT,
+                key=record.key,
+                revision=record.revision,
+                error=repr(error),
+            )
 
     def _record_success(self) -> None:
         if self.is_failing:
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -59,6 +59,10 @@
         2011,
         "A peer did not reply to a relayed call to the store.",
     )
+    RECORD_FAULT = (
+        2012,
+        "A changed key could not be applied because of an internal error.",
+    )
     LEASE_LOST = (2003, "The instance's lease expired or was rejected.")
     PARTITION_TAKEN = (3001, "The instance became the owner of the partition.")
     PARTITION_RELEASED = (3002, "The instance released the partition.")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -367,6 +367,37 @@
     anyio.run(run)
 
 
+# Guards against a prefix that is not followed any more because of one record.
+def test_fault_in_one_record_does_not_end_a_mirror() -> None:
+    async def run() -> None:
+        store = MemoryStore()
+        applied: list[str] = []
+
+        def apply(record: Record) -> None:
+            if record.key == "faulty":
+                raise ValueError("a fault of ours")
+            applied.append(record.key)
+
+        copy = mirror.Mirror(store, "", apply)
+        async with anyio.create_task_group() as group:
+            await put(store, "faulty", b"")
+            await put(store, "one", b"")
+            group.start_soon(copy.run)
+            while "one" not in applied:
+                await anyio.sleep(POLL_S)
+            await put(store, "faulty", b"again")
+            await put(store, "two", b"")
+            while "two" not in applied:
+                await anyio.sleep(POLL_S)
+            group.cancel_scope.cancel()
+
+    async def run_in_time() -> None:
+        with anyio.fail_after(OUTER_DEADLINE_S):
+            await run()
+
+    anyio.run(run_in_time)
+
+
 class LosingStore(MemoryStore):
     """In-memory store that loses the responses to watches, and counts reads."""
 
