Test that a repeated refusal is taken for no answer

An answer counts only with the identifier of the request; requests that may run once get a new connection each; and the connection of a refusal is closed, so that an item that comes back to the upstream finds a new one. The test shows all three.

--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -14,7 +14,7 @@
 import anyio.abc
 
 from plumvane import clock
-from plumvane.errors import UpstreamLostError
+from plumvane.errors import OverloadedError, UpstreamLostError
 from plumvane.relay.client import Attempt, UpstreamClient
 from plumvane.serving.upstreams import Upstream
 from plumvane.upstreams.engine import EngineClient
@@ -133,6 +133,95 @@
     run_with_timeout(steps)
 
 
+class RefusingServer:
+    """Refuses the first request, and repeats that on each kept connection.
+
+    Each other request gets its answer, after the copy of the refusal if its
+    connection has been used before.
+
+    Attributes:
+        runs: Requests that it ran.
+        repeated: Number of copies that were sent.
+    """
+
+    def __init__(self) -> None:
+        self.runs: list[bytes] = []
+        self.repeated = 0
+        self._refusal = b""
+        self._used: list[anyio.abc.SocketStream] = []
+
+    async def answer(
+        self, stream: anyio.abc.SocketStream, request: bytes
+    ) -> None:
+        request_id = identifier(request)
+        if not self._refusal:
+            self._refusal = (
+                b"HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\n"
+                b"x-request-id: %b\r\ncontent-length: 0\r\n\r\n" % request_id
+            )
+            self._used.append(stream)
+            await stream.send(self._refusal)
+            return
+        self.runs.append(request_id)
+        if stream in self._used:
+            self.repeated += 1
+            await stream.send(self._refusal)
+        self._used.append(stream)
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\nx-response-signature: s\r\n"
+            b"x-request-id: %b\r\ncontent-length: 2\r\n\r\nok" % request_id
+        )
+
+
+# Guards against a promise that a request has not run, given for an earlier one:
+# the refusal of another request, or of the same item at an earlier attempt.
+def test_repeated_refusal_is_taken_for_no_answer() -> None:
+    client = UpstreamClient()
+
+    async def outcome(
+        request_id: str, port: int, *, is_idempotent: bool
+    ) -> str:
+        upstream = Upstream(make_listed_upstream("u", port=port))
+        attempt = Attempt(
+            request_id=request_id,
+            method="POST",
+            target=b"/p/x",
+            headers=[(b"host", b"h"), (b"x-request-id", request_id.encode())],
+            body=b"",
+            deadline=clock.monotonic() + 10.0,
+            last_event_id=None,
+            is_idempotent=is_idempotent,
+            read_timeout_s=1.0,
+        )
+        try:
+            async with client.send(upstream, attempt) as response:
+                async for _ in response.iter_body():
+                    continue
+                return str(response.status)
+        except OverloadedError:
+            return "not run"
+        except UpstreamLostError:
+            return "lost"
+
+    async def steps() -> None:
+        for is_idempotent in (True, False):
+            server = RefusingServer()
+            async with serving(server.answer) as port:
+                found = [
+                    await outcome(request_id, port, is_idempotent=is_idempotent)
+                    for request_id in ("a", "a", "b", "c", "d")
+                ]
+            assert found.count("not run") == 1, found
+            assert found[0] == "not run"
+            assert len(server.runs) == 4
+            # Only idempotent requests use a connection again, and the copy is
+            # lost with it.
+            assert server.repeated == found.count("lost")
+            assert bool(server.repeated) == is_idempotent
+
+    run_with_timeout(steps)
+
+
 def test_second_copy_reaches_no_caller_of_a_service() -> None:
     async def steps() -> None:
         server = RepeatingServer(lambda request_id: request_id, whole)
