Check in the soak that the last configuration is in force

A client now writes a configuration after the last fault and sends requests on the route that it adds and on one that it removes to each gateway, from the time on at which machines are in touch again. Responses that were lost in a fault stay lost: silence_open_connections never passes them on.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -22,6 +22,7 @@
 from standins.server_events import ServerEvent
 
 __all__ = [
+    "ConfigurationClient",
     "JobClient",
     "JobReader",
     "Observations",
@@ -54,6 +55,15 @@
 SHARED_PARTS = (1, 5)
 # Kind of the requests that crash servers by themselves, and come again.
 CRASHING_REQUEST = "crashing"
+# Route that the last configuration of a soak adds.
+ADDED_ROUTE = "final"
+# Time after the last fault in seconds from which the last configuration must be
+# in force: that from which machines are in touch again, longer than the one in
+# which a configuration takes effect. Rounds of requests that check it.
+CONFIGURATION_IN_FORCE_S = 3.0
+CONFIGURATION_ROUNDS = 10
+OK = 200
+NOT_FOUND = 404
 # Status of requests that the fleet refuses for good.
 REFUSED_STATUS = 400
 # Probability with which a client goes to another gateway after a response.
@@ -372,6 +382,43 @@
     return {names.DEADLINE_HEADER.decode(): milliseconds}
 
 
+class ConfigurationClient(_Client):
+    """Checks that all gateways go by a configuration of after the faults.
+
+    Responses to watches that were lost in a fault stay lost.
+    """
+
+    async def run(self) -> None:
+        """Adds a route and removes one, and sends requests on both."""
+        routes = self.fleet.extra_routes
+        removed = routes.pop(0) if routes else None
+        routes.append(ADDED_ROUTE)
+        await self.fleet.write_configuration()
+        await anyio.sleep(CONFIGURATION_IN_FORCE_S)
+        for _ in range(CONFIGURATION_ROUNDS):
+            for gateway in self.fleet.gateways:
+                if await self._status(gateway, ADDED_ROUTE) == NOT_FOUND:
+                    self._add_error(gateway, ADDED_ROUTE, "is refused")
+                if removed and await self._status(gateway, removed) == OK:
+                    self._add_error(gateway, removed, "is still served")
+            await anyio.sleep(max(PAUSES_S))
+
+    async def _status(self, gateway: Process, route: str) -> int:
+        request_id = self.new_id()
+        self.observations.kind_by_request[request_id] = route
+        self.observations.team_by_request[request_id] = self.team
+        status, _ = await self.send(
+            "POST", f"/{route}/x", request_id, b"x", _deadline(), gateway
+        )
+        return status
+
+    def _add_error(self, gateway: Process, route: str, what: str) -> None:
+        self.observations.errors.append(
+            f"CONFIG: route {route} {what} at {gateway.name}, version "
+            f"{self.fleet.version}"
+        )
+
+
 class _JobCaller(_Client):
     """Reads the results of jobs."""
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 from plumvane import clock
 from soak.checks import find_violations
 from soak.clients import (
+    ConfigurationClient,
     JobClient,
     JobReader,
     Observations,
@@ -62,6 +63,8 @@
 # worker should own open jobs most of the time.
 CLIENTS_PER_JOB_CLIENT = 1.5
 CLIENTS_PER_READER = 4
+# Route beside the fixed ones in the first configuration.
+FIRST_EXTRA_ROUTE = "extra"
 # Seconds allowed for the start of gateways and workers after they listen.
 STARTUP_S = 3.0
 # Seconds after the end of fault injection for which clients go on sending, and
@@ -157,6 +160,7 @@
 ) -> tuple[list[str], str]:
     observations, log = Observations(), FaultLog()
     fleet.has_soak_teams = True
+    fleet.extra_routes.append(FIRST_EXTRA_ROUTE)
     await fleet.write_configuration()
     await anyio.sleep(STARTUP_S)
     schedule = Schedule()
@@ -184,6 +188,8 @@
             schedule.jobs_until = now + RECOVERY_TRAFFIC_S / 2
             schedule.requests_until = now + RECOVERY_TRAFFIC_S
             schedule.jobs_finished_by = now + COMPLETION_TIMEOUT_S
+            rng = random.Random(f"{seed} configuration")
+            group.start_soon(ConfigurationClient(fleet, observations, rng).run)
         watchers.cancel_scope.cancel()
     for process in (*fleet.programs, *fleet.servers):
         report_exit(process, log)
