Read the keys a while after the watches were cut, not at once

Cause: since a watch that the store cuts is followed at once by a read without waiting. The store cuts watches some 60 ms before it has dropped its history, and in between it tells a watch neither of the changes nor of the loss; the read was empty, and the next watch waited at the store, for 10 s if no change had come. Before such a watch waited at a peer, for 2 s.

The test, with a store that cuts, changes and drops in this order, fails without the delay (TimeoutError, 2 of 2) and passes with it, 4 of 4.

Change: 0.25 s pass before the keys are read.

--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -38,6 +38,10 @@
 # outages. A stale entry costs one failed call.
 PEER_TTL_S = 10.0
 PEER_RENEW_S = 3.0
+# Delay after a watch was ended before the keys are read, in seconds. A store
+# that drops its history cuts the watches before; a watch that is begun again too
+# early hears neither of changes nor of the loss.
+SETTLING_S = 0.25
 # Interval of the direct probes of an unreachable store, in seconds.
 PROBE_INTERVAL_S = 0.5
 # Nonexistent key that is read to probe the store.
@@ -188,6 +192,7 @@
             )
             if result is not None:
                 return result
+            await anyio.sleep(SETTLING_S)
             ends_at = clock.monotonic()
         return await self._call(watch)
 
--- a/tests/test_relayed_store.py
+++ b/tests/test_relayed_store.py
@@ -19,13 +19,19 @@
     PeerEntry,
     RelayedStore,
 )
-from plumvane.errors import ConflictError, StoreUnavailableError
-from plumvane.store.base import ABSENT, Record, Write
+from plumvane.errors import (
+    ConflictError,
+    HistoryLostError,
+    StoreUnavailableError,
+)
+from plumvane.store.base import ABSENT, Record, WatchResult, Write
 from plumvane.store.memory import MemoryStore
 from standins.launcher import free_port
 
 OUTER_DEADLINE_S = 30.0
 POLL_S = 0.02
+# Time between the cut of all watches and the loss of the history, in seconds.
+DROPPING_S = 0.1
 # Time limit of a call to a silent store, in seconds.
 CALL_TIMEOUT_S = 0.1
 
@@ -68,6 +74,57 @@
 Steps = Callable[[list[RelayedStore], list[StoreConnection]], Awaitable[None]]
 
 
+class DroppingStore(MemoryStore):
+    """In-memory store that drops its history a while after it cut all watches.
+
+    Watches that are begun in between hear neither of the changes before nor
+    that their history is gone.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._is_dropping = False
+        self._cut = anyio.Event()
+
+    async def drop_history(self, key: str, value: bytes) -> None:
+        """Cuts all watches, writes a key, and drops the history."""
+        self._is_dropping = True
+        self._cut.set()
+        self._cut = anyio.Event()
+        await anyio.sleep(POLL_S)
+        await self.put(key, value, expected_revision=None)
+        await anyio.sleep(DROPPING_S)
+        self.forget_history()
+        self._is_dropping = False
+
+    async def watch(
+        self, prefix: str, after_revision: int, *, deadline: float
+    ) -> WatchResult:
+        if self._is_dropping:
+            await anyio.sleep(clock.remaining(deadline))
+            return WatchResult((), after_revision)
+        found: list[WatchResult] = []
+
+        async def watch() -> None:
+            found.append(
+                await super(DroppingStore, self).watch(
+                    prefix, after_revision, deadline=deadline
+                )
+            )
+            group.cancel_scope.cancel()
+
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(watch)
+                await self._cut.wait()
+                group.cancel_scope.cancel()
+        except* HistoryLostError:
+            raise HistoryLostError("The history is gone.") from None
+        if not found:
+            raise StoreUnavailableError("The connection was closed.")
+        return found[0]
+
+
 def run_with_peers(steps: Steps, count: int = 2) -> None:
     """Runs steps while instances that have discovered each other run."""
 
@@ -339,3 +396,25 @@
         await run_with_mirror(stores[0], change_after_outage)
 
     run_with_peers(steps)
+
+
+# Guards against the same after the store dropped its history: a watch that was
+# begun again at once, beside the loss, heard of nothing up to its end.
+def test_watch_is_told_of_history_that_is_dropped_after_its_cut() -> None:
+    async def run() -> None:
+        store: Any = DroppingStore()
+        relayed = RelayedStore(store, "n0", "127.0.0.1:1", random.Random(0))
+        relayed.through_peers = store
+
+        async def change_unheard(values: list[bytes]) -> None:
+            await anyio.sleep(10 * POLL_S)
+            await store.drop_history("a", b"one")
+            with anyio.fail_after(mirror.WATCH_S / 2):
+                await wait_for(values, b"one")
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(relayed._probe)
+            await run_with_mirror(relayed, change_unheard)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
