--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -38,9 +38,9 @@
 # outages. A stale entry costs one failed call.
 PEER_TTL_S = 10.0
 PEER_RENEW_S = 3.0
-# Delay after a watch was ended before the keys are read, in seconds. A store
-# that drops its history cuts the watches before; a watch that is begun again too
-# early hears neither of changes nor of the loss.
+# Delay between the end of a watch and the next read of its keys, in seconds. A
+# store that drops its history cuts the watches before; one that is begun again
+# too early hears neither of changes nor of the loss.
 SETTLING_S = 0.25
 # Interval of the direct probes of an unreachable store, in seconds.
 PROBE_INTERVAL_S = 0.5
