--- a/plumvane/gateway/access.py
+++ b/plumvane/gateway/access.py
@@ -7,9 +7,9 @@
 import secrets
 
 from plumvane import clock, events, metrics
+from plumvane.discovery.confirmation import ConfigurationCheck
 from plumvane.discovery.view import FleetView
 from plumvane.errors import StoreUnavailableError, UnauthorizedError
-from plumvane.gateway.confirmation import ConfigurationCheck
 from plumvane.metrics import Metric
 from plumvane.platform.requests import CallerRequest
 from plumvane.serving.routes import Route
--- a/plumvane/gateway/app.py
+++ b/plumvane/gateway/app.py
@@ -5,6 +5,7 @@
 import anyio
 
 from plumvane import clock, events, metrics
+from plumvane.discovery.confirmation import ConfigurationCheck
 from plumvane.discovery.quotas import Quotas
 from plumvane.discovery.view import FleetView
 from plumvane.errors import (
@@ -14,7 +15,6 @@
     StoreUnavailableError,
 )
 from plumvane.gateway.access import Access
-from plumvane.gateway.confirmation import ConfigurationCheck
 from plumvane.gateway.exchange import (
     CallerDisconnectedError,
     Exchange,
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -9,6 +9,7 @@
 
 from plumvane import web
 from plumvane.batch.jobstore import JobStore
+from plumvane.discovery.confirmation import ConfigurationCheck
 from plumvane.discovery.connect import connect
 from plumvane.discovery.loads import LoadFollower
 from plumvane.discovery.mirror import WATCH_S
@@ -19,7 +20,6 @@
 from plumvane.gateway.access import Access
 from plumvane.gateway.admission import Admission, InTimeAdmission
 from plumvane.gateway.app import GatewayApp, ReadinessApp
-from plumvane.gateway.confirmation import ConfigurationCheck
 from plumvane.gateway.forwarder import Forwarder
 from plumvane.gateway.jobs import BatchJobHandler
 from plumvane.gateway.memory import MemoryBound
