Ask once more when the response to a watch is overdue

Cause: nothing but its own time limit ends a watch whose response is lost, as long as no other call fails.

Change: a watch that is 0.35 s overdue is asked once more, without a wait and on a connection of its own (2013); it costs no call where nothing is lost. Waits are bounded by what hangs on them: 4 s for a worker without jobs (25), 1.5 s for the upstreams (4), 10 s for peers (25), and for the configuration half of apply_ms at two workers, which tell the others.

--- a/plumvane/discovery/connect.py
+++ b/plumvane/discovery/connect.py
@@ -4,9 +4,12 @@
 
 import random
 
+from plumvane.discovery.loads import WORKER_ROLE
 from plumvane.discovery.mirror import WATCH_S
 from plumvane.discovery.relayed import RelayedStore
 from plumvane.discovery.view import FleetView
+from plumvane.hashing import top_ranked
+from plumvane.platform import names
 from plumvane.platform.store import PlatformStore
 from plumvane.serving.data_centres import Crossing
 from plumvane.settings import DataCentresSection, WorkerSettings
@@ -22,9 +25,12 @@
 OPERATOR_PAUSE_SHARE = 0.125
 MAX_OPERATOR_PAUSE_S = 0.5
 # Longest wait of a watch of the operators' keys, as a multiple of the time in
-# which changes must take effect: its response may be lost without a sign, also
-# at the workers, which tell all instances of changes.
+# which changes must take effect. Its response may be lost without a sign. A few
+# workers, which tell all instances of changes, notice that in time; the others
+# do if none of these is left.
 OPERATOR_WATCH_FACTOR = 5.0
+TELLER_WATCH_FACTOR = 0.5
+TELLERS = 2
 
 
 def connect(
@@ -54,6 +60,13 @@
         role,
         listen_address=str(settings.peers.bind_address),
     )
+
+    def longest_operator_watch_s() -> float:
+        factor = OPERATOR_WATCH_FACTOR
+        if role == WORKER_ROLE and process.name in _tellers(store):
+            factor = TELLER_WATCH_FACTOR
+        return min(operator_watch_s, factor * apply_s)
+
     view = FleetView(
         store,
         process.data_centre,
@@ -66,7 +79,7 @@
             OPERATOR_PAUSE_SHARE * apply_s,
             MAX_OPERATOR_PAUSE_S,
         ),
-        operator_watch_s=min(operator_watch_s, OPERATOR_WATCH_FACTOR * apply_s),
+        operator_watch_s=longest_operator_watch_s,
         outage_ended_at=store.outage_ended_at,
         crossing=_crossing(settings.data_centres),
         through_peers=store.through_peers,
@@ -74,6 +87,16 @@
     return store, view
 
 
+def _tellers(store: RelayedStore) -> list[str]:
+    """Returns the workers that notice soonest that a response is lost."""
+    workers = [
+        name
+        for name, peer in store.peers_by_name.items()
+        if peer.role == WORKER_ROLE
+    ]
+    return top_ranked(names.OPERATOR_PREFIX, workers, TELLERS)
+
+
 def _crossing(section: DataCentresSection) -> Crossing | None:
     if section.leave != "when_it_pays":
         return None
--- a/plumvane/discovery/relayed.py
+++ b/plumvane/discovery/relayed.py
@@ -38,6 +38,8 @@
 # outages. A stale entry costs one failed call.
 PEER_TTL_S = 10.0
 PEER_RENEW_S = 3.0
+# Longest wait of a watch of the entries, in seconds.
+PEER_ENTRIES_WATCH_S = 10.0
 # Delay between the end of a watch and the next read of its keys, in seconds. A
 # store that drops its history cuts the watches before; one that is begun again
 # too early hears neither of changes nor of the loss.
@@ -89,7 +91,11 @@
             self.links, name, self.peers_by_name, rng
         )
         self._peers = Mirror(
-            self, PEER_PREFIX, self._apply_peer, pause_s=MIN_PEER_PAUSE_S
+            self,
+            PEER_PREFIX,
+            self._apply_peer,
+            pause_s=MIN_PEER_PAUSE_S,
+            watch_s=lambda: PEER_ENTRIES_WATCH_S,
         )
         key = PEER_PREFIX + name
         self._registration = Registration(
--- a/plumvane/discovery/view.py
+++ b/plumvane/discovery/view.py
@@ -30,8 +30,9 @@
 # the shortest time in which the state `draining` has to take effect.
 UPSTREAM_PAUSE_S = 0.5
 # Longest wait of a watch of the upstreams' entries, in seconds. The first of a
-# few heartbeats ends it; without one, its connection may be dead.
-UPSTREAM_WATCH_S = 4.0
+# few heartbeats ends it. A response that is lost is noticed before an upstream
+# that is draining must get no more requests.
+UPSTREAM_WATCH_S = 1.5
 # Time after an outage of the store in which an entry that expired during it may
 # be registered again, in seconds. The platform documents about two seconds.
 REREGISTRATION_TIMEOUT_S = 2.3
@@ -56,7 +57,7 @@
         *,
         upstream_pause_s: float = UPSTREAM_PAUSE_S,
         operator_pause_s: float = 0.0,
-        operator_watch_s: float = WATCH_S,
+        operator_watch_s: Callable[[], float] = lambda: WATCH_S,
         outage_ended_at: Callable[[], float] = lambda: float("-inf"),
         crossing: Crossing | None = None,
         through_peers: Store | None = None,
@@ -70,8 +71,8 @@
             upstream_pause_s: Delay between two reads of changed upstream
                 entries, in seconds.
             operator_pause_s: The same for the operators' keys.
-            operator_watch_s: Longest wait of a watch of the operators' keys,
-                in seconds.
+            operator_watch_s: Returns the longest wait of the next watch of the
+                operators' keys, in seconds.
             outage_ended_at: Returns the monotonic time in seconds at which the
                 last outage of the store ended, infinite while it lasts.
             crossing: What it costs to leave the data centre; None if that is
@@ -103,7 +104,7 @@
             names.OPERATOR_PREFIX,
             self._apply_operator_key,
             pause_s=operator_pause_s,
-            watch_s=lambda: operator_watch_s,
+            watch_s=operator_watch_s,
         )
         self._entries = Mirror(
             store,
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -63,6 +63,10 @@
         2012,
         "A changed key could not be applied because of an internal error.",
     )
+    WATCH_OVERDUE = (
+        2013,
+        "The response to a watch is overdue; that of a later one counts.",
+    )
     LEASE_LOST = (2003, "The instance's lease expired or was rejected.")
     PARTITION_TAKEN = (3001, "The instance became the owner of the partition.")
     PARTITION_RELEASED = (3002, "The instance released the partition.")
--- a/plumvane/httppool.py
+++ b/plumvane/httppool.py
@@ -228,6 +228,7 @@
         content: bytes = b"",
         extensions: dict[str, Any] | None = None,
         max_body_bytes: int | None = None,
+        use_new_connection: bool = False,
     ) -> httpcore.Response:
         """Sends a request and reads the complete response.
 
@@ -239,6 +240,8 @@
             extensions: httpcore's extensions, such as `timeout`.
             max_body_bytes: Maximum size of the response's body; None for no
                 limit.
+            use_new_connection: Opens a new connection instead of reusing an
+                idle one.
 
         Raises:
             OversizedResponseError: The head or the body is over its limit.
@@ -247,7 +250,12 @@
             httpcore.TimeoutException: A timeout in `extensions` expired.
         """
         async with self.stream(
-            method, url, headers=headers, content=content, extensions=extensions
+            method,
+            url,
+            headers=headers,
+            content=content,
+            extensions=extensions,
+            use_new_connection=use_new_connection,
         ) as response:
             complete = httpcore.Response(
                 response.status,
--- a/plumvane/platform/store.py
+++ b/plumvane/platform/store.py
@@ -204,17 +204,20 @@
         wait_s = min(clock.remaining(deadline), MAX_WATCH_S)
         path = (
             f"/v1/kv-watch?path-prefix={_quote(prefix)}"
-            f"&after={after_revision}&wait-ms={int(wait_s * 1000)}"
+            f"&after={after_revision}&wait-ms="
         )
-        status, body = await self._call(
-            "GET", path, timeout_s=wait_s + WATCH_MARGIN_S
+        answer = await self._calls.send_watch(
+            f"{path}{int(wait_s * 1000)}",
+            f"{path}0",
+            wait_s=wait_s,
+            timeout_s=wait_s + WATCH_MARGIN_S,
         )
-        if status == 410:
+        if answer.status == 410:
             raise HistoryLostError(
                 f"Changes since revision {after_revision} are not available."
             )
-        _raise_for_status(status, prefix)
-        response = _decode(body, _watch_decoder)
+        _raise_for_status(answer.status, prefix)
+        response = _decode(answer.content, _watch_decoder)
         records = tuple(item.to_record() for item in response.events)
         return WatchResult(records, response.store_revision)
 
--- a/plumvane/store/calls.py
+++ b/plumvane/store/calls.py
@@ -16,6 +16,11 @@
 # Maximum size of a response's body, in bytes. Stores send pages of about 1 MB
 # and values of up to 1 MB.
 MAX_RESPONSE_BYTES = 33_554_432
+# Time after the end of a watch at which its response is overdue, and timeout of
+# the request that is then sent in its place, in seconds. A slow store responds
+# in less.
+OVERDUE_S = 0.35
+OVERDUE_TIMEOUT_S = 1.0
 
 
 class StoreHttpClient:
@@ -78,7 +83,7 @@
         """
         try:
             response = await self._send(
-                method, path, headers, content, timeout_s
+                method, path, headers, content, timeout_s=timeout_s
             )
         except StoreUnavailableError as error:
             self._record_failure(f"{method} {path.partition('?')[0]}", error)
@@ -89,14 +94,75 @@
             events.log(events.Event.STORE_AVAILABLE, down_s=down_s)
         return response
 
+    async def send_watch(
+        self, path: str, overdue_path: str, *, wait_s: float, timeout_s: float
+    ) -> httpcore.Response:
+        """Sends a request that the store answers at a change, or after a wait.
+
+        The response may be lost on a connection that lives, while the store
+        answers other calls. Once it is overdue, a second request is sent on a
+        connection of its own; the first response counts.
+
+        Args:
+            path: Path and query of the request.
+            overdue_path: The same of the second request, which does not wait.
+            wait_s: Longest wait for a change, in seconds.
+            timeout_s: Timeout of the response, in seconds.
+
+        Raises:
+            StoreUnavailableError: See `send`.
+        """
+        outcome: httpcore.Response | StoreUnavailableError | None = None
+
+        async def send_overdue() -> None:
+            nonlocal outcome
+            await anyio.sleep(wait_s + OVERDUE_S)
+            try:
+                outcome = await self._send(
+                    "GET",
+                    overdue_path,
+                    timeout_s=OVERDUE_TIMEOUT_S,
+                    is_new=True,
+                )
+            except StoreUnavailableError:
+                # The first request fails as well, if nothing is answered.
+                return
+            events.log(events.Event.WATCH_OVERDUE, watch=path)
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            if wait_s > 0:
+                group.start_soon(send_overdue)
+            try:
+                outcome = await self.send("GET", path, timeout_s=timeout_s)
+            except StoreUnavailableError as error:
+                outcome = error
+            group.cancel_scope.cancel()
+        if isinstance(outcome, httpcore.Response):
+            return outcome
+        assert outcome is not None
+        raise outcome
+
     async def _send(
         self,
         method: str,
         path: str,
-        headers: Sequence[tuple[str, str]],
-        content: bytes,
+        headers: Sequence[tuple[str, str]] = (),
+        content: bytes = b"",
+        *,
         timeout_s: float,
+        is_new: bool = False,
     ) -> httpcore.Response:
+        """Sends a request; see `send`.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            headers: Additional headers.
+            content: Request body.
+            timeout_s: Timeout of the response, in seconds.
+            is_new: Whether to open a new connection.
+        """
         try:
             with anyio.fail_after(timeout_s):
                 response = await self._pool.request(
@@ -105,6 +171,7 @@
                     headers=headers,
                     content=content,
                     max_body_bytes=MAX_RESPONSE_BYTES,
+                    use_new_connection=is_new,
                 )
         except (TimeoutError, *NETWORK_ERRORS) as error:
             raise StoreUnavailableError(
--- a/plumvane/worker/worker.py
+++ b/plumvane/worker/worker.py
@@ -17,7 +17,7 @@
     Commit,
     JobStore,
 )
-from plumvane.discovery.mirror import WATCH_S, Mirror
+from plumvane.discovery.mirror import Mirror
 from plumvane.discovery.permits import Permits
 from plumvane.discovery.quarantine import PromptQuarantine
 from plumvane.discovery.registration import Registration
@@ -62,6 +62,9 @@
 # the heads stays current between watches.
 WATCH_PAUSE_S = 0.4
 OWNER_WATCH_S = 0.2
+# Longest watch of a worker without jobs, in seconds: a new job waits so long if
+# the response that reports it is lost.
+IDLE_WATCH_S = 4.0
 # Largest age of the known heads, in seconds, at which this worker answers that
 # no further result is listed. An older view may miss results that another owner
 # has listed; one second after another instance returned a result, a caller may
@@ -182,7 +185,7 @@
             self._quarantine.apply(message)
 
     def _watch_s(self) -> float:
-        return OWNER_WATCH_S if self._owned_by_id else WATCH_S
+        return OWNER_WATCH_S if self._owned_by_id else IDLE_WATCH_S
 
     def _is_current(self) -> bool:
         age_s = clock.monotonic() - self._mirror.current_at
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -4,6 +4,8 @@
 
 import base64
 import json
+import random
+from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
 from starlette.applications import Starlette
@@ -26,6 +28,10 @@
 
 PAGE_SIZE = 50
 
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
 
 class PlatformStoreApp:
     """Serves a `MemoryStore` over the platform's HTTP API.
@@ -38,12 +44,40 @@
         self.store = MemoryStore()
         self._lease_ids_by_number: dict[int, str] = {}
         self._refusal_status = 0
+        self._loss_share = 0.0
+        self._loss_rng = random.Random()
 
     async def run(self) -> None:
         """Returns at once; there is no background work."""
 
-    def application(self) -> Starlette:
+    def application(self) -> Callable[[Message, Receive, Send], Any]:
         """Returns the ASGI application."""
+        app = self._routes()
+
+        async def serve(scope: Message, receive: Receive, send: Send) -> None:
+            if scope["type"] == "http" and scope["path"] != "/faults":
+                await self._serve_or_lose(app, scope, receive, send)
+            else:
+                await app(scope, receive, send)
+
+        return serve
+
+    async def _serve_or_lose(
+        self, app: Starlette, scope: Message, receive: Receive, send: Send
+    ) -> None:
+        """Serves a call; its response may be lost when it is due."""
+
+        async def send_or_lose(message: Message) -> None:
+            is_start = message["type"] == "http.response.start"
+            if is_start and self._loss_rng.random() < self._loss_share:
+                # The connection returns nothing further.
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+            await send(message)
+
+        await app(scope, receive, send_or_lose)
+
+    def _routes(self) -> Starlette:
         return Starlette(
             routes=[
                 Route("/v1/kv-key", self.key),
@@ -62,9 +96,16 @@
         )
 
     async def faults(self, http: Request) -> Response:
-        """Sets `refusal`, the status of refused calls, or drops the history."""
+        """Sets the faults; those that are not named end.
+
+        `refusal` is the status of refused calls, `loss` the share of lost
+        responses, drawn from `seed`, and `forget_history` drops the history.
+        """
         body = json.loads(await http.body())
         self._refusal_status = body.get("refusal", 0)
+        self._loss_share = body.get("loss", 0.0)
+        if "seed" in body:
+            self._loss_rng.seed(body["seed"])
         if body.get("forget_history"):
             self.store.forget_history()
         return Response()
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -19,6 +20,9 @@
 # The platform's bound on the time from the acknowledgement of a configuration
 # until it is in force, in seconds.
 APPLY_S = 2.0
+# Time after a disturbance from which the platform's bounds hold again, in
+# seconds.
+CONTACT_S = 3.0
 # Time for which the gateways run undisturbed before, in seconds; their watches
 # wait then.
 SETTLING_S = 2.0
@@ -115,19 +119,81 @@
     check_in_force(disturb)
 
 
-# Guards against requests that are run by a route that was removed, while no
-# other request leads the gateway to read the configuration.
-def test_removed_route_is_not_served_while_the_store_is_silent() -> None:
+def check_removed(disturb: Disturb, bound_s: float = APPLY_S) -> None:
+    """Checks that gateways do not serve a route that was removed.
+
+    No other request leads them to read the configuration.
+
+    Args:
+        disturb: Brings the disturbance about; it lasts to the end.
+        bound_s: Time after which they must not, in seconds.
+    """
+
     async def steps(fleet: SoakFleet) -> None:
         await start_with_route(fleet, "removed")
-        fleet.set_faults("gateway-0-store", mode="freeze")
+        await disturb(fleet)
         fleet.extra_routes.clear()
         await fleet.write_configuration()
-        await anyio.sleep(APPLY_S)
-        gateway = fleet.gateways[0]
-        statuses = [
-            await call(gateway, "/removed/0", number) for number in range(CALLS)
-        ]
-        assert 200 not in statuses, statuses
+        await anyio.sleep(bound_s)
+        for gateway in fleet.gateways:
+            statuses = [
+                await call(gateway, "/removed/0", number)
+                for number in range(CALLS)
+            ]
+            assert 200 not in statuses, (gateway.name, statuses)
 
     run_on_fleet(SIZE, steps)
+
+
+# Guards against requests that are run by a route that was removed.
+def test_removed_route_is_not_served_while_the_store_is_silent() -> None:
+    async def disturb(fleet: SoakFleet) -> None:
+        fleet.set_faults("gateway-0-store", mode="freeze")
+
+    check_removed(disturb)
+
+
+# The same if the responses to all watches are lost, also those of the workers.
+def test_removed_route_is_not_served_after_all_responses_were_lost() -> None:
+    async def disturb(fleet: SoakFleet) -> None:
+        for program in fleet.programs:
+            fleet.set_faults(
+                f"{program.name}-store", mode="freeze", new_pass=True
+            )
+
+    check_removed(disturb, CONTACT_S)
+
+
+# Shape of a deployment with a fault in which the store loses a share of its
+# responses, to all instances, while versions follow each other.
+DEPLOYMENT = FleetSize(gateways=5, workers=4, engines=4, services=2)
+LOSS_SHARE = 0.3
+LOSS_S = 5.0
+SEEDS = (1, 2, 3)
+
+
+# Guards against CONFIG at many gateways at once, after responses were lost.
+def test_configuration_is_in_force_after_the_store_lost_responses() -> None:
+    async def steps(fleet: SoakFleet, seed: int) -> None:
+        await start_with_route(fleet, "removed0")
+        fleet.set_store_faults(loss=LOSS_SHARE, seed=seed)
+        ends_at = clock.monotonic() + LOSS_S
+        number = 0
+        while clock.remaining(ends_at) > 0:
+            number += 1
+            fleet.extra_routes[:] = [f"removed{number}"]
+            await fleet.write_configuration()
+        fleet.set_store_faults()
+        removed = f"/removed{number}/0"
+        fleet.extra_routes[:] = ["added"]
+        await fleet.write_configuration()
+        await anyio.sleep(CONTACT_S)
+        for gateway in fleet.gateways:
+            statuses = [
+                await call(gateway, removed, count) for count in range(CALLS)
+            ]
+            assert 200 not in statuses, (seed, gateway.name, statuses)
+            assert await call(gateway, "/added/0", 0) == 200, gateway.name
+
+    for seed in SEEDS:
+        run_on_fleet(DEPLOYMENT, functools.partial(steps, seed=seed))
