Break a stream off at what is no event

Cause: the parser took whatever ends with an empty line for an event without a number, and it was relayed. Evidence: tests.test_broken_upstreams on, 'id: 1 ... upstream failed ... 0' in one chunked body.

Change: a part without a number or data is an event only if it consists of comments, event and retry fields.

Result: that test failed before and passes. The two others of the module passed before, too, and stay as guards: an error of the next upstream (eight statuses, framed and not) does not get into a begun stream nor ends it as complete; a head that is cut off at any length is answered with 502.

--- a/plumvane/relay/events.py
+++ b/plumvane/relay/events.py
@@ -14,6 +14,9 @@
 # Limit on the size of one event; a larger one counts as a malformed stream.
 # Events of the platform are below 1 KB.
 MAX_EVENT_BYTES = 65_536
+# Fields of lines that need not belong to a numbered event or to data; the empty
+# one is that of a comment.
+AUXILIARY_FIELDS = frozenset({"", "event", "retry"})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,12 +90,20 @@
     def _parse_event(self, raw: bytes) -> StreamEvent:
         event_id: int | None = None
         data: list[str] = []
+        is_auxiliary = True
         for line in raw.decode("utf-8", "replace").split("\n"):
             field, _, value = line.partition(":")
             if field == "id":
                 event_id = _parse_event_id(value)
             elif field == "data":
                 data.append(value.removeprefix(" "))
+            elif field not in AUXILIARY_FIELDS:
+                is_auxiliary = False
+        if event_id is None and not data and not is_auxiliary:
+            # Such as the text of an error behind the events.
+            raise UpstreamLostError(
+                f"The stream has a part that is no event: {raw[:40]!r}."
+            )
         if event_id is not None:
             last = self.last_event_id
             if last is not None and event_id != last + 1:
