Pass on only what a draining gateway can finish

What callers may see (a report of other operators): requests that come late in the grace of a planned stop are taken, passed on and cut with no answer, among them such that may not be repeated (LOST).

Cause: a draining gateway passes requests on until 3.9 s after SIGTERM, whatever their time limit; the platform kills it after 8 s. Evidence: tests.test_gateway_app on the code before, where nothing regards the end.

Change: a request whose limit is later than 0.4 s before the end of the grace ([process] grace_s, from the platform's bounds) is rejected at once as not run, with a Retry-After of 0. What is left then is ended with 502, or as an incomplete stream.

Result: the two new tests fail before (there is no drain to an end) and pass.

--- a/plumvane/gateway/app.py
+++ b/plumvane/gateway/app.py
@@ -75,6 +75,9 @@
                 has acknowledged takes effect.
         """
         self.is_draining = False
+        # Monotonic time in seconds at which a draining instance ends.
+        self._ends_at: float | None = None
+        self._ending = anyio.Event()
         self._view = view
         self._check = check or ConfigurationCheck(view)
         self._apply_s = apply_s
@@ -84,6 +87,21 @@
         self._quotas = quotas
         self._memory = memory
 
+    def drain(self, ends_at: float) -> None:
+        """Takes only requests whose time limit is before the end.
+
+        Callers with keep-alive connections go to other instances from now on.
+
+        Args:
+            ends_at: Monotonic time in seconds at which this instance ends.
+        """
+        self.is_draining = True
+        self._ends_at = ends_at
+
+    def end_requests(self) -> None:
+        """Ends all requests with an answer, or their streams as incomplete."""
+        self._ending.set()
+
     async def __call__(
         self, scope: Message, receive: Receive, send: Send
     ) -> None:
@@ -133,7 +151,7 @@
     async def _serve_until_disconnected(
         self, exchange: Exchange, body: bytes, received_at: float
     ) -> None:
-        """Serves the request; cancels it when the caller disconnects."""
+        """Serves the request until its caller or this instance leaves."""
         failure: Exception | None = None
         is_done = False
 
@@ -141,14 +159,23 @@
             await exchange.wait_disconnected()
             group.cancel_scope.cancel()
 
+        async def cancel_at_end() -> None:
+            await self._ending.wait()
+            group.cancel_scope.cancel()
+
         async with anyio.create_task_group() as group:
             group.start_soon(cancel_on_disconnect)
+            group.start_soon(cancel_at_end)
             try:
                 await self._dispatch(exchange, body, received_at)
             except (PlumvaneError, IncompleteResponseError) as error:
                 failure = error
             is_done = True
             group.cancel_scope.cancel()
+        if not is_done and self._ending.is_set():
+            if exchange.has_started:
+                raise IncompleteResponseError("the instance ends")
+            raise LeavingError("The instance ended before the request did.")
         if not is_done:
             raise CallerDisconnectedError
         if failure is not None:
@@ -210,6 +237,7 @@
         team: Team | None,
     ) -> None:
         """Forwards a request within its team's quota."""
+        self._check_time_left(exchange, route, received_at)
         if team is None or self._quotas is None or not team.has_quota:
             await self._forwarder.forward(
                 exchange, route, body, received_at, team
@@ -225,6 +253,26 @@
                 self._quotas.give_back(team, source)
             raise
 
+    def _check_time_left(
+        self, exchange: Exchange, route: Route, received_at: float
+    ) -> None:
+        """Rejects a request that may not end before a draining instance does.
+
+        Raises:
+            LeavingError: Its time limit is later.
+        """
+        if self._ends_at is None:
+            return
+        timeout_s = route.timeout_s
+        if exchange.request.timeout_s is not None:
+            timeout_s = min(timeout_s, exchange.request.timeout_s)
+        if received_at + timeout_s > self._ends_at:
+            raise LeavingError(
+                "This instance ends before the request's time limit.",
+                not_run=True,
+                retry_after_s=0.0,
+            )
+
     def _current_routes(self) -> RouteTable:
         if self._view.routes is None:
             raise LeavingError(
--- a/plumvane/gateway/main.py
+++ b/plumvane/gateway/main.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from plumvane import web
+from plumvane import clock, web
 from plumvane.batch.jobstore import JobStore
 from plumvane.discovery.confirmation import ConfigurationCheck
 from plumvane.discovery.connect import connect
@@ -36,6 +36,9 @@
 # the load balancer checks readiness once a second and removes an instance after
 # two failed checks.
 DRAIN_DELAY_S = 2.4
+# Time before the platform kills the process in which the requests that are left
+# are ended with an answer, in seconds.
+END_MARGIN_S = 0.4
 # Longest wait of a watch of the operators' keys, as a share of the greatest age
 # of a configuration that admits keys.
 WATCH_SHARE = 0.4
@@ -125,12 +128,16 @@
         group.start_soon(server.run)
         group.start_soon(readiness_server.run)
         await stopping.wait()
+        ends_at = clock.monotonic() + settings.process.grace_s - END_MARGIN_S
         readiness_app.is_draining = True
-        # Callers with keep-alive connections go to other instances from now on.
-        app.is_draining = True
+        app.drain(ends_at)
         await anyio.sleep(DRAIN_DELAY_S)
         server.stop()
-        await server.wait_stopped()
+        with anyio.move_on_after(clock.remaining(ends_at)):
+            await server.wait_stopped()
+        app.end_requests()
+        with anyio.move_on_after(END_MARGIN_S):
+            await server.wait_stopped()
         group.cancel_scope.cancel()
 
 
--- a/plumvane/settings.py
+++ b/plumvane/settings.py
@@ -162,10 +162,12 @@
     Attributes:
         name: Name of the instance, unique in the fleet.
         data_centre: Data centre where the instance runs.
+        grace_s: Seconds after SIGTERM in which the platform ends the process.
     """
 
     name: Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$")]
     data_centre: Text
+    grace_s: Annotated[float, msgspec.Meta(ge=1)] = 8.0
 
 
 class ProcessSection(InstanceSection, frozen=True, kw_only=True):
--- a/tests/test_gateway_app.py
+++ b/tests/test_gateway_app.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from plumvane import clock
 from plumvane.batch.jobstore import Commit, JobStore
 from plumvane.discovery.origins import StreamOrigins
 from plumvane.discovery.permits import Permits
@@ -418,3 +419,41 @@
 
     with mock.patch.object(gateway_app, "JOB_CALL_TIMEOUT_S", 0.3):
         run_steps(steps)
+
+
+# Guards against LOST: requests that a stopping instance took late were cut with
+# no answer when the platform ended it.
+def test_draining_instance_refuses_requests_that_it_may_not_finish() -> None:
+    async def steps() -> None:
+        app = App()
+        app.configure()
+        app.app.drain(clock.monotonic() + 1.0)
+        status, headers, _ = await app.call("POST", "/p/x")
+        assert status == 503
+        assert headers[b"retry-after"] == b"0.00"
+        assert not app.client.started.is_set(), "it was passed on"
+        status, _, _ = await app.call("POST", "/p/x", x_deadline_ms="300")
+        assert status == 504
+        assert app.client.started.is_set()
+
+    run_steps(steps)
+
+
+def test_requests_left_at_the_end_of_an_instance_are_answered() -> None:
+    async def steps() -> None:
+        app = App()
+        app.configure()
+        statuses = []
+
+        async def call() -> None:
+            statuses.append((await app.call("POST", "/p/x"))[0])
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(call)
+            await app.client.started.wait()
+            app.app.drain(clock.monotonic())
+            app.app.end_requests()
+        assert statuses == [502], "it may have run"
+        assert not app.client.running
+
+    run_steps(steps)
