--- a/plumvane/discovery/connect.py
+++ b/plumvane/discovery/connect.py
@@ -26,11 +26,11 @@
 MAX_OPERATOR_PAUSE_S = 0.5
 # Longest wait of a watch of the operators' keys, as a multiple of the time in
 # which changes must take effect. Its response may be lost without a sign. A few
-# workers, which tell all instances of changes, notice that in time; the others
-# do if none of these is left.
+# workers watch for a shorter time, so that they notice that before the change
+# must take effect, and tell all instances.
 OPERATOR_WATCH_FACTOR = 5.0
-TELLER_WATCH_FACTOR = 0.5
-TELLERS = 2
+SHORT_WATCH_FACTOR = 0.5
+SHORT_WATCHERS = 2
 
 
 def connect(
@@ -63,8 +63,8 @@
 
     def longest_operator_watch_s() -> float:
         factor = OPERATOR_WATCH_FACTOR
-        if role == WORKER_ROLE and process.name in _tellers(store):
-            factor = TELLER_WATCH_FACTOR
+        if role == WORKER_ROLE and process.name in _short_watchers(store):
+            factor = SHORT_WATCH_FACTOR
         return min(operator_watch_s, factor * apply_s)
 
     view = FleetView(
@@ -87,14 +87,14 @@
     return store, view
 
 
-def _tellers(store: RelayedStore) -> list[str]:
-    """Returns the workers that notice soonest that a response is lost."""
+def _short_watchers(store: RelayedStore) -> list[str]:
+    """Returns the workers that watch the operators' keys for a shorter time."""
     workers = [
         name
         for name, peer in store.peers_by_name.items()
         if peer.role == WORKER_ROLE
     ]
-    return top_ranked(names.OPERATOR_PREFIX, workers, TELLERS)
+    return top_ranked(names.OPERATOR_PREFIX, workers, SHORT_WATCHERS)
 
 
 def _crossing(section: DataCentresSection) -> Crossing | None:
