Collect answers before a worker that has just started judges

Cause: the losses of the last 10 s reach a worker as soon as it starts; answers that clear a part are reported only after a worker has named it as a suspect, and an answer that is older than the verdict does not release it.

Change: for 1 s after its start a worker adds reports and names suspects, and judges nothing. The others judge meanwhile.

Result: the new test fails on the code before (AssertionError: refused although it was answered) and passes.

--- a/plumvane/worker/attribution.py
+++ b/plumvane/worker/attribution.py
@@ -50,6 +50,10 @@
 QUARANTINE_S = 600.0
 # Interval between two judgements, in seconds.
 JUDGEMENT_INTERVAL_S = 0.1
+# Time for which a worker that has just started only collects reports, in
+# seconds: it gets the earlier losses at once, but the answers that speak for a
+# part only after it has named the part as a suspect.
+COLLECTION_S = 1.0
 # Interval between two writes of new verdicts to the store, in seconds.
 STORE_INTERVAL_S = 0.3
 # Most losses that await the confirmation of a crash; the oldest are dropped.
@@ -113,8 +117,10 @@
         )
         self._announced_at_by_part: dict[str, float] = {}
         self._judged_parts: set[str] = set()
-        # Whether answers were reported since the last judgement.
+        # Whether answers, and crashes or verdicts, have come since the last
+        # judgement.
         self._has_answers = False
+        self._has_news = False
         self._unstored: dict[str, Quarantined | None] = {}
         quarantine.on_report = self.add_report
         feed.snapshot = self._snapshot
@@ -128,9 +134,13 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._store_verdicts)
             group.start_soon(self._confirmation.run)
+            judges_from = clock.monotonic() + COLLECTION_S
             while True:
                 await anyio.sleep(JUDGEMENT_INTERVAL_S)
-                self.judge()
+                if clock.remaining(judges_from) > 0:
+                    self.collect()
+                else:
+                    self.judge()
 
     async def _handle_report(
         self, call: Call, message: ReportPrompts
@@ -179,15 +189,20 @@
 
     # Judgement
 
+    def collect(self) -> None:
+        """Takes the reports and names suspects, without a judgement."""
+        now = clock.monotonic()
+        self._take_reports(now)
+        if self._has_news or self._has_answers:
+            self._announce_suspects(now)
+
     def judge(self) -> None:
         """Quarantines what the confirmed crashes speak against."""
         now = clock.monotonic()
-        has_news = self._has_answers
-        has_news |= self._adopt_quarantined()
-        has_news |= self._confirm_crashes(now)
-        self._has_answers = False
-        if not has_news:
+        self._take_reports(now)
+        if not (self._has_news or self._has_answers):
             return
+        self._has_news = self._has_answers = False
         while (repeat := self._repeats.find_culprit(now)) is not None:
             self._blame(
                 repeat.request, repeat.crash_ids, "crashes under its repeats"
@@ -200,6 +215,11 @@
             )
         self._announce_suspects(now)
 
+    def _take_reports(self, now: float) -> None:
+        """Adds the confirmed crashes and the verdicts of others."""
+        self._has_news |= self._adopt_quarantined()
+        self._has_news |= self._confirm_crashes(now)
+
     def _adopt_quarantined(self) -> bool:
         """Follows the verdicts of other workers, of the store, and of time.
 
--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -38,7 +38,11 @@
 from plumvane.serving.routes import RouteKind
 from plumvane.serving.upstreams import SILENT_REPORTS
 from plumvane.store.memory import MemoryStore
-from plumvane.worker.attribution import CrashAttribution
+from plumvane.worker.attribution import (
+    COLLECTION_S,
+    JUDGEMENT_INTERVAL_S,
+    CrashAttribution,
+)
 from plumvane.worker.feed import LoadFeed
 from tests.gateways import (
     FakeCaller,
@@ -192,6 +196,38 @@
     assert announced == {"all", "bad"}
 
 
+# Guards against sound requests that are refused: a worker that had just started
+# judged by the losses of before, and had not heard of the answers.
+def test_worker_that_has_just_started_hears_answers_before_it_judges() -> None:
+    def is_suspected(judge: Judge) -> bool:
+        return any(
+            isinstance(message, PartsSuspected)
+            and "bad" in [row.part for row in message.parts]
+            for message in judge.feed.published
+        )
+
+    async def steps(is_answered: bool) -> bool:
+        judge = Judge()
+        # After the last crash, and before the worker started.
+        answered_at = clock.monotonic() - 0.2
+        async with anyio.create_task_group() as group:
+            group.start_soon(judge.attribution.run)
+            judge.crash_all()
+            while not (is_suspected(judge) or judge.is_refused()):
+                await anyio.sleep(POLL_S)
+            if is_answered:
+                judge.report_answer("bad", clock.monotonic() - answered_at)
+            await anyio.sleep(COLLECTION_S + 5 * JUDGEMENT_INTERVAL_S)
+            group.cancel_scope.cancel()
+        return judge.is_refused()
+
+    async def run() -> None:
+        assert not await steps(is_answered=True)
+        assert await steps(is_answered=False)
+
+    run_with_timeout(run)
+
+
 def test_answer_releases_a_part_everywhere() -> None:
     async def steps() -> None:
         judge = Judge()
