Let a refused request explain all its crashes

Cause: a verdict on a request explained only the crashes that convict it, and those in which another request had broken off 0.1 s before stayed open as evidence against the parts of its prompts. A verdict that another worker had made explained none.

Change: what is refused explains all crashes in which it broke off.

Result: the new test fails on the code before (AssertionError) and passes.

--- a/plumvane/serving/crashes.py
+++ b/plumvane/serving/crashes.py
@@ -192,6 +192,14 @@
         """
         self._answers.append((at, count))
 
+    def crash_ids(self, part: str) -> list[str]:
+        """Returns the crashes in which a request with a part broke off."""
+        return [
+            crash_id
+            for crash_id, crash in self._crashes_by_id.items()
+            if crash.involves(part)
+        ]
+
     def explain(self, crash_id: str) -> None:
         """Records that a request which comes again explains a crash."""
         crash = self._crashes_by_id.get(crash_id)
--- a/plumvane/serving/repeats.py
+++ b/plumvane/serving/repeats.py
@@ -153,6 +153,14 @@
                 next(iter(self._answered_at_by_request))
             ]
 
+    def crash_ids(self, request: str) -> list[str]:
+        """Returns the crashes in which a request broke off, for any reason."""
+        return [
+            crash_id
+            for crash_id, crash in self._crashes_by_id.items()
+            if request in crash.losses_by_request
+        ]
+
     def explain(self, crash_id: str) -> None:
         """Records that a part of a prompt explains a crash."""
         crash = self._crashes_by_id.get(crash_id)
--- a/plumvane/worker/attribution.py
+++ b/plumvane/worker/attribution.py
@@ -228,7 +228,7 @@
         """
         parts = {q.part for q in self._quarantine.quarantined()}
         for part in parts - self._judged_parts:
-            self._history_of(part).blame(part)
+            self._explain_by(part)
         for part in self._judged_parts - parts:
             self._history_of(part).expire(part)
         has_changed = parts != self._judged_parts
@@ -318,16 +318,27 @@
         now = clock.monotonic()
         upstreams = tuple(i.rpartition("/")[0] for i in crash_ids)
         quarantined = Quarantined(key, now, now + QUARANTINE_S, upstreams)
-        blamed = self._history_of(key)
-        blamed.blame(key)
-        other = self._history if blamed is self._repeats else self._repeats
-        for crash_id in crash_ids:
-            other.explain(crash_id)
+        self._explain_by(key)
         self._judged_parts.add(key)
         if self._quarantine.put(quarantined, source):
             self._feed.publish(PartsQuarantined((quarantined.encode(),)))
             self._unstored[key] = quarantined
 
+    def _explain_by(self, key: str) -> None:
+        """Has a part or request explain all crashes in which it broke off.
+
+        They are more than those that convict it: in some, another request
+        broke off before.
+
+        Args:
+            key: Identifier of the part, or key of the request.
+        """
+        blamed = self._history_of(key)
+        blamed.blame(key)
+        other = self._history if blamed is self._repeats else self._repeats
+        for crash_id in blamed.crash_ids(key):
+            other.explain(crash_id)
+
     def _announce_suspects(self, now: float) -> None:
         """Asks all instances to report answers to newly suspected parts."""
         suspected = self._history.suspected_at_by_part(now)
--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -412,6 +412,46 @@
     assert judge.quarantine.find(("caller", "own")) is None
 
 
+# Guards against sound requests that are refused: a part of the prompts of a
+# refused request was blamed for those of its crashes in which another request
+# broke off before it.
+def test_all_crashes_of_a_refused_request_blame_no_part() -> None:
+    judge = Judge(upstreams=5)
+    for number in range(5):
+        age_s = 1.9 - 0.35 * number
+        is_second = number in (1, 3)
+        losses = [
+            LostRequest(
+                f"u{number}",
+                0,
+                ("part", f"own{number}"),
+                AnswerState.BEGUN,
+                age_s - 0.3 * is_second,
+                "f",
+                0.32,
+            )
+        ]
+        if is_second:
+            other = ("other", f"other{number}")
+            losses.append(
+                LostRequest(
+                    f"u{number}",
+                    0,
+                    other,
+                    AnswerState.WAITING,
+                    age_s,
+                    f"g{number}",
+                    0.01,
+                )
+            )
+        judge.attribution.add_report(ReportPrompts(tuple(losses), ()))
+        judge.silence(number)
+    judge.report_answer("another")
+    judge.attribution.judge()
+    assert request_key("f") in judge.quarantine._quarantined_by_part
+    assert judge.quarantine.find(("part", "new")) is None
+
+
 def test_answered_call_clears_its_request_and_a_failed_one_does_not() -> None:
     async def steps(status: int, expected: list[str]) -> None:
         gateway = make_gateway([Script(status=status)])
