Leave out what was sent to upstreams that had ended

Cause: behind a proxy that accepts connections for upstreams that have ended, requests break off there that no longer reached them, and the judgement of parts took them for evidence of the crash. The judgement of repeated requests did not.

Change: a request that had not begun is a suspect only if it was sent before the first loss of the crash and broke off within 0.1 s of it.

Result: the new test fails if the times are ignored (AssertionError: ['sound']) and passes.

--- a/plumvane/serving/crashes.py
+++ b/plumvane/serving/crashes.py
@@ -13,6 +13,9 @@
 # and count as one, in seconds. A request that crashes an upstream takes longer
 # to crash the next one.
 MOMENT_S = 0.1
+# Time after a crash within which the requests that were at the upstream break
+# off, in seconds.
+LOSS_SPREAD_S = 0.1
 # Crashes, by moments, from which a part is blamed that only ever crashes. A
 # single request has to crash more, as bad luck may strike it repeatedly.
 MIN_MOMENTS = 3
@@ -72,24 +75,36 @@
     Attributes:
         at: Monotonic time in seconds of the crash.
         begun: Prompts that the upstream had just begun to answer.
-        waiting: Prompts that it had not begun to answer.
+        waiting: Prompts that it had not begun to answer, with the monotonic
+            times in seconds at which they were sent and broke off.
         is_explained: Whether a single request explains it, which may have the
             part that crashes upstreams, or may do so by itself.
     """
 
     at: float
     begun: set[Prompt] = dataclasses.field(default_factory=set)
-    waiting: set[Prompt] = dataclasses.field(default_factory=set)
+    waiting: dict[Prompt, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
     is_explained: bool = False
 
     @property
     def prompts(self) -> set[Prompt]:
-        """Prompts that may have caused the crash."""
-        return self.begun or self.waiting
+        """Prompts that may have caused the crash.
+
+        What was sent to the upstream after the first request broke off, or
+        broke off later, did not reach it: a proxy accepts connections for an
+        upstream that has ended.
+        """
+        return self.begun or {
+            prompt
+            for prompt, (sent_at, lost_at) in self.waiting.items()
+            if sent_at < self.at and lost_at <= self.at + LOSS_SPREAD_S
+        }
 
     def involves(self, part: str) -> bool:
         """Returns whether any of the requests that broke off has a part."""
-        return any(part in p[:-1] for p in self.begun | self.waiting)
+        return any(part in p[:-1] for p in (*self.begun, *self.waiting))
 
 
 @dataclasses.dataclass(slots=True)
@@ -147,7 +162,12 @@
         self._expired_parts: dict[str, None] = {}
 
     def add_loss(
-        self, crash_id: str, at: float, prompt: Prompt, state: AnswerState
+        self,
+        crash_id: str,
+        at: float,
+        prompt: Prompt,
+        state: AnswerState,
+        sent_at: float = float("-inf"),
     ) -> None:
         """Records that a request broke off when an upstream crashed.
 
@@ -156,17 +176,18 @@
             at: Monotonic time in seconds at which the request broke off.
             prompt: Prompt of the request.
             state: How far its answer had come; answering clears its parts.
+            sent_at: Monotonic time in seconds at which it was sent, if known.
         """
         crash = self._crashes_by_id.setdefault(crash_id, _Crash(at))
         crash.at = min(crash.at, at)
         if state is AnswerState.ANSWERING:
             for part in prompt[:-1]:
                 self.clear(part, at)
-        else:
-            is_begun = state is AnswerState.BEGUN
-            prompts = crash.begun if is_begun else crash.waiting
-            if len(prompts) < MAX_PROMPTS_OF_CRASH:
-                prompts.add(prompt)
+        elif state is AnswerState.BEGUN:
+            if len(crash.begun) < MAX_PROMPTS_OF_CRASH:
+                crash.begun.add(prompt)
+        elif len(crash.waiting) < MAX_PROMPTS_OF_CRASH:
+            crash.waiting.setdefault(prompt, (sent_at, at))
         while len(self._crashes_by_id) > MAX_CRASHES:
             self._crashes_by_id.popitem(last=False)
 
--- a/plumvane/serving/repeats.py
+++ b/plumvane/serving/repeats.py
@@ -8,6 +8,7 @@
 
 from plumvane.serving.crashes import (
     CRASH_LIFETIME_S,
+    LOSS_SPREAD_S,
     MAX_CRASHES,
     AnswerState,
 )
@@ -18,9 +19,6 @@
 # and crashes from which it is blamed again after its earlier blame has expired.
 MIN_CRASHES = 3
 MIN_CRASHES_AFTER_EXPIRY = 1
-# Time after a crash within which the requests that were at the upstream break
-# off, in seconds.
-LOSS_SPREAD_S = 0.1
 # Time within which upstreams may have ended together before requests reached
 # them, in seconds, if nothing shows that they were alive then; and such outages
 # from which a request is blamed that was in all of them.
--- a/plumvane/worker/attribution.py
+++ b/plumvane/worker/attribution.py
@@ -287,8 +287,10 @@
         for loss in losses:
             request = request_key(loss.fingerprint)
             if len(loss.prompt) > 1:
+                # The times at which items are sent are not reported.
+                sent_at = loss.sent_at if loss.fingerprint else float("-inf")
                 self._history.add_loss(
-                    crash_id, loss.at, loss.prompt, loss.state
+                    crash_id, loss.at, loss.prompt, loss.state, sent_at
                 )
             if loss.fingerprint:
                 has_begun = loss.state is AnswerState.BEGUN
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -263,3 +263,37 @@
         crash(history, number, *waiting, state=AnswerState.WAITING)
         crash(history, number, ("all", f"s{number % 2}", "bad", f"{number}"))
     assert blamed(history, in_outage=True) == ["bad"]
+
+
+# Guards against the refusal of sound requests that were sent to upstreams which
+# had ended, through proxies that accept connections for them.
+def test_requests_sent_to_upstreams_that_are_gone_are_not_suspected() -> None:
+    history = CrashHistory()
+    for number in range(4):
+        at = number * GAP_S
+        # Killed while it answers a request.
+        state = AnswerState.ANSWERING
+        history.add_loss(f"u{number}", at, ("all", "x", "own"), state)
+        for late_s in (0.05, 0.3):
+            prompt = ("all", "sound", f"own{number} {late_s}")
+            sent_at = at + late_s - 0.005
+            history.add_loss(
+                f"u{number}", at + late_s, prompt, AnswerState.WAITING, sent_at
+            )
+    assert blamed(history) == []
+
+
+def test_requests_that_waited_at_an_upstream_are_suspected() -> None:
+    history = CrashHistory()
+    for number in range(4):
+        at = number * GAP_S
+        for late_s in (0.0, 0.05):
+            prompt = ("bad", f"own{number} {late_s}")
+            history.add_loss(
+                f"u{number}",
+                at + late_s,
+                prompt,
+                AnswerState.WAITING,
+                at - 0.2,
+            )
+    assert blamed(history) == ["bad"]
