Count repeats of a request as one in the judgement of parts

Cause: a part is convicted after three crashes under different requests, or five under one; repeats of a request were taken for different ones, since the last part of their prompts is their own.

Change: requests are told apart by their fingerprints, too; the smaller count holds.

Result: the new test fails if only last parts are counted (AssertionError, ['sound'] blamed) and passes.

--- a/plumvane/serving/crashes.py
+++ b/plumvane/serving/crashes.py
@@ -77,6 +77,8 @@
         begun: Prompts that the upstream had just begun to answer.
         waiting: Prompts that it had not begun to answer, with the monotonic
             times in seconds at which they were sent and broke off.
+        requests_by_prompt: What a request has in common with its repeats, by
+            its prompt, if known.
         is_explained: Whether a single request explains it, which may have the
             part that crashes upstreams, or may do so by itself.
     """
@@ -86,6 +88,9 @@
     waiting: dict[Prompt, tuple[float, float]] = dataclasses.field(
         default_factory=dict
     )
+    requests_by_prompt: dict[Prompt, str] = dataclasses.field(
+        default_factory=dict
+    )
     is_explained: bool = False
 
     @property
@@ -114,10 +119,22 @@
     Attributes:
         crash_ids: The crashes.
         prompts: Prompts with the part that broke off in them.
+        requests: Their requests, each the same as its repeats.
     """
 
     crash_ids: set[str] = dataclasses.field(default_factory=set)
     prompts: set[Prompt] = dataclasses.field(default_factory=set)
+    requests: set[str] = dataclasses.field(default_factory=set)
+
+    def request_count(self) -> int:
+        """Returns the number of different requests, at the least.
+
+        Repeats of a request may have a last part of their own, and different
+        requests of a session the same one.
+        """
+        return min(
+            len({prompt[-1] for prompt in self.prompts}), len(self.requests)
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,6 +185,7 @@
         prompt: Prompt,
         state: AnswerState,
         sent_at: float = float("-inf"),
+        request: str = "",
     ) -> None:
         """Records that a request broke off when an upstream crashed.
 
@@ -177,6 +195,8 @@
             prompt: Prompt of the request.
             state: How far its answer had come; answering clears its parts.
             sent_at: Monotonic time in seconds at which it was sent, if known.
+            request: What it has in common with its repeats; empty for the last
+                part of its prompt.
         """
         crash = self._crashes_by_id.setdefault(crash_id, _Crash(at))
         crash.at = min(crash.at, at)
@@ -188,6 +208,8 @@
                 crash.begun.add(prompt)
         elif len(crash.waiting) < MAX_PROMPTS_OF_CRASH:
             crash.waiting.setdefault(prompt, (sent_at, at))
+        if request and (prompt in crash.begun or prompt in crash.waiting):
+            crash.requests_by_prompt[prompt] = request
         while len(self._crashes_by_id) > MAX_CRASHES:
             self._crashes_by_id.popitem(last=False)
 
@@ -291,8 +313,9 @@
                     suspicion.crash_ids,
                     key=lambda crash_id: self._crashes_by_id[crash_id].at,
                 )
-                requests = len({prompt[-1] for prompt in suspicion.prompts})
-                return Culprit(part, tuple(crash_ids), requests)
+                return Culprit(
+                    part, tuple(crash_ids), suspicion.request_count()
+                )
         return None
 
     def _unexplained(self, now: float) -> dict[str, _Crash]:
@@ -315,6 +338,9 @@
                     found = suspicions_by_part.setdefault(part, _Suspicion())
                     found.crash_ids.add(crash_id)
                     found.prompts.add(prompt)
+                    found.requests.add(
+                        crash.requests_by_prompt.get(prompt, prompt[-1])
+                    )
         return suspicions_by_part
 
     def _is_cleared(self, part: str, crashed_at: float) -> bool:
@@ -326,8 +352,9 @@
     ) -> bool:
         times = [self._crashes_by_id[i].at for i in suspicion.crash_ids]
         moments = _count_moments(times)
-        requests = len({prompt[-1] for prompt in suspicion.prompts})
-        needed = MIN_MOMENTS if requests > 1 else MIN_MOMENTS_OF_ONE_REQUEST
+        needed = MIN_MOMENTS
+        if suspicion.request_count() == 1:
+            needed = MIN_MOMENTS_OF_ONE_REQUEST
         if part in self._expired_parts:
             needed = MIN_MOMENTS_AFTER_EXPIRY
         first = min(times)
--- a/plumvane/worker/attribution.py
+++ b/plumvane/worker/attribution.py
@@ -290,7 +290,12 @@
                 # The times at which items are sent are not reported.
                 sent_at = loss.sent_at if loss.fingerprint else float("-inf")
                 self._history.add_loss(
-                    crash_id, loss.at, loss.prompt, loss.state, sent_at
+                    crash_id,
+                    loss.at,
+                    loss.prompt,
+                    loss.state,
+                    sent_at,
+                    loss.fingerprint,
                 )
             if loss.fingerprint:
                 has_begun = loss.state is AnswerState.BEGUN
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -297,3 +297,19 @@
                 at - 0.2,
             )
     assert blamed(history) == ["bad"]
+
+
+# Guards against the refusal of sound requests that share a part with one that
+# crashes upstreams by itself, and comes again with a last part of its own.
+def test_repeats_of_one_request_count_as_one() -> None:
+    history = CrashHistory()
+    for number in range(4):
+        history.add_loss(
+            f"u{number}",
+            number * GAP_S,
+            ("all", "sound", f"own{number}"),
+            AnswerState.BEGUN,
+            request="f",
+        )
+        history.clear("all", number * GAP_S + 0.1)
+    assert blamed(history) == []
