--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -283,6 +283,7 @@
     assert blamed(history) == []
 
 
+# Guards against BUDGET: what did wait at an upstream that ends counts still.
 def test_requests_that_waited_at_an_upstream_are_suspected() -> None:
     history = CrashHistory()
     for number in range(4):
--- a/tests/test_gateway_app.py
+++ b/tests/test_gateway_app.py
@@ -439,6 +439,7 @@
     run_steps(steps)
 
 
+# The same for those that it took before it was stopped.
 def test_requests_left_at_the_end_of_an_instance_are_answered() -> None:
     async def steps() -> None:
         app = App()
--- a/tests/test_lost_responses.py
+++ b/tests/test_lost_responses.py
@@ -68,6 +68,7 @@
     run_with_timeout(steps)
 
 
+# Guards against a watch that hides that the store answers nothing.
 def test_watch_fails_if_the_store_answers_nothing() -> None:
     async def steps() -> None:
         async def answer(stream: anyio.abc.SocketStream, head: bytes) -> None:
--- a/tests/test_removed_routes.py
+++ b/tests/test_removed_routes.py
@@ -103,6 +103,7 @@
     run_with_timeout(steps)
 
 
+# Guards against items that are given up though their route comes back.
 def test_items_go_on_at_the_service_of_a_restored_route() -> None:
     async def steps() -> None:
         store = MemoryStore()
@@ -193,6 +194,7 @@
     run_with_timeout(steps)
 
 
+# Guards against LOST, if the worker that claimed the job is lost, too.
 def test_claimed_job_without_a_route_is_given_up_by_its_next_owner() -> None:
     async def steps() -> None:
         store, engine = MemoryStore(), FakeEngine()
