--- a/review/rig2/site.py
+++ b/review/rig2/site.py
@@ -396,19 +396,30 @@
         )
         return has_one or is_full or is_moving
 
-    async def read(
-        self, gateway: Program, job_id: str, after: int = 0
-    ) -> tuple[int, dict[str, Any]]:
-        """Reads the results of a job from a position on."""
+    async def read_on(
+        self, gateway: Program, job_id: str, results: list[dict[str, Any]]
+    ) -> bool:
+        """Reads the results of a job beyond those that are known.
+
+        Args:
+            gateway: Where to read them.
+            job_id: The job.
+            results: Its results from the first position on; extended.
+
+        Returns:
+            Whether all its items are listed.
+        """
         answer = await call(
             gateway.front,
             "GET",
-            f"/v1/lots/{job_id}?after={after}",
+            f"/v1/lots/{job_id}?after={len(results)}",
             {"Host": HOST_NAME, "X-Wait-Ms": "1000"},
         )
         if answer.status != 200:
-            return answer.status, {}
-        return 200, json.loads(answer.body)
+            return False
+        page = json.loads(answer.body)
+        results += page["results"]
+        return len(results) == page["total"]
 
 
 def batch_route(service: str, prefix: str = "/pule252/") -> dict[str, Any]:
