--- a/review/rig2/site.py
+++ b/review/rig2/site.py
@@ -30,19 +30,23 @@
     "HOST_NAME",
     "CannotRunError",
     "Program",
+    "Sheet",
     "Site",
     "batch_route",
     "main",
 ]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-ADDRESS = "127.0.0.1"
+# An address of its own, so that scripts beside each other don't take the ports
+# that this one has chosen and not bound yet.
+ADDRESS = f"127.{secrets.randbelow(250) + 2}.{secrets.randbelow(250) + 2}.1"
 HOST_NAME = "ficu95.example"
 START_S = 20.0
 # `finish-s` of the sheets.
 FINISH_S = 18.0
-# The sheets give 4,100 descriptors, of which 200 are for files.
-MAX_DESCRIPTORS = 3900
+# Descriptors that a machine has, of which 200 are for files, and those that are
+# left to its process.
+MAX_DESCRIPTORS = 4100 - 200
 SETTINGS = """\
 [process]
 name = {name}
@@ -58,13 +62,13 @@
 address = {peers}
 
 [upstreams]
-drain_ms = 2000
+drain_ms = {bound_ms}
 
 [routes]
-apply_ms = 2000
+apply_ms = {bound_ms}
 
 [terms]
-names = base,drain,config,cost,recover,batch,stream,engine,platform
+names = {terms}
 
 [quotas]
 overage = 0.1
@@ -77,7 +81,7 @@
 address = {ready}
 
 [memory]
-limit_mb = 300
+limit_mb = {memory_mb}
 
 [data_centres]
 leave = when_it_pays
@@ -85,20 +89,44 @@
 """
 
 
+@dataclasses.dataclass(frozen=True)
+class Sheet:
+    """What a deployment's sheet gives; by default that of `ksh-plumvane`.
+
+    Attributes:
+        bound_ms: `drain-ms` and `config-apply-ms`.
+        terms: The contracts.
+        memory_mb: Memory of a `front` machine.
+        descriptors: Descriptors of a process.
+    """
+
+    bound_ms: int = 2000
+    terms: str = "base,drain,config,cost,recover,batch,stream,engine,platform"
+    memory_mb: int = 300
+    descriptors: int = MAX_DESCRIPTORS
+
+
 class CannotRunError(Exception):
     """The case could not be set up."""
 
 
-def _limit_descriptors() -> None:
+def _limit_descriptors(count: int) -> None:
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_DESCRIPTORS, hard))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
+_chosen_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Returns a port that is free on the loopback address."""
-    with socket.socket() as probe:
-        probe.bind((ADDRESS, 0))
-        return int(probe.getsockname()[1])
+    """Returns a port that is free on the address, another one each time."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((ADDRESS, 0))
+            port = int(probe.getsockname()[1])
+        if port not in _chosen_ports:
+            _chosen_ports.add(port)
+            return port
 
 
 def free_address() -> str:
@@ -117,6 +145,7 @@
         front: Address for clients; empty for a worker.
         ready: Address of its readiness check; empty for a worker.
         store_port: Port at which it reaches the store.
+        descriptors: Descriptors that its process may open.
         ends: How its processes ended by themselves: times and exit codes.
         popen: Its process.
     """
@@ -127,6 +156,7 @@
     front: str
     ready: str
     store_port: int
+    descriptors: int = MAX_DESCRIPTORS
     ends: list[tuple[float, int]] = dataclasses.field(default_factory=list)
     popen: subprocess.Popen[bytes] | None = None
 
@@ -153,7 +183,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                preexec_fn=_limit_descriptors,
+                preexec_fn=lambda: _limit_descriptors(self.descriptors),
             )
 
     def is_running(self) -> bool:
@@ -217,6 +247,7 @@
         self.began_at = time.monotonic()
         self.tasks: list[asyncio.Task[None]] = []
         self.version = 0
+        self.sheet = Sheet()
 
     def log(self, text: str) -> None:
         """Adds a line to the record."""
@@ -249,7 +280,9 @@
         front = ready = fronts = grace = ""
         if role == "gateway":
             front, ready = free_address(), free_address()
-            fronts = FRONTS.format(front=front, ready=ready)
+            fronts = FRONTS.format(
+                front=front, ready=ready, memory_mb=self.sheet.memory_mb
+            )
             grace = "grace_s = 8\n"
         settings = self.folder / f"{name}.ini"
         settings.write_text(
@@ -261,9 +294,19 @@
                 fronts=fronts,
                 metrics=free_address(),
                 peers=free_address(),
+                bound_ms=self.sheet.bound_ms,
+                terms=self.sheet.terms,
             )
         )
-        program = Program(name, role, settings, front, ready, store_port)
+        program = Program(
+            name,
+            role,
+            settings,
+            front,
+            ready,
+            store_port,
+            self.sheet.descriptors,
+        )
         program.start()
         self.programs.append(program)
         return program
@@ -469,7 +512,7 @@
     """
 
     async def run() -> int:
-        has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        has_trouble = sys.argv[1:] != ["0"]
         async with _site(has_trouble, os.environ.get("KEEP")) as site:
             try:
                 async with asyncio.timeout(115):
--- a/review/rig2/store.py
+++ b/review/rig2/store.py
@@ -78,6 +78,18 @@
         self._write(key, value, lease)
         return self.revision
 
+    def load(self, rows: list[tuple[str, bytes]]) -> None:
+        """Adds keys that were there for longer than the history goes back."""
+        for key, value in rows:
+            self.revision += 1
+            self.items_by_key[key] = Item(
+                key, value, self.revision, self.revision
+            )
+        if rows:
+            self._sorted_keys = None
+            self._history.clear()
+            self._forgotten = self.revision
+
     def remove(self, key: str) -> None:
         """Removes a key."""
         if key in self.items_by_key:
