Run items by the route that accepted their job

Cause: a job's head had the host but not the route that accepted it. The worker looked for a route by each item's own path and dropped one of another kind.

Change: the head names the route and its prefix. Items run at the service to which that route leads by now; by its name, or by its prefix if it was renamed. Heads of earlier releases go by the batch route with the longest prefix of what the paths of all items have in common. 5001 and 5030 name the route.

test_each_item_runs_at_the_service_of_its_own_route asked for the opposite: items under a second batch route had to run at that one's service. It is replaced by test_items_run_at_the_service_of_the_route_of_their_job, as strict: it names the service of each item, and fails if all follow the first item's path.

--- a/plumvane/batch/jobstore.py
+++ b/plumvane/batch/jobstore.py
@@ -128,7 +128,7 @@
 
         Args:
             job_id: Identifier of the job.
-            host: Host header that its items are routed by.
+            host: Host header of its route and its items.
             items: Items in the order of submission.
             route: Route of the job.
             team: Team that submits it; empty if callers need no keys.
@@ -150,6 +150,8 @@
             retention_ms=now_ms + int(route.retention_s * 1000),
             max_attempts=route.max_attempts,
             team=team,
+            route_name=route.name,
+            path_prefix=route.path_prefix,
         )
         head = JOB_PREFIX + job_id
         writes = [Write(head, job.encode())]
--- a/plumvane/events.py
+++ b/plumvane/events.py
@@ -144,7 +144,7 @@
     )
     JOB_UNROUTED = (
         5030,
-        "Items of a batch job wait; the configuration has no route for them.",
+        "A batch job waits; the configuration lacks its route.",
     )
     ARRIVAL_REFUSED = (
         4108,
--- a/plumvane/gateway/jobs.py
+++ b/plumvane/gateway/jobs.py
@@ -115,6 +115,7 @@
         events.log(
             events.Event.JOB_ACCEPTED,
             job=submission.job_id,
+            route=route.name,
             items=len(submission.items),
             team=team.name if team is not None else None,
             is_new=state.is_new,
--- a/plumvane/serving/jobs.py
+++ b/plumvane/serving/jobs.py
@@ -61,7 +61,7 @@
 
     Attributes:
         job_id: Identifier of the job.
-        host: Host header that its items are routed by.
+        host: Host header of its route and its items.
         items: Items in the order of submission.
     """
 
@@ -114,7 +114,7 @@
 
     Attributes:
         job_id: Identifier of the job.
-        host: Host header that its items are routed by.
+        host: Host header of its route and its items.
         item_ids: Identifiers of its items in the order of submission.
         chunk_by_item: For each item, the number of the value that holds it.
         submitted_ms: Unix time of its acceptance in milliseconds.
@@ -128,6 +128,9 @@
         failures_by_id: Number of failed runs by item.
         has_progress: Whether the last owner stored checkpoints of its items.
         team: Team that submitted it; empty if callers needed no keys.
+        route_name: Name of the route that accepted it; empty in heads of
+            earlier releases.
+        path_prefix: Path prefix that the route had then.
     """
 
     job_id: str
@@ -144,6 +147,8 @@
     failures_by_id: dict[str, int] = {}
     has_progress: bool = False
     team: str = ""
+    route_name: str = ""
+    path_prefix: str = ""
 
     def is_open(self) -> bool:
         """Returns whether further results can be appended."""
--- a/plumvane/serving/routes.py
+++ b/plumvane/serving/routes.py
@@ -134,9 +134,14 @@
         self.idle_timeout_s = idle_timeout_s
         self.teams = teams
         self.services_by_name = {service.name: service for service in services}
-        self._routes_by_prefix = {
-            (route.host, route.path_prefix): route for route in routes
-        }
+        self._routes_by_prefix: dict[tuple[str, str], Route] = {}
+        self._batch_routes_by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            self._routes_by_prefix[route.host, route.path_prefix] = route
+            if route.kind is RouteKind.BATCH:
+                self._batch_routes_by_host.setdefault(route.host, []).append(
+                    route
+                )
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching path prefix.
@@ -152,3 +157,42 @@
                 return route
             end = path.rfind("/", 0, end)
         return None
+
+    def find_batch(
+        self, host: str, name: str, path_prefix: str
+    ) -> Route | None:
+        """Returns the route of an accepted batch job in this version.
+
+        The job keeps its route whatever other routes begin the paths of its
+        items. A route that has been renamed is recognised by its prefix.
+
+        Args:
+            host: Host header of the job.
+            name: Name of the route that accepted the job.
+            path_prefix: Path prefix that the route had then.
+        """
+        routes = self._batch_routes_by_host.get(host, ())
+        for route in routes:
+            if route.name == name:
+                return route
+        for route in routes:
+            if route.path_prefix == path_prefix:
+                return route
+        return None
+
+    def match_batch(self, host: str, path: str) -> Route | None:
+        """Returns the batch route with the longest matching path prefix.
+
+        Args:
+            host: Host header of a batch job.
+            path: Start that the paths of all its items have in common.
+        """
+        return max(
+            (
+                route
+                for route in self._batch_routes_by_host.get(host, ())
+                if path.startswith(route.path_prefix)
+            ),
+            key=lambda route: len(route.path_prefix),
+            default=None,
+        )
--- a/plumvane/worker/owned.py
+++ b/plumvane/worker/owned.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import os.path
 from collections.abc import Sequence
 
 import anyio
@@ -12,7 +13,7 @@
 from plumvane.platform.requests import item_prompt
 from plumvane.serving.crashes import Prompt
 from plumvane.serving.jobs import Item, ItemProgress, ItemResult, Job
-from plumvane.serving.routes import Route, RouteKind, RouteTable
+from plumvane.serving.routes import Route, RouteTable
 
 __all__ = ["ItemRun", "OwnedJob"]
 
@@ -38,10 +39,6 @@
         saved_event_count: Number of events in the item's last checkpoint.
         held_by: Part of its prompt that crashes upstreams, for which it waits,
             or None.
-        route: Its route, or None if the configuration has none for it.
-        route_deadline: Monotonic time in seconds until which it waits for a
-            route, or None while it has one.
-        service: Service that it may be sent to in this round, or empty.
     """
 
     item: Item
@@ -58,9 +55,6 @@
     received_events: int | None = None
     saved_event_count: int = 0
     held_by: Quarantined | None = None
-    route: Route | None = None
-    route_deadline: float | None = None
-    service: str = ""
 
     def add_event(self, event_id: int, text: str, version: str) -> None:
         """Adds an event that an upstream of a version has sent."""
@@ -86,7 +80,17 @@
 
 
 class OwnedJob:
-    """A job's head as last written or read, and the runs of its items."""
+    """A job's head as last written or read, and the runs of its items.
+
+    Attributes:
+        job: The head.
+        revision: Revision of the head.
+        outcomes: Outcomes not yet committed to the store.
+        runs_by_id: Runs of the items without a listed result.
+        route: The job's route, or None if the configuration lacks it.
+        route_deadline: Monotonic time in seconds until which the job waits for
+            its route, or None while it has one.
+    """
 
     def __init__(
         self,
@@ -106,9 +110,11 @@
         self.job = job
         self.revision = revision
         self._owner = job.owner
-        # The configuration by which the items have their routes.
+        # The configuration that the route was taken from.
         self._routes: RouteTable | None = None
-        # Outcomes not yet committed to the store.
+        self.route: Route | None = None
+        self.route_deadline: float | None = None
+        self._common_path = os.path.commonprefix([i.path for i in items])
         self.outcomes: list[ItemResult] = []
         # Failed runs by item, including those not yet committed to the head.
         self._failures_by_id = dict(job.failures_by_id)
@@ -186,56 +192,57 @@
             if run.last_event_id is not None and not run.is_done
         ]
 
-    def apply_routes(self, routes: RouteTable, deadline: float) -> int:
-        """Gives the items their routes in a configuration.
+    def apply_routes(self, routes: RouteTable, deadline: float) -> bool:
+        """Takes the job's route from a configuration.
 
         Args:
             routes: The configuration.
-            deadline: Monotonic time in seconds until which items that it has no
-                route for wait for one.
+            deadline: Monotonic time in seconds until which the job waits for
+                its route if the configuration lacks it.
 
         Returns:
-            Number of items that begin to wait.
+            Whether the job begins to wait.
         """
         if routes is self._routes:
-            return 0
+            return False
         self._routes = routes
-        began_to_wait = 0
-        for run in self.runs_by_id.values():
-            path = run.item.path.partition("?")[0]
-            route = routes.match(self.job.host, path)
-            if route is not None and route.kind is not RouteKind.BATCH:
-                route = None
-            run.route = route
-            if route is not None:
-                run.route_deadline = None
-            elif run.route_deadline is None:
-                run.route_deadline = deadline
-                began_to_wait += 1
-        return began_to_wait
+        job = self.job
+        if job.route_name:
+            self.route = routes.find_batch(
+                job.host, job.route_name, job.path_prefix
+            )
+        else:
+            self.route = routes.match_batch(job.host, self._common_path)
+        if self.route is not None:
+            self.route_deadline = None
+            return False
+        if self.route_deadline is not None:
+            return False
+        self.route_deadline = deadline
+        return bool(self.runs_by_id)
 
     def unrouted(self, now: float) -> list[ItemRun]:
-        """Returns the items that have waited long enough for a route.
+        """Returns the items that end because the job's route stays removed.
 
         Args:
             now: Monotonic time in seconds.
         """
-        if self.job.is_ended:
+        if (
+            self.job.is_ended
+            or self.route_deadline is None
+            or self.route_deadline > now
+        ):
             return []
         return [
             run
             for run in self.runs_by_id.values()
-            if run.route_deadline is not None
-            and run.route_deadline <= now
-            and not run.is_done
-            and run.scope is None
+            if not run.is_done and run.scope is None
         ]
 
-    def startable(self, service: str, now: float) -> list[ItemRun]:
-        """Returns the items that may start a run at a service.
+    def startable(self, now: float) -> list[ItemRun]:
+        """Returns the items that may start a run.
 
         Args:
-            service: Name of the service.
             now: Monotonic time in seconds.
         """
         if self.job.is_ended:
@@ -243,10 +250,7 @@
         return [
             run
             for run in self.runs_by_id.values()
-            if run.service == service
-            and not run.is_done
-            and run.scope is None
-            and run.retry_at <= now
+            if not run.is_done and run.scope is None and run.retry_at <= now
         ]
 
     def running(self) -> list[ItemRun]:
--- a/plumvane/worker/scheduler.py
+++ b/plumvane/worker/scheduler.py
@@ -187,7 +187,9 @@
         self._items_by_upstream = {}
         jobs_by_service: dict[str, list[OwnedJob]] = {}
         for owned in jobs:
-            for service in self._choose_services(owned):
+            apply_routes(owned, self._view)
+            if owned.route is not None:
+                service = owned.route.choose_service(self._rng)
                 jobs_by_service.setdefault(service, []).append(owned)
         for service, service_jobs in jobs_by_service.items():
             await self._schedule_service(service, service_jobs, workers, group)
@@ -340,24 +342,6 @@
         self._no_stops_until_by_service[service] = now + STOP_PAUSE_S
         return outlook
 
-    def _choose_services(self, owned: OwnedJob) -> list[str]:
-        """Chooses services for a job's items, one for all items of a route.
-
-        Returns:
-            Names of the services.
-        """
-        apply_routes(owned, self._view)
-        service_by_route: dict[str, str] = {}
-        for run in owned.runs_by_id.values():
-            if run.route is None:
-                run.service = ""
-                continue
-            name = run.route.name
-            if name not in service_by_route:
-                service_by_route[name] = run.route.choose_service(self._rng)
-            run.service = service_by_route[name]
-        return list(dict.fromkeys(service_by_route.values()))
-
     async def _schedule_service(
         self,
         service: str,
@@ -413,7 +397,7 @@
             for upstream_id, items in preemptible_by_id.items()
             if items or running_by_upstream.get(upstream_id)
         )
-        waiting = self._waiting(service, jobs, now, busy_s)
+        waiting = self._waiting(jobs, now, busy_s)
         self._discard_events_of_gone_versions(service, waiting)
         versions_by_id = {
             upstream_id: upstream.listed.version
@@ -600,17 +584,13 @@
                     run.stop()
 
     def _waiting(
-        self,
-        service: str,
-        jobs: Iterable[OwnedJob],
-        now: float,
-        busy_s: float | None,
+        self, jobs: Iterable[OwnedJob], now: float, busy_s: float | None
     ) -> list[WaitingItem]:
-        """Returns the items that may start at a service, by priority."""
+        """Returns the items that may start, by priority."""
         rows: list[WaitingItem] = []
         tried_parts: set[str] = set()
         for owned in jobs:
-            for run in owned.startable(service, now):
+            for run in owned.startable(now):
                 if self._is_held(owned, run, tried_parts, now):
                     continue
                 rows.append((self._priority(owned, run, busy_s), owned, run))
--- a/plumvane/worker/unrouted.py
+++ b/plumvane/worker/unrouted.py
@@ -1,4 +1,4 @@
-"""Items of accepted batch jobs that the configuration has no route for."""
+"""Items of accepted batch jobs whose route the configuration lacks."""
 
 from __future__ import annotations
 
@@ -17,17 +17,17 @@
 
 
 def apply_routes(owned: OwnedJob, view: FleetView) -> None:
-    """Gives a job's items their routes in the configuration in force."""
+    """Takes a job's route from the configuration in force."""
     if view.routes is None:
         return
     deadline = clock.monotonic() + ROUTE_RETURN_S
-    unrouted = owned.apply_routes(view.routes, deadline)
-    if unrouted:
+    if owned.apply_routes(view.routes, deadline):
         events.log(
             events.Event.JOB_UNROUTED,
             job=owned.job.job_id,
             host=owned.job.host,
-            items=unrouted,
+            route=owned.job.route_name,
+            items=len(owned.runs_by_id),
             **view.describe_configuration(),
         )
 
@@ -45,10 +45,10 @@
         self._check = ConfigurationCheck(view)
 
     async def give_up(self, jobs: Collection[OwnedJob]) -> None:
-        """Gives up the items of jobs that have waited long enough for a route.
+        """Gives up the items of jobs that have waited in vain for their route.
 
         They wait on while it is not certain that the configuration is current:
-        a newer one may have their route.
+        a newer one may have the route.
         """
         now = clock.monotonic()
         if not any(owned.unrouted(now) for owned in jobs):
--- a/tests/test_removed_routes.py
+++ b/tests/test_removed_routes.py
@@ -1,15 +1,17 @@
-"""Batch jobs whose route the operators remove, or give to another service."""
+"""Batch jobs whose route the operators change or remove, or add others to."""
 
 from __future__ import annotations
 
+import functools
 import json
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 
 from plumvane import clock
-from plumvane.batch.jobstore import JobStore
+from plumvane.batch.jobstore import Commit, JobStore
 from plumvane.errors import StoreUnavailableError
 from plumvane.platform import names
 from plumvane.serving.jobs import Item
@@ -33,22 +35,36 @@
 SERVICES = ("a", "b")
 
 
+def route_row(prefix: str, service: str, **fields: str) -> dict[str, Any]:
+    """Returns a batch route as in a configuration; `fields` replace others."""
+    return {
+        "name": f"route{prefix}",
+        "host": "h",
+        "path-prefix": prefix,
+        "kind": "batch",
+        "service": service,
+        "timeout-ms": 5000,
+        "max-attempts": 2,
+        **fields,
+    }
+
+
 async def configure(
-    store: MemoryStore, version: int, services_by_prefix: dict[str, str]
+    store: MemoryStore,
+    version: int,
+    services_by_prefix: dict[str, str],
+    *others: dict[str, Any],
 ) -> None:
-    """Writes a configuration with a route for each path prefix."""
-    routes = [
-        {
-            "name": f"route{prefix}",
-            "host": "h",
-            "path-prefix": prefix,
-            "kind": "batch",
-            "service": service,
-            "timeout-ms": 5000,
-            "max-attempts": 2,
-        }
-        for prefix, service in services_by_prefix.items()
-    ]
+    """Writes a configuration with a batch route for each path prefix.
+
+    Args:
+        store: The store.
+        version: Version of the configuration.
+        services_by_prefix: Services of the batch routes.
+        others: Other routes.
+    """
+    routes = [route_row(*row) for row in services_by_prefix.items()]
+    routes.extend(others)
     value = {
         "version": version,
         "routes": routes,
@@ -173,23 +189,165 @@
     run_with_timeout(steps)
 
 
-# Guards against ROUTE: all items of a job ran at the service of its first one.
-def test_each_item_runs_at_the_service_of_its_own_route() -> None:
+ITEM_PATHS = ("/p/stream/x", "/p/other/x", "/q/x", "/elsewhere")
+ROUTES_OVER_ITEMS = (
+    route_row("/p/stream/", "b", kind="streaming"),
+    route_row("/p/other/", "b"),
+    route_row("/q/", "b", kind="streaming"),
+)
+
+
+async def check_run_at(
+    store: MemoryStore,
+    change: Callable[[], Awaitable[None]],
+    service: str,
+    paths: Sequence[str] = ITEM_PATHS,
+) -> None:
+    """Checks that all items of a job run at one service after a change.
+
+    Args:
+        store: The store, with a configuration in which `/p/` leads to `a`.
+        change: Called once the job is claimed and before its items run.
+        service: Service at which they must run.
+        paths: Paths of the items.
+    """
+    engine = FakeEngine()
+    submitted = tuple(
+        Item(f"i{n}", path, {}, b"") for n, path in enumerate(paths)
+    )
+    worker = make_following_worker(store, engine)
+    worker._scheduler.schedule, schedule = _no_round, worker._scheduler.schedule  # type: ignore[method-assign]
+    async with anyio.create_task_group() as group:
+        group.start_soon(worker._view.run)
+        group.start_soon(worker.run)
+        await wait_for(worker._view.is_loaded)
+        await JobStore(store).accept("j", "h", submitted, JOB_ROUTE)
+        await wait_for(lambda: "j" in worker._owned_by_id)
+        await change()
+        worker._scheduler.schedule = schedule  # type: ignore[method-assign]
+        results = await wait_until_listed(store, "j", len(paths))
+        group.cancel_scope.cancel()
+    assert {result.text for result in results} == {FULL_TEXT}
+    assert engine.versions_by_item == {
+        item.item_id: [service] for item in submitted
+    }
+
+
+async def _no_round(*_: Any) -> None:
+    """Starts no item."""
+
+
+# Guards against MIXED: a route that is added over the paths of a job's items
+# had them given up unrun.
+def test_routes_over_the_paths_of_accepted_items_do_not_end_them() -> None:
     async def steps() -> None:
-        store, engine = MemoryStore(), FakeEngine()
+        store = MemoryStore()
+        await configure(store, 1, {"/p/": "a"})
+
+        async def add_routes() -> None:
+            await configure(store, 2, {"/p/": "a"}, *ROUTES_OVER_ITEMS)
+            await anyio.sleep(0.1)
+
+        await check_run_at(store, add_routes, "a")
+
+    run_with_timeout(steps)
+
+
+# Guards against MIXED: items on the paths of other routes, or of none, were
+# given up from the start.
+def test_paths_of_items_need_no_route_of_their_own() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
+        await configure(store, 1, {"/p/": "a"}, *ROUTES_OVER_ITEMS)
+        await check_run_at(store, anyio.lowlevel.checkpoint, "a")
+
+    run_with_timeout(steps)
+
+
+# Guards against ROUTE: items ran at the service of another route than the one
+# that accepted their job.
+def test_items_run_at_the_service_of_the_route_of_their_job() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
         await configure(store, 1, {"/p/": "a", "/p/other/": "b"})
-        worker = make_following_worker(store, engine)
-        submitted = (
-            Item("i0", "/p/x", {}, b""),
-            Item("i1", "/p/other/x", {}, b""),
+        await check_run_at(
+            store,
+            anyio.lowlevel.checkpoint,
+            "a",
+            ("/p/other/x", "/p/x"),
         )
-        await JobStore(store).accept("j", "h", submitted, JOB_ROUTE)
+
+    run_with_timeout(steps)
+
+
+# Guards against CONFIG and MIXED: a job whose route got another service, prefix
+# or name went on as before, or was given up.
+def test_items_follow_the_changes_of_their_jobs_route() -> None:
+    renamed = route_row("/p/", "b", name="renamed")
+    moved = route_row("/new/", "b", name=JOB_ROUTE.name)
+
+    async def steps(route: dict[str, Any]) -> None:
+        store = MemoryStore()
+        await configure(store, 1, {"/p/": "a"})
+
+        async def change() -> None:
+            await configure(store, 2, {}, route, *ROUTES_OVER_ITEMS)
+            await anyio.sleep(0.1)
+
+        await check_run_at(store, change, "b")
+
+    for route in (renamed, moved):
+        run_with_timeout(functools.partial(steps, route))
+
+
+# Guards against MIXED: a worker that takes a job over gives up what the one
+# before would have run.
+def test_next_owner_runs_items_under_the_route_of_their_job() -> None:
+    async def steps() -> None:
+        store, engine = MemoryStore(), FakeEngine(is_paused=True)
+        await configure(store, 1, {"/p/": "a"})
+        submitted = tuple(
+            Item(f"i{n}", "/p/stream/x", {}, b"") for n in range(4)
+        )
+        first = make_following_worker(store, engine)
         async with anyio.create_task_group() as group:
-            group.start_soon(worker._view.run)
-            group.start_soon(worker.run)
-            await wait_until_listed(store, "j", 2)
+            group.start_soon(first._view.run)
+            group.start_soon(first.run)
+            await JobStore(store).accept("j", "h", submitted, JOB_ROUTE)
+            await wait_for(lambda: len(engine.running) == 4)
+            await configure(store, 2, {"/p/": "a"}, *ROUTES_OVER_ITEMS)
+            await first.drain()
             group.cancel_scope.cancel()
-        assert engine.versions_by_item == {"i0": ["a"], "i1": ["b"]}
+        engine.is_paused = False
+        second = make_following_worker(store, engine)
+        async with anyio.create_task_group() as group:
+            group.start_soon(second._view.run)
+            group.start_soon(second.run)
+            results = await wait_until_listed(store, "j", 4)
+            group.cancel_scope.cancel()
+        assert {result.text for result in results} == {FULL_TEXT}
+        assert set(map(tuple, engine.versions_by_item.values())) == {("a", "a")}
+
+    run_with_timeout(steps)
+
+
+# Guards against MIXED: items of a job that an earlier release accepted, whose
+# head does not name its route, are given up.
+def test_job_without_a_named_route_has_that_of_its_items_paths() -> None:
+    async def steps() -> None:
+        store = MemoryStore()
+        await configure(store, 1, {"/p/": "a", "/": "b"}, *ROUTES_OVER_ITEMS)
+
+        async def remove_names() -> None:
+            jobs = JobStore(store)
+            job, revision = await jobs.head("j")
+            job.route_name = job.path_prefix = ""
+            await jobs.commit([Commit(job, revision, {})])
+            await anyio.sleep(0.1)
+
+        await check_run_at(
+            store, remove_names, "a", ("/p/stream/x", "/p/other/x")
+        )
 
     run_with_timeout(steps)
 
