Add a route over the paths of items to the soak

Change: while there are extra routes, a streaming route to the plain services begins the paths of most items.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -29,7 +29,8 @@
 # Delay in seconds before a refused write to the store is retried.
 WRITE_RETRY_DELAY_S = 0.2
 # Fixed routes, with the settings in which they differ. The fault
-# `change_configuration` adds and removes `extra-N` routes.
+# `change_configuration` adds and removes `extra-N` routes, and beside them one
+# over the paths of items.
 ROUTES: tuple[dict[str, Any], ...] = (
     {"name": "note", "kind": "streaming", "resumable": True},
     {"name": "quote", "kind": "streaming"},
@@ -126,6 +127,15 @@
         """Writes the next version of the configuration."""
         self.version += 3
         extra = [{"name": name, "kind": "safe"} for name in self.extra_routes]
+        if extra:
+            # Most items of jobs lie under this prefix.
+            extra.append(
+                {
+                    "name": "over-items",
+                    "kind": "streaming",
+                    "path-prefix": "/plan/ok/",
+                }
+            )
         routes = [
             {
                 "host": HOST,
