--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from plumvane import clock
 from plumvane.discovery.origins import StreamOrigins
 from plumvane.discovery.permits import Permits
 from plumvane.discovery.quarantine import PromptQuarantine
@@ -17,7 +18,7 @@
 from plumvane.errors import PlumvaneError, UpstreamLostError
 from plumvane.gateway.admission import InTimeAdmission
 from plumvane.gateway.exchange import Exchange
-from plumvane.gateway.forwarder import Forwarder
+from plumvane.gateway.forwarder import Forwarder, IncompleteResponseError
 from plumvane.platform.requests import ResponseHead
 from plumvane.relay.client import Attempt, UpstreamClient, UpstreamResponse
 from plumvane.serving.overload import OverloadPolicy
@@ -27,6 +28,7 @@
 
 __all__ = [
     "FakeCaller",
+    "RawGateway",
     "Script",
     "ScriptedClient",
     "make_gateway",
@@ -215,3 +217,44 @@
 
 
 Check = Callable[[], Awaitable[None]]
+
+
+class RawGateway:
+    """A forwarder with a real client of upstreams `u0`, `u1`, ..."""
+
+    def __init__(self, ports: list[int]) -> None:
+        rng = random.Random(1)
+        self.view = FleetView(MemoryStore(), "a", rng)
+        for number, port in enumerate(ports):
+            self.view.upstreams.put(
+                make_listed_upstream(
+                    f"u{number}",
+                    port=port,
+                    data_centre="b" if number else "a",
+                )
+            )
+        origins = StreamOrigins("gateway", None, self.view)
+        self._forwarder = Forwarder(
+            self.view,
+            UpstreamClient(),
+            origins,
+            PromptQuarantine("gateway", None),
+            Permits("gateway", None, self.view.upstreams),
+            rng,
+        )
+
+    async def forward(
+        self, route: Route, caller: FakeCaller
+    ) -> PlumvaneError | IncompleteResponseError | None:
+        """Forwards a request and returns its error."""
+        try:
+            await self._forwarder.forward(
+                caller.exchange, route, b"body", clock.monotonic()
+            )
+        except (PlumvaneError, IncompleteResponseError) as error:
+            return error
+        return None
+
+    def has_failed(self, upstream_id: str) -> bool:
+        """Returns whether an upstream was ejected after its last success."""
+        return self.view.upstreams.upstreams_by_id[upstream_id].record_success()
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -13,31 +13,28 @@
 import anyio.abc
 
 from plumvane import clock
-from plumvane.discovery.origins import StreamOrigins
-from plumvane.discovery.permits import Permits
-from plumvane.discovery.quarantine import PromptQuarantine
 from plumvane.discovery.view import FleetView
 from plumvane.errors import (
     DeadlineExceededError,
-    PlumvaneError,
     StoreUnavailableError,
     UpstreamLostError,
 )
-from plumvane.gateway.forwarder import Forwarder, IncompleteResponseError
+from plumvane.gateway.forwarder import IncompleteResponseError
 from plumvane.httppool import HttpPool
 from plumvane.platform.store import CALL_TIMEOUT_S, PlatformStore
-from plumvane.relay.client import UpstreamClient
 from plumvane.relay.events import EventStreamParser
 from plumvane.relay.reports import REPORT_TIMEOUT_S, ReportReader
-from plumvane.serving.jobs import Item, Job
-from plumvane.serving.pacing import ItemDurationEstimator
 from plumvane.serving.routes import Route, RouteKind
 from plumvane.serving.upstreams import UpstreamTable
-from plumvane.store.memory import MemoryStore
-from plumvane.worker.items import ITEM_IDLE_TIMEOUT_S, ItemRunner
 from plumvane.worker.owned import ItemRun, OwnedJob
-from tests.gateways import FakeCaller, make_listed_upstream, make_route
+from tests.gateways import (
+    FakeCaller,
+    RawGateway,
+    make_listed_upstream,
+    make_route,
+)
 from tests.raw_servers import HOST, header, serving
+from tests.workers import run_item_at
 
 OUTER_DEADLINE_S = 30.0
 # Bytes after which a server gives up sending, and the most that it may get rid
@@ -169,47 +166,6 @@
         await super()._send({**message, "body": b""})
 
 
-class FakeGateway:
-    """A forwarder with a real client of upstreams `u0`, `u1`, ..."""
-
-    def __init__(self, ports: list[int]) -> None:
-        rng = random.Random(1)
-        self.view = FleetView(MemoryStore(), "a", rng)
-        for number, port in enumerate(ports):
-            self.view.upstreams.put(
-                make_listed_upstream(
-                    f"u{number}",
-                    port=port,
-                    data_centre="b" if number else "a",
-                )
-            )
-        origins = StreamOrigins("gateway", None, self.view)
-        self._forwarder = Forwarder(
-            self.view,
-            UpstreamClient(),
-            origins,
-            PromptQuarantine("gateway", None),
-            Permits("gateway", None, self.view.upstreams),
-            rng,
-        )
-
-    async def forward(
-        self, route: Route, caller: FakeCaller
-    ) -> PlumvaneError | IncompleteResponseError | None:
-        """Forwards a request and returns its error."""
-        try:
-            await self._forwarder.forward(
-                caller.exchange, route, b"body", clock.monotonic()
-            )
-        except (PlumvaneError, IncompleteResponseError) as error:
-            return error
-        return None
-
-    def has_failed(self, upstream_id: str) -> bool:
-        """Returns whether an upstream was ejected after its last success."""
-        return self.view.upstreams.upstreams_by_id[upstream_id].record_success()
-
-
 async def answer_whole(stream: anyio.abc.SocketStream, head: bytes) -> None:
     """Answers as a healthy upstream: a complete stream or body."""
     request_id = header(head, "x-request-id").encode()
@@ -225,10 +181,10 @@
 @contextlib.asynccontextmanager
 async def gateway_to(
     server: EndlessServer, *, has_other: bool = False
-) -> AsyncIterator[FakeGateway]:
+) -> AsyncIterator[RawGateway]:
     """Runs a gateway to a server, and to a healthy one if `has_other`."""
     async with serving(server.answer) as port, serving(answer_whole) as other:
-        yield FakeGateway([port, other] if has_other else [port])
+        yield RawGateway([port, other] if has_other else [port])
 
 
 def run(steps: Callable[[], Awaitable[None]]) -> None:
@@ -383,7 +339,7 @@
     async def steps() -> None:
         async with serving(answer) as port:
             caller = DiscardingCaller()
-            error = await FakeGateway([port]).forward(CALL, caller)
+            error = await RawGateway([port]).forward(CALL, caller)
             assert error is None
             assert caller.is_finished
             assert caller.received_bytes == size
@@ -486,43 +442,14 @@
 # Batch items
 
 
-def make_owned(output_tokens: int) -> tuple[OwnedJob, ItemRun]:
-    item = Item("i0", "/p/x", {}, b"body", output_tokens)
-    job = Job(
-        job_id="j",
-        host="h",
-        item_ids=["i0"],
-        chunk_by_item=[0],
-        submitted_ms=0,
-        due_ms=0,
-        retention_ms=0,
-        max_attempts=2,
-    )
-    owned = OwnedJob(job, 1, [item])
-    return owned, owned.runs_by_id["i0"]
-
-
 async def run_item(
     server: EndlessServer, output_tokens: int = 0, runs: int = 1
 ) -> tuple[OwnedJob, ItemRun, FleetView]:
     """Runs an item; returns its job, its state and the upstreams."""
     async with serving(server.answer) as port:
-        view = FleetView(MemoryStore(), "a", random.Random(1))
-        view.upstreams.put(make_listed_upstream("u0", port=port))
-        runner = ItemRunner(
-            view,
-            UpstreamClient(),
-            PromptQuarantine("worker", None),
-            Permits("worker", None, view.upstreams),
-            ItemDurationEstimator(),
-        )
-        owned, item = make_owned(output_tokens)
-        upstream = view.upstreams.upstreams_by_id["u0"]
-        for _ in range(runs):
-            with anyio.fail_after(3 * ITEM_IDLE_TIMEOUT_S):
-                await runner.run(owned, item, upstream)
+        outcome = await run_item_at(port, output_tokens, runs)
         await server.wait_closed()
-    return owned, item, view
+    return outcome
 
 
 def test_items_end_at_responses_without_end() -> None:
--- a/tests/workers.py
+++ b/tests/workers.py
@@ -19,12 +19,15 @@
     UpstreamLostError,
 )
 from plumvane.platform.requests import ResponseHead
-from plumvane.relay.client import Attempt
+from plumvane.relay.client import Attempt, UpstreamClient
 from plumvane.relay.reports import ReportReader
-from plumvane.serving.jobs import Item, ItemResult
+from plumvane.serving.jobs import Item, ItemResult, Job
+from plumvane.serving.pacing import ItemDurationEstimator
 from plumvane.serving.routes import RouteKind, RouteTable, Service
 from plumvane.serving.upstreams import Upstream
 from plumvane.store.memory import MemoryStore
+from plumvane.worker.items import ITEM_IDLE_TIMEOUT_S, ItemRunner
+from plumvane.worker.owned import ItemRun, OwnedJob
 from plumvane.worker.worker import Worker
 from tests.gateways import SERVICE, make_listed_upstream, make_route
 
@@ -39,6 +42,7 @@
     "items",
     "make_worker",
     "results_reader",
+    "run_item_at",
     "run_with_timeout",
     "wait_until_listed",
 ]
@@ -178,6 +182,48 @@
     return read
 
 
+async def run_item_at(
+    port: int, output_tokens: int = 0, runs: int = 1, body: bytes = b"body"
+) -> tuple[OwnedJob, ItemRun, FleetView]:
+    """Runs an item at the upstream `u0`, with a real client.
+
+    Args:
+        port: Port of the upstream on loopback.
+        output_tokens: Largest number of tokens that the item generates.
+        runs: Number of runs, one after the other.
+        body: Body of the item.
+
+    Returns:
+        Its job, its state and the upstreams.
+    """
+    view = FleetView(MemoryStore(), "a", random.Random(1))
+    view.upstreams.put(make_listed_upstream("u0", port=port))
+    runner = ItemRunner(
+        view,
+        UpstreamClient(),
+        PromptQuarantine("worker", None),
+        Permits("worker", None, view.upstreams),
+        ItemDurationEstimator(),
+    )
+    job = Job(
+        job_id="j",
+        host="h",
+        item_ids=["i0"],
+        chunk_by_item=[0],
+        submitted_ms=0,
+        due_ms=0,
+        retention_ms=0,
+        max_attempts=2,
+    )
+    owned = OwnedJob(job, 1, [Item("i0", "/p/x", {}, body, output_tokens)])
+    item = owned.runs_by_id["i0"]
+    upstream = view.upstreams.upstreams_by_id["u0"]
+    for _ in range(runs):
+        with anyio.fail_after(3 * ITEM_IDLE_TIMEOUT_S):
+            await runner.run(owned, item, upstream)
+    return owned, item, view
+
+
 async def wait_until_listed(
     store: MemoryStore, job_id: str, count: int
 ) -> list[ItemResult]:
