Limit what peers' sockets keep of bytes without end

What callers would see: a program at the address of a peer, or one that connects to an instance, sends bytes that are no message, without end. The instance keeps them all and ends with its memory, and the requests of all its callers with it.

Cause: ZeroMQ accepts peers that speak ZMTP 1.0, which has no handshake, so that any bytes are frames; a message may have any number of them. A frame of ZMTP 3.0 may have any size.

Change: sockets without keys have a ZAP domain, with which ZeroMQ refuses peers before ZMTP 3.0; no authenticator handles it, so others are admitted as before. Sockets with keys refused them already. A frame has 32 MiB at the most.

Not bounded: frames without end of one message after a handshake of ZMTP 3.0. ZeroMQ counts messages, not frames.

--- a/plumvane/peers/channel.py
+++ b/plumvane/peers/channel.py
@@ -5,10 +5,30 @@
 import anyio
 import zmq
 
-__all__ = ["Channel", "ConnectionMonitor"]
+from plumvane.peers import wire
+
+__all__ = ["Channel", "ConnectionMonitor", "limit_input"]
 
 # Messages received in a row before the receiver yields to other tasks.
 MESSAGES_PER_YIELD = 64
+# ZAP domain of sockets without keys; no authenticator handles it.
+OPEN_DOMAIN = b"plumvane"
+
+
+def limit_input(socket: zmq.Socket[bytes], *, has_keys: bool) -> None:
+    """Limits what a socket keeps of bytes that are no message of a peer.
+
+    Whatever has taken over a peer's address may send anything.
+
+    Args:
+        socket: A socket that is neither bound nor connected yet.
+        has_keys: Whether the socket has keys.
+    """
+    socket.setsockopt(zmq.MAXMSGSIZE, wire.MAX_FRAME_BYTES)
+    if not has_keys:
+        # ZMTP 1.0 has no handshake: any bytes are frames, and a message has no
+        # maximum number of them. Sockets with a ZAP domain refuse it.
+        socket.setsockopt(zmq.ZAP_DOMAIN, OPEN_DOMAIN)
 
 
 class Channel:
--- a/plumvane/peers/link.py
+++ b/plumvane/peers/link.py
@@ -22,7 +22,7 @@
     error_from_code,
 )
 from plumvane.peers import wire
-from plumvane.peers.channel import Channel, ConnectionMonitor
+from plumvane.peers.channel import Channel, ConnectionMonitor, limit_input
 from plumvane.peers.keys import PeerKeys
 from plumvane.peers.messages import Failure, Message, decode, encode
 
@@ -202,6 +202,7 @@
         socket.setsockopt(zmq.IDENTITY, secrets.token_bytes(12))
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        limit_input(socket, has_keys=self._keys is not None)
         if self._keys is not None:
             self._keys.set_client(socket, next(self._attempts))
         monitor = ConnectionMonitor(socket)
--- a/plumvane/peers/server.py
+++ b/plumvane/peers/server.py
@@ -14,7 +14,7 @@
 from plumvane import clock, events
 from plumvane.errors import PlumvaneError, ProtocolError, SettingsError
 from plumvane.peers import wire
-from plumvane.peers.channel import Channel
+from plumvane.peers.channel import Channel, limit_input
 from plumvane.peers.keys import PeerKeys, run_authenticator
 from plumvane.peers.messages import Failure, Message, decode, encode
 
@@ -197,6 +197,7 @@
         task_status: anyio.abc.TaskStatus[None],
     ) -> None:
         socket = context.socket(zmq.ROUTER)
+        limit_input(socket, has_keys=self._keys is not None)
         if self._keys is not None:
             self._keys.set_server(socket)
         socket.setsockopt(zmq.LINGER, 0)
--- a/plumvane/peers/wire.py
+++ b/plumvane/peers/wire.py
@@ -8,9 +8,19 @@
 
 from plumvane.errors import ProtocolError
 
-__all__ = ["PROTOCOL_VERSION", "Header", "Kind", "pack", "split", "unpack"]
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "PROTOCOL_VERSION",
+    "Header",
+    "Kind",
+    "pack",
+    "split",
+    "unpack",
+]
 
 PROTOCOL_VERSION = 1
+# Maximum size of a frame, in bytes. The largest carry listings of the store.
+MAX_FRAME_BYTES = 33_554_432
 
 _HEADER = struct.Struct("!BQI")
 
