Bound all response bodies that a pool holds together

What callers would see: a faulty store answers with bytes without end. Each call keeps up to 32 MiB of them, and an instance makes several calls at a time; on machines of 160 to 330 MB it ends with its memory, and the requests of its callers with it.

Cause: the limit was one for each response, with none on their number. Other users of HttpPool.request had no limit at all.

Change: a pool has one limit, 32 MiB, for all bodies that its requests hold while they read. Load reports keep their limit of 64 KiB each.

--- a/plumvane/httppool.py
+++ b/plumvane/httppool.py
@@ -21,7 +21,9 @@
 
 __all__ = [
     "KEEPALIVE_SOCKET_OPTIONS",
+    "MAX_HELD_BYTES",
     "NETWORK_ERRORS",
+    "HeldBodies",
     "HttpPool",
     "OversizedResponseError",
     "read_body",
@@ -40,6 +42,9 @@
 # is complete; informational responses count, and so does what arrives together
 # with the head. httpcore limits a single head to 100 KB.
 MAX_HEAD_BYTES = 262_144
+# Maximum size of all bodies together that the requests of a pool hold at a
+# time, in bytes. The largest are listings and values of a store, of about 1 MB.
+MAX_HELD_BYTES = 33_554_432
 
 # TCP_USER_TIMEOUT: time with unacknowledged bytes after which the kernel closes
 # a connection, in milliseconds. The longest round trips within one region take
@@ -74,6 +79,31 @@
     """A response exceeds a limit on its size."""
 
 
+@dataclasses.dataclass(slots=True)
+class HeldBodies:
+    """Bytes of the bodies that are being read, and their maximum.
+
+    Attributes:
+        max_bytes: Maximum size of all bodies together.
+        bytes: Size of what has been read of them.
+    """
+
+    max_bytes: int
+    bytes: int = 0
+
+    def add(self, size: int) -> None:
+        """Adds a part of a body.
+
+        Raises:
+            OversizedResponseError: The bodies exceed the maximum.
+        """
+        self.bytes += size
+        if self.bytes > self.max_bytes:
+            raise OversizedResponseError(
+                f"The bodies of responses are over {self.max_bytes} bytes."
+            )
+
+
 @dataclasses.dataclass(slots=True)
 class _ReadLimit:
     """Number of bytes that may be read from a server; None for no limit."""
@@ -196,6 +226,7 @@
         socket_options: Iterable[httpcore.SOCKET_OPTION] = (),
         *,
         reuses_connections: bool = True,
+        max_held_bytes: int = MAX_HELD_BYTES,
     ) -> None:
         """Creates an empty pool.
 
@@ -206,7 +237,10 @@
             reuses_connections: Whether connections are kept for further
                 requests. A server whose responses do not name their request
                 may send one twice, which the next request would read.
+            max_held_bytes: Maximum size of the bodies that all calls of
+                `request` hold at a time while they read.
         """
+        self._held = HeldBodies(max_held_bytes)
         self._reuses_connections = reuses_connections
         self._ssl_context = ssl_context
         self._socket_options = tuple(socket_options)
@@ -227,7 +261,6 @@
         headers: Headers | None = None,
         content: bytes = b"",
         extensions: dict[str, Any] | None = None,
-        max_body_bytes: int | None = None,
         use_new_connection: bool = False,
     ) -> httpcore.Response:
         """Sends a request and reads the complete response.
@@ -238,13 +271,12 @@
             headers: Request headers besides those that HTTP requires.
             content: Request body.
             extensions: httpcore's extensions, such as `timeout`.
-            max_body_bytes: Maximum size of the response's body; None for no
-                limit.
             use_new_connection: Opens a new connection instead of reusing an
                 idle one.
 
         Raises:
-            OversizedResponseError: The head or the body is over its limit.
+            OversizedResponseError: The head is over its limit, or the body
+                together with those of other requests.
             httpcore.NetworkError: The connection failed.
             httpcore.ProtocolError: The response is malformed or incomplete.
             httpcore.TimeoutException: A timeout in `extensions` expired.
@@ -260,7 +292,7 @@
             complete = httpcore.Response(
                 response.status,
                 headers=response.headers,
-                content=await read_body(response, max_body_bytes),
+                content=await read_body(response, self._held),
             )
             complete.read()
             return complete
@@ -353,25 +385,24 @@
         return _Connection(origin, self._ssl_context, self._socket_options)
 
 
-async def read_body(
-    response: httpcore.Response, max_bytes: int | None
-) -> bytes:
+async def read_body(response: httpcore.Response, held: HeldBodies) -> bytes:
     """Reads the body of a response.
 
     Args:
         response: The response, whose body has not been read.
-        max_bytes: Maximum size of the body; None for no limit.
+        held: Account of the bodies that may be held.
 
     Raises:
-        OversizedResponseError: The body is larger.
+        OversizedResponseError: The body is larger than may be held beside the
+            others of the account.
     """
     body = bytearray()
-    async for part in response.aiter_stream():
-        body += part
-        if max_bytes is not None and len(body) > max_bytes:
-            raise OversizedResponseError(
-                f"The body of the response is over {max_bytes} bytes."
-            )
+    try:
+        async for part in response.aiter_stream():
+            body += part
+            held.add(len(part))
+    finally:
+        held.bytes -= len(body)
     return bytes(body)
 
 
--- a/plumvane/relay/reports.py
+++ b/plumvane/relay/reports.py
@@ -15,6 +15,7 @@
 from plumvane.httppool import (
     KEEPALIVE_SOCKET_OPTIONS,
     NETWORK_ERRORS,
+    HeldBodies,
     HttpPool,
     read_body,
 )
@@ -63,7 +64,9 @@
                     "GET", url, headers=[("host", host)]
                 ) as response:
                     _record_announcements(upstream, response)
-                    body = await read_body(response, MAX_REPORT_BYTES)
+                    body = await read_body(
+                        response, HeldBodies(MAX_REPORT_BYTES)
+                    )
                 load: Load | None = decode_report(body)
             except (ProtocolError, *NETWORK_ERRORS):
                 # Counted as a missed report below.
--- a/plumvane/store/calls.py
+++ b/plumvane/store/calls.py
@@ -13,9 +13,6 @@
 
 __all__ = ["StoreHttpClient"]
 
-# Maximum size of a response's body, in bytes. Stores send pages of about 1 MB
-# and values of up to 1 MB.
-MAX_RESPONSE_BYTES = 33_554_432
 # Time after the end of a watch at which its response is overdue, and timeout of
 # the request that is then sent in its place, in seconds. A slow store responds
 # in less.
@@ -170,7 +167,6 @@
                     self._url + path,
                     headers=headers,
                     content=content,
-                    max_body_bytes=MAX_RESPONSE_BYTES,
                     use_new_connection=is_new,
                 )
         except (TimeoutError, *NETWORK_ERRORS) as error:
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -20,7 +20,7 @@
     UpstreamLostError,
 )
 from plumvane.gateway.forwarder import IncompleteResponseError
-from plumvane.httppool import HttpPool
+from plumvane.httppool import MAX_HELD_BYTES, HttpPool
 from plumvane.platform.store import CALL_TIMEOUT_S, PlatformStore
 from plumvane.relay.events import EventStreamParser
 from plumvane.relay.reports import REPORT_TIMEOUT_S, ReportReader
@@ -51,6 +51,10 @@
 # Pause between the bytes of a slow server, in seconds.
 DRIP_S = 0.05
 PIECE_BYTES = 65_536
+# Calls of the store that a process makes at a time.
+CONCURRENT_CALLS = 12
+# Bytes that the kernel buffers of one connection at the most.
+MAX_BUFFERED_BYTES = 10 * 1024 * 1024
 CALL = make_route(RouteKind.CALL, timeout_s=8.0)
 STREAM = make_route(RouteKind.STREAM, is_resumable=True, timeout_s=8.0)
 SIGNED = (
@@ -529,3 +533,26 @@
         "trailer": EVENTLESS_BY_NAME["trailer"],
     }.items():
         run(partial(steps, name, start, pattern))
+
+
+# Guards against LOST: many calls at a time each keep bytes that come without
+# end, and the process ends with its memory.
+def test_store_calls_together_keep_a_bounded_number_of_bytes() -> None:
+    async def call(store: PlatformStore) -> None:
+        with contextlib.suppress(StoreUnavailableError):
+            await store.get("k")
+
+    async def steps(start: bytes, pattern: bytes) -> None:
+        server = EndlessServer(start, pattern)
+        async with serving(server.answer) as port:
+            store = PlatformStore(f"http://{HOST}:{port}")
+            async with anyio.create_task_group() as group:
+                for _ in range(CONCURRENT_CALLS):
+                    group.start_soon(call, store)
+        assert server.connections == CONCURRENT_CALLS
+        # What the kernel has buffered of each connection counts, too.
+        limit = MAX_HELD_BYTES + CONCURRENT_CALLS * MAX_BUFFERED_BYTES
+        assert server.sent_bytes < limit, server.sent_bytes
+
+    run(partial(steps, UNTIL_CLOSE, b"x"))
+    run(partial(steps, CHUNKED, KILOBYTE_CHUNK))
