Fail a listing whose pages do not advance

What callers would see: a faulty store answers each page of a listing with the one before and says that there are more. The instance asks on without a pause and keeps all records, until its memory is used up.

Cause: the next page was asked for after the last key of a page, whatever that was.

Evidence: test_listing_that_does_not_advance_ends on: not ended after 3 s.

Change: a page whose last key is not after that of the page before is a failure of the store, which the caller tries again with its usual pause.

Result: the test fails on (TimeoutError) and passes with the change.

--- a/plumvane/platform/store.py
+++ b/plumvane/platform/store.py
@@ -171,6 +171,11 @@
             is_limit_reached = limit is not None and len(records) >= limit
             if is_limit_reached or not page.has_more or not page.items:
                 return WatchResult(tuple(records[:limit]), revision)
+            if page.items[-1].key <= after_key:
+                raise StoreUnavailableError(
+                    f"The store's pages of {prefix} do not advance.",
+                    retry_after_s=RETRY_AFTER_S,
+                )
             after_key = page.items[-1].key
 
     async def transact(
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -556,3 +556,34 @@
 
     run(partial(steps, UNTIL_CLOSE, b"x"))
     run(partial(steps, CHUNKED, KILOBYTE_CHUNK))
+
+
+# Guards against LOST: pages without end, each of which is the one before.
+def test_listing_that_does_not_advance_ends() -> None:
+    page = (
+        b'{"items":[{"key":"k/1","revision":1,"value":""}],'
+        b'"has-more":true,"store-revision":1}'
+    )
+    requests = 0
+
+    async def answer(stream: anyio.abc.SocketStream, head: bytes) -> None:
+        nonlocal requests
+        requests += 1
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b"
+            % (len(page), page)
+        )
+
+    async def steps() -> None:
+        async with serving(answer) as port:
+            store = PlatformStore(f"http://{HOST}:{port}")
+            try:
+                with anyio.fail_after(AT_ONCE_S):
+                    await store.list("k/")
+            except StoreUnavailableError:
+                pass
+            else:
+                raise AssertionError("the listing was accepted")
+        assert requests == 2
+
+    run(steps)
