Guard configurations after all connections fell silent

It holds here; the test is a guard. The existing ones silenced connections to the store only; this one also those between instances, over which workers tell gateways of a version, at five gateways and four workers, 0, 1 and 2.5 s before a route is removed and another added.

--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -197,3 +197,34 @@
 
     for seed in SEEDS:
         run_on_fleet(DEPLOYMENT, functools.partial(steps, seed=seed))
+
+
+# Times between the silence and the change, in seconds.
+CHANGE_DELAYS_S = (0.0, 1.0, 2.5)
+
+
+# Guards against CONFIG after all open connections between instances, and to the
+# store, fell silent for good: neither a watch nor what a worker tells arrives.
+def test_configuration_is_in_force_after_all_connections_fell_silent() -> None:
+    async def steps(fleet: SoakFleet, delay_s: float) -> None:
+        await start_with_route(fleet, "removed")
+        for program in fleet.programs:
+            for route in fleet.routes_by_process[program.name]:
+                fleet.set_faults(route, mode="freeze", new_pass=True)
+        silent_at = clock.monotonic()
+        await anyio.sleep(delay_s)
+        fleet.extra_routes[:] = ["added"]
+        await fleet.write_configuration()
+        written_at = clock.monotonic()
+        in_force_at = max(silent_at + CONTACT_S, written_at + APPLY_S)
+        await anyio.sleep(clock.remaining(in_force_at))
+        for gateway in fleet.gateways:
+            statuses = [
+                await call(gateway, "/removed/0", number)
+                for number in range(CALLS)
+            ]
+            assert 200 not in statuses, (delay_s, gateway.name, statuses)
+            assert await call(gateway, "/added/0", 0) == 200, gateway.name
+
+    for delay_s in CHANGE_DELAYS_S:
+        run_on_fleet(DEPLOYMENT, functools.partial(steps, delay_s=delay_s))
