Name the limit on bodies after what it is

HeldBodies had a field named bytes, and a pool took a maximum that nobody gave.

Change: BodyBudget with held_bytes; the pool uses MAX_HELD_BYTES. No behaviour.

Result: tests.test_endless_responses and tests.test_httppool pass.

--- a/plumvane/httppool.py
+++ b/plumvane/httppool.py
@@ -20,10 +20,10 @@
 from plumvane import clock
 
 __all__ = [
+    "BodyBudget",
     "KEEPALIVE_SOCKET_OPTIONS",
     "MAX_HELD_BYTES",
     "NETWORK_ERRORS",
-    "HeldBodies",
     "HttpPool",
     "OversizedResponseError",
     "read_body",
@@ -80,16 +80,16 @@
 
 
 @dataclasses.dataclass(slots=True)
-class HeldBodies:
-    """Bytes of the bodies that are being read, and their maximum.
+class BodyBudget:
+    """Limits the size of all bodies together that are being read.
 
     Attributes:
-        max_bytes: Maximum size of all bodies together.
-        bytes: Size of what has been read of them.
+        max_bytes: Maximum size of the bodies.
+        held_bytes: Size of what has been read of them.
     """
 
     max_bytes: int
-    bytes: int = 0
+    held_bytes: int = 0
 
     def add(self, size: int) -> None:
         """Adds a part of a body.
@@ -97,8 +97,8 @@
         Raises:
             OversizedResponseError: The bodies exceed the maximum.
         """
-        self.bytes += size
-        if self.bytes > self.max_bytes:
+        self.held_bytes += size
+        if self.held_bytes > self.max_bytes:
             raise OversizedResponseError(
                 f"The bodies of responses are over {self.max_bytes} bytes."
             )
@@ -226,7 +226,6 @@
         socket_options: Iterable[httpcore.SOCKET_OPTION] = (),
         *,
         reuses_connections: bool = True,
-        max_held_bytes: int = MAX_HELD_BYTES,
     ) -> None:
         """Creates an empty pool.
 
@@ -237,10 +236,8 @@
             reuses_connections: Whether connections are kept for further
                 requests. A server whose responses do not name their request
                 may send one twice, which the next request would read.
-            max_held_bytes: Maximum size of the bodies that all calls of
-                `request` hold at a time while they read.
         """
-        self._held = HeldBodies(max_held_bytes)
+        self._budget = BodyBudget(MAX_HELD_BYTES)
         self._reuses_connections = reuses_connections
         self._ssl_context = ssl_context
         self._socket_options = tuple(socket_options)
@@ -292,7 +289,7 @@
             complete = httpcore.Response(
                 response.status,
                 headers=response.headers,
-                content=await read_body(response, self._held),
+                content=await read_body(response, self._budget),
             )
             complete.read()
             return complete
@@ -385,24 +382,23 @@
         return _Connection(origin, self._ssl_context, self._socket_options)
 
 
-async def read_body(response: httpcore.Response, held: HeldBodies) -> bytes:
+async def read_body(response: httpcore.Response, budget: BodyBudget) -> bytes:
     """Reads the body of a response.
 
     Args:
         response: The response, whose body has not been read.
-        held: Account of the bodies that may be held.
+        budget: Limits the body together with the others that are being read.
 
     Raises:
-        OversizedResponseError: The body is larger than may be held beside the
-            others of the account.
+        OversizedResponseError: The budget is exceeded.
     """
     body = bytearray()
     try:
         async for part in response.aiter_stream():
             body += part
-            held.add(len(part))
+            budget.add(len(part))
     finally:
-        held.bytes -= len(body)
+        budget.held_bytes -= len(body)
     return bytes(body)
 
 
--- a/plumvane/relay/reports.py
+++ b/plumvane/relay/reports.py
@@ -15,7 +15,7 @@
 from plumvane.httppool import (
     KEEPALIVE_SOCKET_OPTIONS,
     NETWORK_ERRORS,
-    HeldBodies,
+    BodyBudget,
     HttpPool,
     read_body,
 )
@@ -65,7 +65,7 @@
                 ) as response:
                     _record_announcements(upstream, response)
                     body = await read_body(
-                        response, HeldBodies(MAX_REPORT_BYTES)
+                        response, BodyBudget(MAX_REPORT_BYTES)
                     )
                 load: Load | None = decode_report(body)
             except (ProtocolError, *NETWORK_ERRORS):
