Take the gateway of test_slow_streams from its new place

test_slow_streams imports the fixture that moved to tests/gateways, so that the module could not be loaded.

--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -10,12 +10,11 @@
 import anyio.abc
 
 from plumvane.serving.routes import RouteKind
-from tests.gateways import FakeCaller, make_route
+from tests.gateways import FakeCaller, RawGateway, make_route
 from tests.raw_servers import header, serving
 from tests.test_endless_responses import (
     EVENTS,
     SIGNED,
-    FakeGateway,
     answer_whole,
     run_together,
 )
@@ -60,7 +59,7 @@
     )
     server = SlowServer()
     async with serving(server.answer) as port, serving(answer_whole) as other:
-        gateway = FakeGateway([port, other])
+        gateway = RawGateway([port, other])
         caller = FakeCaller()
         assert await gateway.forward(route, caller) is None
     assert caller.body == EVENTS
