Wait on events in the tests of jobs' routes

Three tests waited 0.1 s for a worker to follow a change, which a busy machine may exceed; they would then pass on code that they guard against.

Change: they wait until the worker has the configuration or the head. Items are held back by a context manager in place of two assignments. The checks stay.

--- a/tests/test_removed_routes.py
+++ b/tests/test_removed_routes.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import json
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any
 
 import anyio
-import anyio.lowlevel
 
 from plumvane import clock
 from plumvane.batch.jobstore import Commit, JobStore
@@ -197,9 +197,22 @@
 )
 
 
+@contextlib.contextmanager
+def items_waiting(worker: Worker) -> Iterator[None]:
+    """Has a worker start no item in the context."""
+
+    async def start_nothing(*_: Any) -> None:
+        return
+
+    scheduler: Any = worker._scheduler
+    schedule, scheduler.schedule = scheduler.schedule, start_nothing
+    yield
+    scheduler.schedule = schedule
+
+
 async def check_run_at(
     store: MemoryStore,
-    change: Callable[[], Awaitable[None]],
+    change: Callable[[Worker], Awaitable[None]],
     service: str,
     paths: Sequence[str] = ITEM_PATHS,
 ) -> None:
@@ -207,7 +220,8 @@
 
     Args:
         store: The store, with a configuration in which `/p/` leads to `a`.
-        change: Called once the job is claimed and before its items run.
+        change: Called with the worker once it has claimed the job, before it
+            runs any item.
         service: Service at which they must run.
         paths: Paths of the items.
     """
@@ -216,15 +230,14 @@
         Item(f"i{n}", path, {}, b"") for n, path in enumerate(paths)
     )
     worker = make_following_worker(store, engine)
-    worker._scheduler.schedule, schedule = _no_round, worker._scheduler.schedule  # type: ignore[method-assign]
     async with anyio.create_task_group() as group:
         group.start_soon(worker._view.run)
         group.start_soon(worker.run)
         await wait_for(worker._view.is_loaded)
-        await JobStore(store).accept("j", "h", submitted, JOB_ROUTE)
-        await wait_for(lambda: "j" in worker._owned_by_id)
-        await change()
-        worker._scheduler.schedule = schedule  # type: ignore[method-assign]
+        with items_waiting(worker):
+            await JobStore(store).accept("j", "h", submitted, JOB_ROUTE)
+            await wait_for(lambda: "j" in worker._owned_by_id)
+            await change(worker)
         results = await wait_until_listed(store, "j", len(paths))
         group.cancel_scope.cancel()
     assert {result.text for result in results} == {FULL_TEXT}
@@ -233,8 +246,8 @@
     }
 
 
-async def _no_round(*_: Any) -> None:
-    """Starts no item."""
+async def no_change(worker: Worker) -> None:
+    """Leaves the configuration as it is."""
 
 
 # Guards against MIXED: a route that is added over the paths of a job's items
@@ -244,9 +257,9 @@
         store = MemoryStore()
         await configure(store, 1, {"/p/": "a"})
 
-        async def add_routes() -> None:
+        async def add_routes(worker: Worker) -> None:
             await configure(store, 2, {"/p/": "a"}, *ROUTES_OVER_ITEMS)
-            await anyio.sleep(0.1)
+            await wait_for(lambda: worker._view.routes.version == 2)
 
         await check_run_at(store, add_routes, "a")
 
@@ -259,7 +272,7 @@
     async def steps() -> None:
         store = MemoryStore()
         await configure(store, 1, {"/p/": "a"}, *ROUTES_OVER_ITEMS)
-        await check_run_at(store, anyio.lowlevel.checkpoint, "a")
+        await check_run_at(store, no_change, "a")
 
     run_with_timeout(steps)
 
@@ -270,12 +283,7 @@
     async def steps() -> None:
         store = MemoryStore()
         await configure(store, 1, {"/p/": "a", "/p/other/": "b"})
-        await check_run_at(
-            store,
-            anyio.lowlevel.checkpoint,
-            "a",
-            ("/p/other/x", "/p/x"),
-        )
+        await check_run_at(store, no_change, "a", ("/p/other/x", "/p/x"))
 
     run_with_timeout(steps)
 
@@ -290,9 +298,9 @@
         store = MemoryStore()
         await configure(store, 1, {"/p/": "a"})
 
-        async def change() -> None:
+        async def change(worker: Worker) -> None:
             await configure(store, 2, {}, route, *ROUTES_OVER_ITEMS)
-            await anyio.sleep(0.1)
+            await wait_for(lambda: worker._view.routes.version == 2)
 
         await check_run_at(store, change, "b")
 
@@ -338,12 +346,13 @@
         store = MemoryStore()
         await configure(store, 1, {"/p/": "a", "/": "b"}, *ROUTES_OVER_ITEMS)
 
-        async def remove_names() -> None:
+        async def remove_names(worker: Worker) -> None:
             jobs = JobStore(store)
             job, revision = await jobs.head("j")
             job.route_name = job.path_prefix = ""
             await jobs.commit([Commit(job, revision, {})])
-            await anyio.sleep(0.1)
+            owned = worker._owned_by_id["j"]
+            await wait_for(lambda: not owned.job.route_name)
 
         await check_run_at(
             store, remove_names, "a", ("/p/stream/x", "/p/other/x")
